--- /dev/null
+++ b/daemon/src/main/java/org/peridotcourse/daemon/http/HttpChannel.java
@@ -0,0 +1,214 @@
+package org.peridotcourse.daemon.http;
+
+import java.io.ByteArrayOutputStream;
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import org.glassfish.grizzly.Buffer;
+import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.http.HttpContent;
+import org.glassfish.grizzly.http.HttpRequestPacket;
+import org.glassfish.grizzly.http.HttpResponsePacket;
+import org.glassfish.grizzly.http.Method;
+import org.glassfish.grizzly.http.Protocol;
+import org.glassfish.grizzly.http.util.MimeHeaders;
+import org.glassfish.grizzly.memory.Buffers;
+
+/**
+ * One client connection that carries one request at a time.
+ *
+ * <p>An answer is delivered only when it arrived whole, that is with its full content length or its
+ * last chunk. A channel whose request failed in any way is closed and never used again, so that a
+ * late answer cannot reach the next request. It is thread-safe.
+ */
+public final class HttpChannel {
+    private final Connection<?> connection;
+    private final InetSocketAddress address;
+    private final int maxBodyBytes;
+
+    private CompletableFuture<HttpReply> pending;
+    private ByteArrayOutputStream body;
+    private boolean closed;
+    private boolean keepAlive = true;
+    private long bytesRead;
+
+    HttpChannel(Connection<?> connection, InetSocketAddress address, int maxBodyBytes) {
+        this.connection = connection;
+        this.address = address;
+        this.maxBodyBytes = maxBodyBytes;
+    }
+
+    /**
+     * Returns the address of the other side.
+     *
+     * @return the address
+     */
+    public InetSocketAddress address() {
+        return address;
+    }
+
+    /**
+     * Tells whether another request may be sent now.
+     *
+     * @return true if the channel is open and no request is outstanding
+     */
+    public synchronized boolean isIdle() {
+        return !closed && pending == null && connection.isOpen();
+    }
+
+    /**
+     * Returns the number of body bytes that arrived so far, to judge whether the connection is
+     * silent.
+     *
+     * @return the number of bytes, never decreasing
+     */
+    public synchronized long bytesRead() {
+        return bytesRead;
+    }
+
+    /**
+     * Sends a request. The future completes on a selector thread, so its dependents must not block.
+     *
+     * @param call the request
+     * @return a future of the whole answer; it fails with a {@link ChannelException}
+     */
+    public CompletableFuture<HttpReply> send(HttpCall call) {
+        CompletableFuture<HttpReply> reply = new CompletableFuture<>();
+        synchronized (this) {
+            if (closed || pending != null || !connection.isOpen()) {
+                reply.completeExceptionally(
+                        new ChannelException(ChannelFailure.CLOSED_BEFORE_SEND));
+                return reply;
+            }
+            pending = reply;
+            body = new ByteArrayOutputStream();
+        }
+        connection.write(toPacket(call));
+        return reply;
+    }
+
+    /**
+     * Gives up the outstanding request, if any, and closes the connection.
+     *
+     * @param reason the failure of the outstanding request
+     */
+    public void abandon(ChannelFailure reason) {
+        finish(reason);
+    }
+
+    /** Closes the connection. An outstanding request fails with {@code ABANDONED}. */
+    public void close() {
+        finish(ChannelFailure.ABANDONED);
+    }
+
+    void onContent(HttpContent content) {
+        CompletableFuture<HttpReply> done = null;
+        HttpReply reply = null;
+        boolean tooLarge = false;
+        synchronized (this) {
+            if (pending == null) {
+                closed = true;
+            } else {
+                tooLarge = !append(content.getContent());
+                if (!tooLarge && content.isLast() && isDelimited(content)) {
+                    reply = toReply((HttpResponsePacket) content.getHttpHeader());
+                    done = pending;
+                    pending = null;
+                    body = null;
+                }
+            }
+        }
+        if (tooLarge) {
+            finish(ChannelFailure.BROKEN_ANSWER);
+        } else if (done != null) {
+            completeReply(done, reply);
+        } else if (isClosed()) {
+            connection.closeSilently();
+        }
+    }
+
+    void onClose() {
+        finish(ChannelFailure.ENDED_EARLY);
+    }
+
+    void onBroken() {
+        finish(ChannelFailure.BROKEN_ANSWER);
+    }
+
+    private void completeReply(CompletableFuture<HttpReply> done, HttpReply reply) {
+        if (!keepAlive) {
+            close();
+        }
+        done.complete(reply);
+    }
+
+    private synchronized boolean isClosed() {
+        return closed;
+    }
+
+    /**
+     * An answer without a length ends with the connection, so a cut cannot be told from its end.
+     */
+    private static boolean isDelimited(HttpContent content) {
+        HttpResponsePacket head = (HttpResponsePacket) content.getHttpHeader();
+        return head.isChunked() || head.getContentLength() >= 0 || !head.isExpectContent();
+    }
+
+    private boolean append(Buffer part) {
+        int size = part.remaining();
+        bytesRead += size;
+        if (body.size() + size > maxBodyBytes) {
+            return false;
+        }
+        byte[] bytes = new byte[size];
+        part.get(bytes);
+        body.write(bytes, 0, size);
+        return true;
+    }
+
+    private HttpReply toReply(HttpResponsePacket head) {
+        Map<String, List<String>> headers = new HashMap<>();
+        MimeHeaders mime = head.getHeaders();
+        for (int i = 0; i < mime.size(); i++) {
+            String name = mime.getName(i).toString().toLowerCase(Locale.ROOT);
+            headers.computeIfAbsent(name, key -> new java.util.ArrayList<>(1))
+                    .add(mime.getValue(i).toString());
+        }
+        List<String> connectionHeader = headers.getOrDefault("connection", List.of());
+        keepAlive = connectionHeader.stream().noneMatch("close"::equalsIgnoreCase);
+        return new HttpReply(head.getStatus(), headers, body.toByteArray());
+    }
+
+    private HttpContent toPacket(HttpCall call) {
+        HttpRequestPacket.Builder builder =
+                HttpRequestPacket.builder()
+                        .method(Method.valueOf(call.method()))
+                        .uri(call.target())
+                        .protocol(Protocol.HTTP_1_1)
+                        .header("Host", address.getHostString() + ":" + address.getPort())
+                        .contentLength(call.body().length);
+        call.headers().forEach(builder::header);
+        return builder.build()
+                .httpContentBuilder()
+                .content(Buffers.wrap(null, call.body()))
+                .last(true)
+                .build();
+    }
+
+    private void finish(ChannelFailure reason) {
+        CompletableFuture<HttpReply> failed;
+        synchronized (this) {
+            closed = true;
+            failed = pending;
+            pending = null;
+            body = null;
+        }
+        connection.closeSilently();
+        if (failed != null) {
+            failed.completeExceptionally(new ChannelException(reason));
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/peridotcourse/daemon/log/DecisionRing.java
@@ -0,0 +1,56 @@
+package org.peridotcourse.daemon.log;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * Keeps the newest decisions in a ring of fixed size, so that {@code explain} can show them.
+ *
+ * <p>Older decisions are overwritten. It is thread-safe.
+ */
+public final class DecisionRing {
+    private final String[] subjects;
+    private final String[] lines;
+    private long count;
+
+    /**
+     * Creates a ring.
+     *
+     * @param capacity the number of decisions to keep
+     */
+    public DecisionRing(int capacity) {
+        this.subjects = new String[capacity];
+        this.lines = new String[capacity];
+    }
+
+    /**
+     * Adds a decision.
+     *
+     * @param subject the id of the request or task
+     * @param line the log line
+     */
+    public synchronized void add(String subject, String line) {
+        int slot = (int) (count % lines.length);
+        subjects[slot] = subject;
+        lines[slot] = line;
+        count++;
+    }
+
+    /**
+     * Returns the decisions about a request or task.
+     *
+     * @param subject its id
+     * @return the log lines, oldest first
+     */
+    public synchronized List<String> about(String subject) {
+        List<String> found = new ArrayList<>();
+        long first = Math.max(0, count - lines.length);
+        for (long i = first; i < count; i++) {
+            int slot = (int) (i % lines.length);
+            if (subjects[slot].equals(subject)) {
+                found.add(lines[slot]);
+            }
+        }
+        return found;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/peridotcourse/daemon/log/Event.java
@@ -0,0 +1,40 @@
+package org.peridotcourse.daemon.log;
+
+import java.lang.System.Logger.Level;
+
+/**
+ * A numbered kind of log record. Each area of the daemon has an enum that implements it; the
+ * catalogue is docs/EVENTS.md.
+ *
+ * <p>Numbers: 1000 requests, 2000 placement, 3000 configuration, 4000 membership, 5000 platform,
+ * 9000 process. Implementations are immutable and thread-safe.
+ */
+public interface Event {
+    /**
+     * Returns the number, unique among all events and never reused.
+     *
+     * @return the number
+     */
+    int number();
+
+    /**
+     * Returns the short name, such as {@code request.routed}.
+     *
+     * @return area and past participle, joined by a dot
+     */
+    String title();
+
+    /**
+     * Returns the level at which records of this kind are written.
+     *
+     * @return the level
+     */
+    Level level();
+
+    /**
+     * Returns what the record says and which fields it has, for the catalogue.
+     *
+     * @return one sentence
+     */
+    String description();
+}
