Pass over exactly the tests that KNOWN-RED.txt lists

Cause: a test that shows a real, unfixed fault must be able to land without being weakened. Conclusion: a listed test is left out by exact class and method name, all others run.

--- /dev/null
+++ b/testkit/src/test/java/org/peridotcourse/testkit/KnownRedFilterTest.java
@@ -0,0 +1,28 @@
+package org.peridotcourse.testkit;
+
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Path;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Guards against a list that passes over more tests than it names. */
+class KnownRedFilterTest {
+    private static final List<String> LINES =
+            List.of("test: a.b.FirstTest#fails", "seen: a.b.SecondTest#works was fine");
+
+    @Test
+    void excludesExactlyTheListedMethod() {
+        KnownRedFilter filter = new KnownRedFilter(KnownRed.parse(LINES));
+
+        assertTrue(filter.verdict("a.b.FirstTest", "fails").excluded());
+        assertTrue(filter.verdict("a.b.FirstTest", "failsToo").included());
+        assertTrue(filter.verdict("a.b.SecondTest", "works").included());
+    }
+
+    @Test
+    void missingFileListsNothing() {
+        assertFalse(KnownRed.read(Path.of("no-such-file.txt")).isListed("a.b.FirstTest", "fails"));
+    }
+}
