--- /dev/null
+++ b/testkit/src/main/java/org/peridotcourse/testkit/scenario/Step.java
@@ -0,0 +1,120 @@
+package org.peridotcourse.testkit.scenario;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * One line of a scenario.
+ *
+ * <p>Instances are immutable and thread-safe.
+ *
+ * @param line the line number, from 1
+ * @param text the line without surrounding blanks
+ * @param block the lines of the block that follows, empty if there is none
+ */
+public record Step(int line, String text, List<String> block) {
+    private static final String BLOCK_START = "<<";
+    private static final String BLOCK_END = ">>";
+    private static final String COMMENT = "#";
+
+    /**
+     * Parses the lines of a scenario. A line that ends with {@code <<} takes the lines up to {@code
+     * >>} as its block; blank lines and lines that start with {@code #} are left out.
+     *
+     * @param lines the lines
+     * @return the steps
+     */
+    public static List<Step> parse(List<String> lines) {
+        List<Step> steps = new ArrayList<>();
+        int index = 0;
+        while (index < lines.size()) {
+            int number = index + 1;
+            String text = lines.get(index++).strip();
+            if (text.isEmpty() || text.startsWith(COMMENT)) {
+                continue;
+            }
+            List<String> block = new ArrayList<>();
+            if (text.endsWith(BLOCK_START)) {
+                text = text.substring(0, text.length() - BLOCK_START.length()).strip();
+                while (index < lines.size() && !lines.get(index).strip().equals(BLOCK_END)) {
+                    block.add(lines.get(index++));
+                }
+                index++;
+            }
+            steps.add(new Step(number, text, List.copyOf(block)));
+        }
+        return steps;
+    }
+
+    /**
+     * Returns the first word of the line.
+     *
+     * @return the verb
+     */
+    public String verb() {
+        return words(text).get(0);
+    }
+
+    /**
+     * Returns the words after the verb, up to the condition mark.
+     *
+     * @return the words; quoted words may hold blanks
+     */
+    public List<String> arguments() {
+        List<String> words = words(text);
+        int end = words.indexOf("=>");
+        return words.subList(1, end < 0 ? words.size() : end);
+    }
+
+    /**
+     * Returns the conditions after {@code =>}, which are separated by {@code ;}.
+     *
+     * @return the words of each condition
+     */
+    public List<List<String>> conditions() {
+        List<String> words = words(text);
+        List<List<String>> conditions = new ArrayList<>();
+        int mark = words.indexOf("=>");
+        if (mark < 0) {
+            return conditions;
+        }
+        List<String> current = new ArrayList<>();
+        for (String word : words.subList(mark + 1, words.size())) {
+            if (word.equals(";")) {
+                conditions.add(List.copyOf(current));
+                current.clear();
+            } else {
+                current.add(word);
+            }
+        }
+        conditions.add(List.copyOf(current));
+        return conditions;
+    }
+
+    /** Splits at blanks; text between single quotes stays together. */
+    private static List<String> words(String text) {
+        List<String> words = new ArrayList<>();
+        StringBuilder word = new StringBuilder();
+        boolean quoted = false;
+        boolean started = false;
+        for (char c : text.toCharArray()) {
+            if (c == '\'') {
+                quoted = !quoted;
+                started = true;
+            } else if (c == ' ' && !quoted) {
+                if (started) {
+                    words.add(word.toString());
+                }
+                word.setLength(0);
+                started = false;
+            } else {
+                word.append(c);
+                started = true;
+            }
+        }
+        if (started) {
+            words.add(word.toString());
+        }
+        return words;
+    }
+}
