--- /dev/null
+++ b/core/src/main/java/org/peridotcourse/routing/Reply.java
@@ -0,0 +1,44 @@
+package org.peridotcourse.routing;
+
+/**
+ * The routing part of a complete response.
+ *
+ * <p>Instances are immutable and thread-safe.
+ *
+ * @param status the HTTP status
+ * @param notRun whether the backend server said that the request did not run
+ * @param retryAfterMillis the retry-after time of the response, 0 if it has none
+ * @param leaving whether the backend server said that it leaves
+ * @param reusable whether the connection may carry another request
+ */
+public record Reply(
+        int status, boolean notRun, long retryAfterMillis, boolean leaving, boolean reusable) {
+    /**
+     * Returns a complete response on a connection that may be reused.
+     *
+     * @param status the HTTP status
+     * @return the reply
+     */
+    public static Reply of(int status) {
+        return new Reply(status, false, 0, false, true);
+    }
+
+    /**
+     * Returns a response that says that the request did not run.
+     *
+     * @param retryAfterMillis the retry-after time, 0 for none
+     * @return the reply
+     */
+    public static Reply notRun(long retryAfterMillis) {
+        return new Reply(503, true, retryAfterMillis, false, true);
+    }
+
+    /**
+     * Returns this reply with the mark of a leaving backend server.
+     *
+     * @return the changed copy
+     */
+    public Reply withLeaving() {
+        return new Reply(status, notRun, retryAfterMillis, true, reusable);
+    }
+}
