--- /dev/null
+++ b/daemon/src/test/java/org/peridotcourse/daemon/platform/TinyHttpServer.java
@@ -0,0 +1,118 @@
+package org.peridotcourse.daemon.platform;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Locale;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/**
+ * Answers HTTP requests with scripted replies. A reply of {@link #SILENCE} never arrives, and
+ * {@link #HANG_UP} closes the connection after the request was read.
+ */
+final class TinyHttpServer implements AutoCloseable {
+    static final String SILENCE = "silence";
+    static final String HANG_UP = "hang-up";
+
+    final Queue<String> replies = new ConcurrentLinkedQueue<>();
+    final List<String> requests = new CopyOnWriteArrayList<>();
+    final AtomicInteger connections = new AtomicInteger();
+    private final List<Socket> sockets = new CopyOnWriteArrayList<>();
+    private final ServerSocket server;
+
+    TinyHttpServer() throws IOException {
+        server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        start(this::accept);
+    }
+
+    InetSocketAddress address() {
+        return new InetSocketAddress("127.0.0.1", server.getLocalPort());
+    }
+
+    /** Returns JSON text that was written with single quotes. */
+    static String quoted(String text) {
+        return text.replace('\'', '"');
+    }
+
+    static String reply(int status, String text) {
+        String json = quoted(text);
+        return "HTTP/1.1 " + status + " X\r\nContent-Length: " + json.length() + "\r\n\r\n" + json;
+    }
+
+    @Override
+    public void close() throws IOException {
+        server.close();
+        for (Socket socket : sockets) {
+            socket.close();
+        }
+    }
+
+    private void accept() {
+        try {
+            while (true) {
+                Socket socket = server.accept();
+                sockets.add(socket);
+                connections.incrementAndGet();
+                start(() -> serve(socket));
+            }
+        } catch (IOException closed) {
+            // The test has ended.
+        }
+    }
+
+    private void serve(Socket socket) {
+        try (socket) {
+            InputStream in = socket.getInputStream();
+            for (String head = readHead(in); !head.isEmpty(); head = readHead(in)) {
+                String lower = head.toLowerCase(Locale.ROOT);
+                int at = lower.indexOf("content-length:");
+                int size =
+                        at < 0
+                                ? 0
+                                : Integer.parseInt(
+                                        lower.substring(at + 15).split("\r\n")[0].trim());
+                String body = new String(in.readNBytes(size), StandardCharsets.UTF_8);
+                requests.add(head.split(" HTTP")[0] + (body.isEmpty() ? "" : " " + body));
+                String reply = replies.poll();
+                if (reply == null || reply.equals(HANG_UP)) {
+                    return;
+                }
+                if (!reply.equals(SILENCE)) {
+                    socket.getOutputStream().write(reply.getBytes(StandardCharsets.UTF_8));
+                }
+            }
+        } catch (IOException closed) {
+            // The client has closed the connection.
+        }
+    }
+
+    private static int number(String text) {
+        return Integer.parseInt(text.substring(0, text.indexOf('\r')).trim());
+    }
+
+    private static String readHead(InputStream in) throws IOException {
+        StringBuilder head = new StringBuilder();
+        while (head.indexOf("\r\n\r\n") < 0) {
+            int c = in.read();
+            if (c < 0) {
+                return "";
+            }
+            head.append((char) c);
+        }
+        return head.toString();
+    }
+
+    private static void start(Runnable body) {
+        Thread thread = new Thread(body);
+        thread.setDaemon(true);
+        thread.start();
+    }
+}
