Add the platform stand-in

The daemon's authors need a platform to talk to. A page of changed rows never splits one commit, because the next page starts after a commit.

--- /dev/null
+++ b/standins/src/main/java/org/peridotcourse/standins/CommandLineOptions.java
@@ -0,0 +1,69 @@
+package org.peridotcourse.standins;
+
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.DefaultParser;
+import org.apache.commons.cli.Option;
+import org.apache.commons.cli.Options;
+import org.apache.commons.cli.ParseException;
+
+/**
+ * The options of a stand-in. Each has a long name and a value.
+ *
+ * <p>Call {@link #with} for each option, then {@link #parse}. Not thread-safe.
+ */
+final class CommandLineOptions {
+    private final Options options = new Options();
+    private CommandLine line;
+
+    CommandLineOptions with(String name, String description) {
+        options.addOption(Option.builder().longOpt(name).hasArg().desc(description).get());
+        return this;
+    }
+
+    /**
+     * Reads the arguments; ends the process with code 2 if they are wrong.
+     *
+     * @param program the name of the program
+     * @param arguments the arguments
+     * @return these options
+     */
+    CommandLineOptions parse(String program, String... arguments) {
+        try {
+            line = new DefaultParser().parse(options, arguments);
+        } catch (ParseException e) {
+            System.err.println(program + ": " + e.getMessage());
+            for (Option option : options.getOptions()) {
+                System.err.println("  --" + option.getLongOpt() + "  " + option.getDescription());
+            }
+            System.exit(2);
+        }
+        return this;
+    }
+
+    boolean has(String name) {
+        return line.hasOption(name);
+    }
+
+    String text(String name, String fallback) {
+        return line.getOptionValue(name, fallback);
+    }
+
+    String[] texts(String name) {
+        String[] values = line.getOptionValues(name);
+        return values == null ? new String[0] : values;
+    }
+
+    long number(String name, long fallback) {
+        String text = line.getOptionValue(name);
+        if (text == null) {
+            return fallback;
+        }
+        try {
+            return Long.parseLong(text);
+        } catch (NumberFormatException e) {
+            System.err.println("--" + name + " needs a whole number, found " + text);
+            System.exit(2);
+            return fallback;
+        }
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/peridotcourse/standins/Handler.java
@@ -0,0 +1,13 @@
+package org.peridotcourse.standins;
+
+/** Handles the requests of a stand-in. Implementations are thread-safe. */
+@FunctionalInterface
+interface Handler {
+    /**
+     * Handles a request now or later.
+     *
+     * @param call the request
+     * @param responder ends the request
+     */
+    void handle(Call call, Responder responder);
+}
--- /dev/null
+++ b/standins/src/main/java/org/peridotcourse/standins/TableState.java
@@ -0,0 +1,178 @@
+package org.peridotcourse.standins;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+
+/**
+ * The tables of the platform: transactions with checks, commits, writers and tombstones.
+ *
+ * <p>It is thread-safe; transactions are serialized.
+ */
+final class TableState {
+    private final Map<String, Table> tables = new HashMap<>();
+    private long lastCommit;
+
+    /**
+     * Applies a transaction, all or nothing.
+     *
+     * @param transaction the JSON form of the transaction
+     * @return status 200 with the commit, or 409 with the conflicts
+     */
+    synchronized Reply commit(JsonNode transaction) {
+        String id = Json.text(transaction, "id");
+        for (JsonNode put : transaction.path("puts")) {
+            Json.text(put, "table");
+            Json.text(put, "key");
+            if (!put.path("value").isObject()) {
+                throw new MalformedCallException("the value of a put is not an object");
+            }
+        }
+        for (JsonNode delete : transaction.path("deletes")) {
+            Json.text(delete, "table");
+            Json.text(delete, "key");
+        }
+        ArrayNode conflicts = conflicts(transaction.path("checks"));
+        if (!conflicts.isEmpty()) {
+            ObjectNode body = Json.object();
+            body.set("conflicts", conflicts);
+            return Reply.json(409, body);
+        }
+        lastCommit++;
+        for (JsonNode put : transaction.path("puts")) {
+            table(Json.text(put, "table")).set(Json.text(put, "key"), id, put.get("value"));
+        }
+        for (JsonNode delete : transaction.path("deletes")) {
+            Table table = table(Json.text(delete, "table"));
+            String key = Json.text(delete, "key");
+            if (table.commitOf(key) > 0) {
+                table.set(key, id, null);
+            }
+        }
+        return Reply.json(200, Json.object().put("commit", lastCommit));
+    }
+
+    synchronized ObjectNode row(String table, String key) {
+        Cell cell = table(table).cells.get(key);
+        ObjectNode body = Json.object().put("commit", lastCommit);
+        body.set("row", cell == null || cell.value == null ? null : cell.json(key));
+        return body;
+    }
+
+    /**
+     * Returns the rows that changed after a commit, in the order of commits.
+     *
+     * <p>A page never splits the rows of one commit, because the next page starts after a commit;
+     * so it may hold more rows than the limit.
+     *
+     * @param table the table
+     * @param prefix the beginning of the keys
+     * @param since the commit; with 0 removed rows are left out
+     * @param limit the number of rows after which the page ends
+     * @return the JSON form of the page
+     */
+    synchronized ObjectNode rows(String table, String prefix, long since, long limit) {
+        Table found = table(table);
+        ObjectNode body = Json.object().put("commit", lastCommit);
+        ArrayNode rows = body.putArray("rows");
+        boolean more = false;
+        for (Collection<String> keys : found.changesAfter(since, prefix)) {
+            List<ObjectNode> group = new ArrayList<>();
+            for (String key : keys) {
+                Cell cell = found.cells.get(key);
+                if (key.startsWith(prefix) && (since > 0 || cell.value != null)) {
+                    group.add(cell.json(key));
+                }
+            }
+            if (!group.isEmpty() && rows.size() >= limit) {
+                more = true;
+                break;
+            }
+            rows.addAll(group);
+        }
+        return body.put("more", more);
+    }
+
+    private ArrayNode conflicts(JsonNode checks) {
+        ArrayNode conflicts = Json.MAPPER.createArrayNode();
+        for (JsonNode check : checks) {
+            String table = Json.text(check, "table");
+            String key = Json.text(check, "key");
+            long commit = table(table).commitOf(key);
+            if (commit != Json.number(check, "commit")) {
+                conflicts.addObject().put("table", table).put("key", key).put("commit", commit);
+            }
+        }
+        return conflicts;
+    }
+
+    private Table table(String name) {
+        return tables.computeIfAbsent(name, unused -> new Table());
+    }
+
+    /** The rows of one table by key, and their keys by commit. */
+    private final class Table {
+        private final TreeMap<String, Cell> cells = new TreeMap<>();
+        private final TreeMap<Long, Set<String>> changes = new TreeMap<>();
+
+        long commitOf(String key) {
+            Cell cell = cells.get(key);
+            return cell == null || cell.value == null ? 0 : cell.commit;
+        }
+
+        void set(String key, String writer, JsonNode value) {
+            Cell previous = cells.put(key, new Cell(lastCommit, writer, value));
+            if (previous != null) {
+                Set<String> keys = changes.get(previous.commit);
+                keys.remove(key);
+                if (keys.isEmpty()) {
+                    changes.remove(previous.commit);
+                }
+            }
+            changes.computeIfAbsent(lastCommit, unused -> new LinkedHashSet<>()).add(key);
+        }
+
+        Collection<? extends Collection<String>> changesAfter(long since, String prefix) {
+            if (prefix.isEmpty() || since > 0) {
+                return changes.tailMap(since, false).values();
+            }
+            TreeMap<Long, Set<String>> selected = new TreeMap<>();
+            for (Map.Entry<String, Cell> entry : cells.tailMap(prefix).entrySet()) {
+                if (!entry.getKey().startsWith(prefix)) {
+                    break;
+                }
+                selected.computeIfAbsent(entry.getValue().commit, unused -> new LinkedHashSet<>())
+                        .add(entry.getKey());
+            }
+            return selected.values();
+        }
+    }
+
+    /**
+     * The last state of a row.
+     *
+     * @param commit the commit that wrote it
+     * @param writer the transaction that wrote it
+     * @param value the columns, null if the row was removed
+     */
+    private record Cell(long commit, String writer, JsonNode value) {
+        ObjectNode json(String key) {
+            ObjectNode node = Json.object();
+            node.put("key", key).put("commit", commit).put("writer", writer);
+            if (value == null) {
+                node.put("deleted", true);
+            } else {
+                node.set("value", value);
+            }
+            return node;
+        }
+    }
+}
