--- /dev/null
+++ b/daemon/src/main/java/org/peridotcourse/daemon/ProcessEvent.java
@@ -0,0 +1,67 @@
+package org.peridotcourse.daemon;
+
+import java.lang.System.Logger.Level;
+import org.peridotcourse.daemon.log.Event;
+
+/** Log records about the process itself. Constants are immutable and thread-safe. */
+public enum ProcessEvent implements Event {
+    /** The process serves. */
+    STARTED(
+            9000,
+            "process.started",
+            Level.INFO,
+            "All ports are open; fields daemon, dataCentre, entry, admin, peer"),
+    /** A stop was requested. */
+    STOPPING(9001, "process.stopping", Level.INFO, "SIGTERM was received; fields held"),
+    /** The process ends. */
+    STOPPED(9002, "process.stopped", Level.INFO, "The process ends; fields held, millis"),
+    /** A thread met a fault in the code and continues. */
+    DUTY_FAULT(
+            9003,
+            "duty.faulted",
+            Level.ERROR,
+            "An event caused an exception and was dropped; fields duty, fault, at"),
+    /** The settings are wrong. */
+    SETTINGS_REFUSED(
+            9004,
+            "settings.refused",
+            Level.ERROR,
+            "The settings file has faults, one line each; fields fault"),
+    /** A port could not be opened. */
+    START_FAILED(9005, "process.failed", Level.ERROR, "The start failed; fields fault"),
+    /** A step of the stop failed. */
+    STOP_STEP_FAILED(
+            9006, "stop.failed", Level.WARNING, "A step of the stop failed; fields step, fault");
+
+    private final int number;
+    private final String title;
+    private final Level level;
+    private final String description;
+
+    ProcessEvent(int number, String title, Level level, String description) {
+        this.number = number;
+        this.title = title;
+        this.level = level;
+        this.description = description;
+    }
+
+    @Override
+    public int number() {
+        return number;
+    }
+
+    @Override
+    public String title() {
+        return title;
+    }
+
+    @Override
+    public Level level() {
+        return level;
+    }
+
+    @Override
+    public String description() {
+        return description;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/peridotcourse/daemon/admin/package-info.java
@@ -0,0 +1,2 @@
+/** HTTP server for operators and monitoring. */
+package org.peridotcourse.daemon.admin;
--- /dev/null
+++ b/daemon/src/main/java/org/peridotcourse/daemon/entry/Answers.java
@@ -0,0 +1,99 @@
+package org.peridotcourse.daemon.entry;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.UncheckedIOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import org.peridotcourse.Failure;
+import org.peridotcourse.daemon.http.HttpReply;
+import org.peridotcourse.routing.NotRunReason;
+import org.peridotcourse.routing.UnknownReason;
+
+/**
+ * Makes the responses to callers: a backend server's own, or a typed refusal.
+ *
+ * <p>It holds no state and is thread-safe.
+ */
+final class Answers {
+    static final ObjectMapper JSON = new ObjectMapper();
+
+    private Answers() {}
+
+    /** Returns a backend server's response for the caller. */
+    static CallerAnswer answered(String request, HttpReply reply) {
+        Set<String> withheld =
+                Headers.withheld(reply.headers().getOrDefault("connection", List.of()));
+        List<Map.Entry<String, String>> headers = new ArrayList<>();
+        headers.add(Map.entry(Headers.OUTCOME, "answered"));
+        headers.add(Map.entry(Headers.REQUEST, request));
+        reply.headers()
+                .forEach(
+                        (name, values) -> {
+                            if (!withheld.contains(name.toLowerCase(Locale.ROOT))) {
+                                values.forEach(value -> headers.add(Map.entry(name, value)));
+                            }
+                        });
+        return new CallerAnswer(reply.status(), headers, reply.body());
+    }
+
+    /** Returns a refusal of a request that did not run. */
+    static CallerAnswer notRun(String request, NotRunReason reason, long retryAfterMillis) {
+        return refusal(request, reason.status(), "not-run", reason, retryAfterMillis);
+    }
+
+    /** Returns a refusal of a malformed request. */
+    static CallerAnswer malformed(String request, MalformedRequest fault) {
+        return refusal(request, NotRunReason.MALFORMED.status(), "not-run", fault, 0);
+    }
+
+    /** Returns the response to a request that may have run. */
+    static CallerAnswer unknown(String request, UnknownReason reason) {
+        return refusal(request, reason.status(), "unknown", reason, 0);
+    }
+
+    /** Returns a response without a backend server's answer. */
+    static CallerAnswer refusal(
+            String request, int status, String outcome, Failure reason, long retryAfterMillis) {
+        ObjectNode body = JSON.createObjectNode();
+        body.put("outcome", outcome);
+        body.put("reason", reason.code());
+        body.put("message", reason.message());
+        body.put("retryAfterMillis", retryAfterMillis);
+        body.put("request", request);
+        CallerAnswer answer = json(request, status, outcome, body);
+        if (retryAfterMillis <= 0) {
+            return answer;
+        }
+        return answer.withHeader("Retry-After", Long.toString((retryAfterMillis + 999) / 1000))
+                .withHeader(Headers.RETRY_AFTER_MS, Long.toString(retryAfterMillis));
+    }
+
+    /** Returns a response with a JSON body. */
+    static CallerAnswer json(String request, int status, String outcome, ObjectNode body) {
+        return new CallerAnswer(
+                status,
+                List.of(
+                        Map.entry(Headers.OUTCOME, outcome),
+                        Map.entry(Headers.REQUEST, request),
+                        Map.entry("Content-Type", "application/json")),
+                encode(body));
+    }
+
+    /** Tells whether a header value is a number that fits. */
+    static boolean isNumber(String text) {
+        return text.matches("[0-9]{1,9}");
+    }
+
+    static byte[] encode(ObjectNode body) {
+        try {
+            return JSON.writeValueAsBytes(body);
+        } catch (JsonProcessingException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/peridotcourse/daemon/entry/CallerCodec.java
@@ -0,0 +1,70 @@
+package org.peridotcourse.daemon.entry;
+
+import java.io.IOException;
+import java.util.function.BiFunction;
+import java.util.function.LongSupplier;
+import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.filterchain.FilterChainContext;
+import org.glassfish.grizzly.http.HttpHeader;
+import org.glassfish.grizzly.http.HttpServerFilter;
+import org.glassfish.grizzly.http.KeepAlive;
+import org.glassfish.grizzly.utils.DelayedExecutor;
+import org.peridotcourse.routing.NotRunReason;
+
+/**
+ * HTTP codec that answers a broken head or body with a typed refusal. It is thread-safe.
+ *
+ * <p>After the refusal the connection is closed, because it is not known where the next request
+ * begins.
+ */
+final class CallerCodec extends HttpServerFilter {
+    private static final int MAX_HEADERS = 200;
+
+    private final int maxHead;
+    private final BiFunction<NotRunReason, String, CallerAnswer> refusals;
+    private final LongSupplier clock;
+
+    /**
+     * Creates a codec.
+     *
+     * @param maxHead the largest head in bytes
+     * @param executor serves keep-alive time-outs
+     * @param refusals makes a refusal from a reason and a detail
+     * @param clock monotonic milliseconds
+     */
+    CallerCodec(
+            int maxHead,
+            DelayedExecutor executor,
+            BiFunction<NotRunReason, String, CallerAnswer> refusals,
+            LongSupplier clock) {
+        super(true, maxHead, null, new KeepAlive(), executor, MAX_HEADERS, MAX_HEADERS);
+        this.maxHead = maxHead;
+        this.refusals = refusals;
+        this.clock = clock;
+        setAllowPayloadForUndefinedHttpMethods(true);
+    }
+
+    @Override
+    protected void onHttpHeaderError(HttpHeader head, FilterChainContext context, Throwable cause)
+            throws IOException {
+        refuse(context, cause);
+    }
+
+    @Override
+    protected void onHttpContentError(HttpHeader head, FilterChainContext context, Throwable cause)
+            throws IOException {
+        refuse(context, cause);
+    }
+
+    private void refuse(FilterChainContext context, Throwable cause) {
+        Connection<?> connection = context.getConnection();
+        CallerConnection state = CallerGuard.of(connection);
+        if (state == null) {
+            connection.closeSilently();
+            return;
+        }
+        boolean tooLarge = state.headBytes() > maxHead || String.valueOf(cause).contains("large");
+        NotRunReason reason = tooLarge ? NotRunReason.HEAD_TOO_LARGE : NotRunReason.MALFORMED;
+        state.refuse(refusals.apply(reason, reason.message()), clock.getAsLong());
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/peridotcourse/daemon/entry/CallerConnection.java
@@ -0,0 +1,144 @@
+package org.peridotcourse.daemon.entry;
+
+import java.util.function.Supplier;
+import org.glassfish.grizzly.Buffer;
+import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.memory.Buffers;
+
+/**
+ * What the entry host knows of one connection of a caller: whether a request is arriving, being
+ * answered, or neither, and since when. It is thread-safe.
+ */
+final class CallerConnection {
+    /** Time for a caller to read a refusal before its connection is closed. */
+    private static final long LINGER_MILLIS = 500;
+
+    private final Connection<?> connection;
+    private Phase phase = Phase.IDLE;
+    private long since;
+    private int headBytes;
+    private Runnable gone;
+
+    CallerConnection(Connection<?> connection, long now) {
+        this.connection = connection;
+        this.since = now;
+    }
+
+    /** What happens on the connection. */
+    enum Phase {
+        /** No request. */
+        IDLE,
+        /** Head or body of a request arrive. */
+        RECEIVING,
+        /** A complete request waits for its response. */
+        WORKING,
+        /** The rest of a refused body is skipped. */
+        SKIPPING,
+        /** A refusal was sent and the connection is about to be closed. */
+        LINGERING
+    }
+
+    synchronized boolean isIdle() {
+        return phase == Phase.IDLE;
+    }
+
+    /** Returns the number of bytes that arrived since the current head began. */
+    synchronized int headBytes() {
+        return headBytes;
+    }
+
+    /** Sets what to call if the connection ends before the response is sent. */
+    synchronized void onGone(Runnable listener) {
+        gone = listener;
+    }
+
+    synchronized void onBytes(int count, long now) {
+        if (phase == Phase.IDLE) {
+            headBytes = 0;
+            enter(Phase.RECEIVING, now);
+        }
+        headBytes += count;
+    }
+
+    /** Notes a parsed head; its bytes may have arrived together with the previous request. */
+    synchronized void onHead(long now) {
+        if (phase != Phase.RECEIVING && phase != Phase.LINGERING) {
+            enter(Phase.RECEIVING, now);
+        }
+    }
+
+    /** Notes that a request is complete; false if it was refused as overdue before. */
+    synchronized boolean beginWork(long now) {
+        if (phase != Phase.RECEIVING) {
+            return false;
+        }
+        enter(Phase.WORKING, now);
+        return true;
+    }
+
+    /** Notes that a response was sent. */
+    synchronized void endWork(boolean skipping, long now) {
+        gone = null;
+        if (phase != Phase.LINGERING) {
+            enter(skipping ? Phase.SKIPPING : Phase.IDLE, now);
+        }
+    }
+
+    void onClosed() {
+        Runnable listener;
+        synchronized (this) {
+            listener = gone;
+            gone = null;
+        }
+        if (listener != null) {
+            listener.run();
+        }
+    }
+
+    /** Sends a refusal outside of the order of requests, then closes the connection. */
+    synchronized boolean refuse(CallerAnswer answer, long now) {
+        if (phase == Phase.LINGERING) {
+            return false;
+        }
+        enter(Phase.LINGERING, now);
+        Buffer bytes = Buffers.wrap(null, answer.toBytes());
+        connection.write(bytes);
+        return true;
+    }
+
+    /** Does what is due; returns true if the current request was refused as overdue. */
+    synchronized boolean sweep(
+            long now, long readTimeout, long idleTimeout, Supplier<CallerAnswer> refusal) {
+        long age = now - since;
+        switch (phase) {
+            case RECEIVING:
+                return age >= readTimeout && refuse(refusal.get(), now);
+            case IDLE:
+                closeAfter(age, idleTimeout);
+                return false;
+            case SKIPPING:
+                closeAfter(age, readTimeout);
+                return false;
+            case LINGERING:
+                closeAfter(age, LINGER_MILLIS);
+                return false;
+            default:
+                return false;
+        }
+    }
+
+    void close() {
+        connection.closeSilently();
+    }
+
+    private void enter(Phase next, long now) {
+        since = now;
+        phase = next;
+    }
+
+    private void closeAfter(long age, long limit) {
+        if (age >= limit) {
+            connection.closeSilently();
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/peridotcourse/daemon/entry/EntryServer.java
@@ -0,0 +1,149 @@
+package org.peridotcourse.daemon.entry;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.function.LongSupplier;
+import org.glassfish.grizzly.PortRange;
+import org.glassfish.grizzly.filterchain.FilterChainBuilder;
+import org.glassfish.grizzly.http.HttpServerFilter;
+import org.glassfish.grizzly.http.server.AddOn;
+import org.glassfish.grizzly.http.server.FileCacheFilter;
+import org.glassfish.grizzly.http.server.HttpServer;
+import org.glassfish.grizzly.http.server.NetworkListener;
+import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
+import org.glassfish.grizzly.strategies.SameThreadIOStrategy;
+import org.peridotcourse.routing.NotRunReason;
+
+/**
+ * The HTTP server for callers. It is thread-safe.
+ *
+ * <p>Selector threads parse requests and never block. Call {@link #sweep} every 100 ms or so.
+ */
+public final class EntryServer implements AutoCloseable {
+    private static final int SELECTOR_THREADS = 1;
+
+    private final HttpServer server = new HttpServer();
+    private final NetworkListener listener;
+    private final EntryHandler handler;
+    private final CallerGuard guard;
+    private final RequestIds ids;
+
+    EntryServer(
+            InetSocketAddress address,
+            EntryHandler handler,
+            EntryHandler.Limits limits,
+            RequestIds ids,
+            LongSupplier clock) {
+        this.handler = handler;
+        this.ids = ids;
+        this.guard = new CallerGuard(limits.maxConnections(), limits.readTimeoutMillis(), clock);
+        this.listener =
+                new NetworkListener(
+                        "entry",
+                        address.getHostString(),
+                        new PortRange(address.getPort(), address.getPort()));
+        TCPNIOTransport transport = listener.getTransport();
+        transport.setIOStrategy(SameThreadIOStrategy.getInstance());
+        transport.setSelectorRunnersCount(SELECTOR_THREADS);
+        transport.setTcpNoDelay(true);
+        transport.setReuseAddress(true);
+        listener.setTransport(transport);
+        listener.setMaxHttpHeaderSize(limits.maxHead());
+        listener.registerAddOn(new Chain(limits.maxHead(), clock));
+        server.addListener(listener);
+        server.getServerConfiguration().addHttpHandler(handler, "/");
+        server.getServerConfiguration().setJmxEnabled(false);
+    }
+
+    /**
+     * Opens the port.
+     *
+     * @throws IOException if the port cannot be opened
+     */
+    public void start() throws IOException {
+        server.start();
+    }
+
+    /**
+     * Returns the port.
+     *
+     * @return the port, also if the settings left its choice to the system
+     */
+    public int port() {
+        return listener.getPort();
+    }
+
+    /**
+     * Returns the number of callers' connections.
+     *
+     * @return the number
+     */
+    public int connections() {
+        return guard.connections();
+    }
+
+    /**
+     * Refuses requests that did not arrive in time.
+     *
+     * @return the number of refused requests
+     */
+    public int sweep() {
+        return guard.sweep(() -> Answers.notRun(ids.next(), NotRunReason.SLOW_CALLER, 0));
+    }
+
+    /** Asks callers to close their connections after the next response. */
+    public void closeConnections() {
+        handler.closeConnections();
+    }
+
+    /**
+     * Stops accepting connections.
+     *
+     * @throws IOException if the port cannot be closed
+     */
+    public void closePort() throws IOException {
+        listener.getTransport().unbindAll();
+    }
+
+    /**
+     * Closes connections without a request.
+     *
+     * @return the number of connections that remain
+     */
+    public int closeIdle() {
+        return guard.closeIdle();
+    }
+
+    @Override
+    public void close() {
+        server.shutdownNow();
+    }
+
+    /** Puts the guard and the own codec into Grizzly's chain of filters. */
+    private final class Chain implements AddOn {
+        private final int maxHead;
+        private final LongSupplier clock;
+
+        Chain(int maxHead, LongSupplier clock) {
+            this.maxHead = maxHead;
+            this.clock = clock;
+        }
+
+        @Override
+        public void setup(NetworkListener network, FilterChainBuilder builder) {
+            int codec = builder.indexOfType(HttpServerFilter.class);
+            builder.set(
+                    codec,
+                    new CallerCodec(
+                            maxHead,
+                            null,
+                            (reason, detail) -> Answers.notRun(ids.next(), reason, 0),
+                            clock));
+            builder.add(codec, guard);
+            int cache = builder.indexOfType(FileCacheFilter.class);
+            if (cache >= 0) {
+                builder.remove(cache);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/peridotcourse/daemon/entry/EntryService.java
@@ -0,0 +1,217 @@
+package org.peridotcourse.daemon.entry;
+
+import java.io.IOException;
+import java.util.Random;
+import java.util.function.Consumer;
+import org.peridotcourse.BackendId;
+import org.peridotcourse.DataCentreId;
+import org.peridotcourse.daemon.settings.SettingKey;
+import org.peridotcourse.daemon.settings.Settings;
+import org.peridotcourse.routing.RequestRouter;
+import org.peridotcourse.routing.RoutingSettings;
+
+/**
+ * Everything that serves callers: HTTP server, router thread, key thread and job thread.
+ *
+ * <p>Order of a stop: {@link #prepareStop}, {@link #closePort}, {@link #closeIdle} until {@link
+ * #pending} is 0, {@link #close}. It is thread-safe.
+ */
+public final class EntryService implements AutoCloseable {
+    private final EntryServer server;
+    private final RouterDuty router;
+    private final KeyDuty keys;
+    private final JobDuty jobs;
+
+    private EntryService(EntryServer server, RouterDuty router, KeyDuty keys, JobDuty jobs) {
+        this.server = server;
+        this.router = router;
+        this.keys = keys;
+        this.jobs = jobs;
+    }
+
+    /**
+     * Creates a service that is not started.
+     *
+     * @param settings the settings
+     * @param routing limits and choice of policy
+     * @param around what the service uses
+     * @param leaving learns of backend servers that said that they leave, on the router thread
+     * @return the service
+     */
+    public static EntryService of(
+            Settings settings,
+            RoutingSettings routing,
+            Surroundings around,
+            Consumer<BackendId> leaving) {
+        String name = settings.text(SettingKey.DAEMON_NAME);
+        RequestIds requestIds = new RequestIds(name, around.incarnation());
+        RequestIds transactionIds = new RequestIds(name + "-entry", around.incarnation());
+        EntryMetrics metrics = new EntryMetrics(around.metrics());
+        KeyDuty keys =
+                new KeyDuty(
+                        new KeyDuty.Names(
+                                name,
+                                transactionIds,
+                                settings.millis(SettingKey.CLAIM_INTERVAL),
+                                settings.number(SettingKey.KEY_RING_CAPACITY)),
+                        around.store(),
+                        around.objects(),
+                        around.clock(),
+                        around.log());
+        RouterDuty router =
+                new RouterDuty(
+                        new RequestRouter(
+                                DataCentreId.of(settings.text(SettingKey.DATA_CENTRE)),
+                                settings.text(SettingKey.REGION),
+                                routing,
+                                new Random(around.incarnation())),
+                        around.channels(),
+                        keys,
+                        new RouterDuty.Times(
+                                settings.millis(SettingKey.WATCH_SEGMENT),
+                                settings.number(SettingKey.RING_CAPACITY)),
+                        around.clock(),
+                        metrics,
+                        around.log(),
+                        leaving);
+        keys.onClaims(router::onClaim);
+        JobDuty jobs =
+                new JobDuty(
+                        around.store(),
+                        transactionIds,
+                        customer -> router.view().customers().contains(customer),
+                        around.clock(),
+                        around.log());
+        EntryServer server = server(settings, requestIds, router, jobs, around);
+        router.onSweep(() -> sweep(server, metrics, around));
+        EntryService service = new EntryService(server, router, keys, jobs);
+        service.addGauges(around);
+        return service;
+    }
+
+    private static EntryServer server(
+            Settings settings,
+            RequestIds requestIds,
+            RouterDuty router,
+            JobDuty jobs,
+            Surroundings around) {
+        EntryHandler.Limits limits =
+                new EntryHandler.Limits(
+                        settings.number(SettingKey.MAX_HEAD),
+                        settings.number(SettingKey.MAX_BODY),
+                        settings.number(SettingKey.MAX_CONNECTIONS),
+                        settings.millis(SettingKey.READ_TIMEOUT));
+        EntryHandler handler =
+                new EntryHandler(
+                        requestIds,
+                        router,
+                        jobs,
+                        limits,
+                        new BodyBudget(settings.number(SettingKey.MAX_BUFFERED)),
+                        around.clock());
+        return new EntryServer(
+                settings.address(SettingKey.ENTRY_ADDRESS),
+                handler,
+                limits,
+                requestIds,
+                around.clock());
+    }
+
+    /**
+     * Returns the router thread, which takes news of customers and backend servers.
+     *
+     * @return the router thread
+     */
+    public RouterDuty router() {
+        return router;
+    }
+
+    /**
+     * Returns the port for callers.
+     *
+     * @return the port
+     */
+    public int port() {
+        return server.port();
+    }
+
+    /**
+     * Returns the number of connections of callers.
+     *
+     * @return the number
+     */
+    public int callers() {
+        return server.connections();
+    }
+
+    /**
+     * Returns the number of requests, jobs and writes that are not finished.
+     *
+     * @return the number
+     */
+    public int pending() {
+        return router.held() + router.ringSize() + keys.pending() + jobs.pending();
+    }
+
+    /**
+     * Starts the threads and opens the port.
+     *
+     * @throws IOException if the port cannot be opened
+     */
+    public void start() throws IOException {
+        keys.start();
+        jobs.start();
+        router.start();
+        server.start();
+    }
+
+    /** Asks callers to close their connections, and makes watch segments short. */
+    public void prepareStop() {
+        server.closeConnections();
+        router.prepareStop();
+    }
+
+    /**
+     * Refuses new connections.
+     *
+     * @throws IOException if the port cannot be closed
+     */
+    public void closePort() throws IOException {
+        server.closePort();
+    }
+
+    /**
+     * Closes connections of callers without a request.
+     *
+     * @return the number of connections that remain
+     */
+    public int closeIdle() {
+        return server.closeIdle();
+    }
+
+    @Override
+    public void close() {
+        server.close();
+        router.close();
+        jobs.close();
+        keys.close();
+    }
+
+    private void addGauges(Surroundings around) {
+        around.metrics().gauge("peridot_requests_held", router::held);
+        around.metrics().gauge("peridot_router_ring", router::ringSize);
+        around.metrics().gauge("peridot_backend_connections", router::connections);
+        around.metrics().gauge("peridot_caller_connections", server::connections);
+        around.metrics().gauge("peridot_key_writes_pending", keys::pending);
+        around.metrics().gauge("peridot_jobs_pending", jobs::pending);
+        around.metrics().gauge("peridot_store_away", () -> keys.isStoreAway() ? 1 : 0);
+    }
+
+    private static void sweep(EntryServer server, EntryMetrics metrics, Surroundings around) {
+        int slow = server.sweep();
+        if (slow > 0) {
+            metrics.slowCallers(slow);
+            around.log().event(RequestEvent.SLOW_CALLERS).with("count", slow).write();
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/peridotcourse/daemon/entry/EntryView.java
@@ -0,0 +1,90 @@
+package org.peridotcourse.daemon.entry;
+
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.peridotcourse.CustomerId;
+import org.peridotcourse.Failure;
+import org.peridotcourse.ServiceId;
+import org.peridotcourse.routing.NotRunReason;
+
+/**
+ * What the entry host knows of customers and services. Instances are immutable and thread-safe.
+ *
+ * @param isConfigured false before the first configuration is known
+ * @param customers the customers
+ * @param deadlines the deadlines of requests that name none, by customer and service
+ * @param services the services that backend servers offer
+ */
+public record EntryView(
+        boolean isConfigured,
+        Set<CustomerId> customers,
+        Map<CustomerId, Map<ServiceId, Long>> deadlines,
+        Set<ServiceId> services) {
+    /** The view of a daemon that knows nothing. */
+    public static final EntryView EMPTY = new EntryView(false, Set.of(), Map.of(), Set.of());
+
+    private static final long DEFAULT_DEADLINE_MILLIS = 2_000;
+
+    /**
+     * Copies the collections.
+     *
+     * @param isConfigured false before the first configuration is known
+     * @param customers the customers
+     * @param deadlines the deadlines
+     * @param services the services
+     */
+    public EntryView {
+        customers = Set.copyOf(customers);
+        deadlines = Map.copyOf(deadlines);
+        services = Set.copyOf(services);
+    }
+
+    /** Why a request cannot be offered to the router before the first configuration. */
+    enum Unready implements Failure {
+        /** No configuration is known. */
+        NOT_CONFIGURED;
+
+        @Override
+        public String code() {
+            return "not-configured";
+        }
+
+        @Override
+        public String message() {
+            return "the entry host has no configuration yet";
+        }
+    }
+
+    /**
+     * Returns a copy with other services.
+     *
+     * @param offered the services that backend servers offer
+     * @return the copy
+     */
+    public EntryView withServices(Set<ServiceId> offered) {
+        return new EntryView(isConfigured, customers, deadlines, offered);
+    }
+
+    /** Returns why requests of a customer to a service are refused, or empty. */
+    Optional<Failure> refusal(CustomerId customer, ServiceId service) {
+        if (!isConfigured) {
+            return Optional.of(Unready.NOT_CONFIGURED);
+        }
+        if (!customers.contains(customer)) {
+            return Optional.of(NotRunReason.UNKNOWN_CUSTOMER);
+        }
+        if (services.contains(service)) {
+            return Optional.empty();
+        }
+        boolean configured = deadlines.getOrDefault(customer, Map.of()).containsKey(service);
+        return Optional.of(configured ? NotRunReason.NO_BACKEND : NotRunReason.UNKNOWN_SERVICE);
+    }
+
+    /** Returns the deadline of requests that name none. */
+    long deadlineMillis(CustomerId customer, ServiceId service) {
+        return deadlines
+                .getOrDefault(customer, Map.of())
+                .getOrDefault(service, DEFAULT_DEADLINE_MILLIS);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/peridotcourse/daemon/entry/Headers.java
@@ -0,0 +1,66 @@
+package org.peridotcourse.daemon.entry;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Set;
+
+/**
+ * Names of HTTP headers and the rule which of them are forwarded.
+ *
+ * <p>It holds no state and is thread-safe.
+ */
+final class Headers {
+    static final String REQUEST = "Peridot-Request";
+    static final String KIND = "Peridot-Kind";
+    static final String KEY = "Peridot-Key";
+    static final String DEADLINE = "Peridot-Deadline-Ms";
+    static final String SEGMENT = "Peridot-Segment-Ms";
+    static final String OUTCOME = "Peridot-Outcome";
+    static final String RETRY_AFTER_MS = "Peridot-Retry-After-Ms";
+    static final String NOT_RUN = "Peridot-Not-Run";
+    static final String LEAVING = "Peridot-Leaving";
+
+    private static final Set<String> PER_CONNECTION =
+            Set.of(
+                    "connection",
+                    "keep-alive",
+                    "proxy-authenticate",
+                    "proxy-authorization",
+                    "proxy-connection",
+                    "te",
+                    "trailer",
+                    "transfer-encoding",
+                    "upgrade",
+                    "host",
+                    "expect",
+                    "content-length");
+
+    private static final Set<String> OWN =
+            Set.of(
+                    "peridot-request",
+                    "peridot-kind",
+                    "peridot-key",
+                    "peridot-deadline-ms",
+                    "peridot-segment-ms",
+                    "peridot-outcome",
+                    "peridot-not-run",
+                    "peridot-leaving");
+
+    private Headers() {}
+
+    /**
+     * Returns the names, in lower case, that are not forwarded: those of one connection, those that
+     * the {@code Connection} header names, and those that the entry host sets itself.
+     */
+    static Set<String> withheld(List<String> connectionValues) {
+        Set<String> names = new HashSet<>(PER_CONNECTION);
+        names.addAll(OWN);
+        for (String value : connectionValues) {
+            for (String name : value.split(",")) {
+                names.add(name.trim().toLowerCase(Locale.ROOT));
+            }
+        }
+        return names;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/peridotcourse/daemon/entry/JobDuty.java
@@ -0,0 +1,235 @@
+package org.peridotcourse.daemon.entry;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import java.util.function.Predicate;
+import org.peridotcourse.CustomerId;
+import org.peridotcourse.Result;
+import org.peridotcourse.daemon.ProcessEvent;
+import org.peridotcourse.daemon.log.EventLog;
+import org.peridotcourse.daemon.platform.Row;
+import org.peridotcourse.daemon.platform.TableStore;
+import org.peridotcourse.daemon.platform.Transaction;
+import org.peridotcourse.daemon.platform.WriteOutcome;
+import org.peridotcourse.daemon.ring.EventRing;
+
+/**
+ * The thread that submits, reads and cancels jobs as rows of the table {@code jobs}.
+ *
+ * <p>A submission is a conditional insert. If the response of the table service stays lost, the
+ * caller learns that the outcome is unknown; repeating the same call never creates a second job,
+ * because the name is the key. Public methods are thread-safe.
+ */
+public final class JobDuty implements JobSink, AutoCloseable {
+    private static final String TABLE = "jobs";
+    private static final int RING_CAPACITY = 256;
+    private static final int SETTLE_TRIES = 3;
+    private static final int CANCEL_TRIES = 5;
+    private static final long IDLE_MILLIS = 1_000;
+
+    /** After an unanswered call, further calls are refused at once for this long. */
+    private static final long AWAY_MILLIS = 500;
+
+    private final TableStore store;
+    private final RequestIds transactions;
+    private final Predicate<CustomerId> customers;
+    private final LongSupplier clock;
+    private final EventLog log;
+    private final EventRing<Work> ring = new EventRing<>(RING_CAPACITY);
+    private final Thread thread = new Thread(this::loop, "jobs");
+
+    private volatile boolean running = true;
+    private volatile boolean working;
+    private long awayUntil = Long.MIN_VALUE;
+
+    JobDuty(
+            TableStore store,
+            RequestIds transactions,
+            Predicate<CustomerId> customers,
+            LongSupplier clock,
+            EventLog log) {
+        this.store = store;
+        this.transactions = transactions;
+        this.customers = customers;
+        this.clock = clock;
+        this.log = log;
+    }
+
+    /** A call that waits. */
+    private record Work(JobCall call, Caller caller) {}
+
+    /** Starts the thread. */
+    public void start() {
+        thread.start();
+    }
+
+    /**
+     * Returns the number of calls without a response.
+     *
+     * @return the number
+     */
+    public int pending() {
+        return ring.size() + (working ? 1 : 0);
+    }
+
+    @Override
+    public boolean submit(JobCall call, Caller caller) {
+        return ring.offer(new Work(call, caller));
+    }
+
+    @Override
+    public void close() {
+        running = false;
+        ring.wake();
+        try {
+            thread.join(TimeUnit.SECONDS.toMillis(2));
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void loop() {
+        while (running) {
+            working = true;
+            Work work = ring.poll();
+            if (work == null) {
+                working = false;
+                ring.await(IDLE_MILLIS);
+                continue;
+            }
+            try {
+                handle(work);
+            } catch (RuntimeException fault) {
+                log.event(ProcessEvent.DUTY_FAULT)
+                        .with("duty", "jobs")
+                        .with("fault", fault)
+                        .with("at", fault.getStackTrace()[0])
+                        .write();
+                work.caller().answer(JobFailure.STORE_UNSETTLED.toAnswer(work.call().id()));
+            }
+        }
+    }
+
+    private void handle(Work work) {
+        JobCall call = work.call();
+        Result<JobRequest.Name> name = JobRequest.name(call.path());
+        CallerAnswer answer;
+        if (!(name instanceof Result.Ok<JobRequest.Name> ok)) {
+            answer = Answers.malformed(call.id(), (MalformedRequest) name.failure().orElseThrow());
+        } else if (!customers.test(ok.value().customer())) {
+            answer = JobFailure.UNKNOWN_CUSTOMER.toAnswer(call.id());
+        } else if (clock.getAsLong() < awayUntil) {
+            answer = JobFailure.STORE_UNAVAILABLE.toAnswer(call.id());
+        } else {
+            answer =
+                    switch (call.method()) {
+                        case "PUT" -> submit(call, ok.value());
+                        case "GET" -> read(call, ok.value());
+                        case "DELETE" -> cancel(call, ok.value());
+                        default -> JobFailure.METHOD.toAnswer(call.id());
+                    };
+        }
+        log.event(RequestEvent.JOB_CALLED)
+                .with("request", call.id())
+                .with("job", call.path())
+                .with("method", call.method())
+                .with("status", answer.status())
+                .about(call.id())
+                .write();
+        work.caller().answer(answer);
+    }
+
+    private CallerAnswer submit(JobCall call, JobRequest.Name name) {
+        Result<ObjectNode> wanted = JobRequest.specification(name, call.body());
+        if (!(wanted instanceof Result.Ok<ObjectNode> ok)) {
+            return Answers.malformed(call.id(), (MalformedRequest) wanted.failure().orElseThrow());
+        }
+        ObjectNode row = ok.value();
+        row.put("cancel", false);
+        row.put("state", "submitted");
+        Transaction insert =
+                Transaction.builder(transactions.next())
+                        .check(TABLE, name.row(), 0)
+                        .put(TABLE, name.row(), row)
+                        .build();
+        WriteOutcome outcome = store.settle(insert, SETTLE_TRIES);
+        if (outcome instanceof WriteOutcome.Committed) {
+            return row(call, 201, row);
+        }
+        if (outcome instanceof WriteOutcome.Unknown) {
+            awayUntil = clock.getAsLong() + AWAY_MILLIS;
+            return JobFailure.STORE_UNSETTLED.toAnswer(call.id());
+        }
+        Result<Optional<Row>> present = find(name);
+        if (!present.isOk()) {
+            return JobFailure.STORE_UNAVAILABLE.toAnswer(call.id());
+        }
+        Optional<JsonNode> value = present.toOptional().flatMap(r -> r).flatMap(Row::value);
+        if (value.isEmpty()) {
+            return JobFailure.CONTENTION.toAnswer(call.id());
+        }
+        return JobRequest.isSame(row, value.get())
+                ? row(call, 200, value.get())
+                : JobFailure.NAME_TAKEN.toAnswer(call.id());
+    }
+
+    private CallerAnswer read(JobCall call, JobRequest.Name name) {
+        Result<Optional<Row>> found = find(name);
+        if (!found.isOk()) {
+            return JobFailure.STORE_UNAVAILABLE.toAnswer(call.id());
+        }
+        return found.toOptional()
+                .flatMap(row -> row)
+                .flatMap(Row::value)
+                .map(value -> row(call, 200, value))
+                .orElseGet(() -> JobFailure.UNKNOWN_JOB.toAnswer(call.id()));
+    }
+
+    private CallerAnswer cancel(JobCall call, JobRequest.Name name) {
+        for (int i = 0; i < CANCEL_TRIES; i++) {
+            Result<Optional<Row>> found = find(name);
+            if (!found.isOk()) {
+                return JobFailure.STORE_UNAVAILABLE.toAnswer(call.id());
+            }
+            Optional<Row> row = found.toOptional().flatMap(one -> one);
+            if (row.flatMap(Row::value).isEmpty()) {
+                return JobFailure.UNKNOWN_JOB.toAnswer(call.id());
+            }
+            JsonNode value = row.get().value().get();
+            if (value.path("cancel").asBoolean()) {
+                return row(call, 200, value);
+            }
+            ObjectNode cancelled = value.deepCopy();
+            cancelled.put("cancel", true);
+            Transaction update =
+                    Transaction.builder(transactions.next())
+                            .check(TABLE, name.row(), row.get().commit())
+                            .put(TABLE, name.row(), cancelled)
+                            .build();
+            WriteOutcome outcome = store.settle(update, SETTLE_TRIES);
+            if (outcome instanceof WriteOutcome.Committed) {
+                return row(call, 200, cancelled);
+            }
+            if (outcome instanceof WriteOutcome.Unknown) {
+                awayUntil = clock.getAsLong() + AWAY_MILLIS;
+                return JobFailure.STORE_UNSETTLED.toAnswer(call.id());
+            }
+        }
+        return JobFailure.CONTENTION.toAnswer(call.id());
+    }
+
+    private Result<Optional<Row>> find(JobRequest.Name name) {
+        Result<Optional<Row>> found = store.row(TABLE, name.row());
+        if (!found.isOk()) {
+            awayUntil = clock.getAsLong() + AWAY_MILLIS;
+        }
+        return found;
+    }
+
+    private static CallerAnswer row(JobCall call, int status, JsonNode value) {
+        return Answers.json(call.id(), status, "answered", (ObjectNode) value);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/peridotcourse/daemon/entry/KeyPort.java
@@ -0,0 +1,52 @@
+package org.peridotcourse.daemon.entry;
+
+import java.util.Optional;
+import org.peridotcourse.CustomerId;
+import org.peridotcourse.RequestKey;
+import org.peridotcourse.daemon.http.HttpReply;
+import org.peridotcourse.routing.ClaimResult;
+
+/**
+ * Claims request keys, releases them and stores responses. Implementations are thread-safe and do
+ * not block.
+ */
+interface KeyPort {
+    /** Takes what the store said about claims; called on any thread. */
+    @FunctionalInterface
+    interface Listener {
+        /**
+         * Takes the result of a claim.
+         *
+         * @param request the request
+         * @param result what the store said
+         * @param stored the stored response if the result is {@code DONE}
+         */
+        void onClaim(String request, ClaimResult result, Optional<CallerAnswer> stored);
+    }
+
+    /**
+     * The key of a request.
+     *
+     * @param request the request
+     * @param customer the customer of the key
+     * @param key the key
+     * @param fingerprint hash of the request, to recognize another request with the same key
+     */
+    record Claim(String request, CustomerId customer, RequestKey key, String fingerprint) {
+        String row() {
+            return customer + "/" + key;
+        }
+    }
+
+    /** Claims a key and reports to the listener; false if there is no room. */
+    boolean claim(Claim claim);
+
+    /** Removes the claim of a request that was not forwarded. */
+    void release(Claim claim);
+
+    /** Forgets a claim that stays in the store because the effect of its request is unknown. */
+    void forget(String request);
+
+    /** Stores the response of a request that holds its claim. */
+    void store(Claim claim, HttpReply reply);
+}
--- /dev/null
+++ b/daemon/src/main/java/org/peridotcourse/daemon/entry/RequestEvent.java
@@ -0,0 +1,146 @@
+package org.peridotcourse.daemon.entry;
+
+import java.lang.System.Logger.Level;
+import org.peridotcourse.daemon.log.Event;
+
+/** Log records about callers' requests. Constants are immutable and thread-safe. */
+public enum RequestEvent implements Event {
+    /** A request entered the router. */
+    ACCEPTED(
+            1000,
+            "request.accepted",
+            Level.DEBUG,
+            "A complete request reached the router; fields request, customer, service, kind, key,"
+                    + " deadline"),
+    /** A request was written to a backend server. */
+    ROUTED(
+            1001,
+            "request.routed",
+            Level.DEBUG,
+            "A request was forwarded; fields request, attempt, backend, connection"),
+    /** A backend server's response went to the caller. */
+    ANSWERED(
+            1002,
+            "request.answered",
+            Level.DEBUG,
+            "The caller received the complete response; fields request, status, millis, stored"),
+    /** A request was refused. */
+    REFUSED(
+            1003,
+            "request.refused",
+            Level.INFO,
+            "The request did not run; fields request, reason, retryAfter, millis"),
+    /** The effect of a request is not known. */
+    UNSETTLED(
+            1004,
+            "request.unsettled",
+            Level.WARNING,
+            "The request may have run; fields request, reason, millis"),
+    /** An attempt failed. */
+    ATTEMPT_FAILED(
+            1005,
+            "attempt.failed",
+            Level.INFO,
+            "An attempt has no complete response; fields request, attempt, connection, failure,"
+                    + " handedOver"),
+    /** A response carried another request's identifier. */
+    CROSSED(
+            1006,
+            "response.crossed",
+            Level.WARNING,
+            "A response with a wrong or missing identifier was dropped; fields request, found,"
+                    + " backend, connection"),
+    /** A connection to a backend server was opened. */
+    CONNECTED(
+            1007,
+            "connection.opened",
+            Level.DEBUG,
+            "A connection to a backend server is open; fields backend, connection"),
+    /** A connection to a backend server could not be opened. */
+    CONNECT_FAILED(
+            1008,
+            "connection.refused",
+            Level.INFO,
+            "A connection to a backend server could not be opened; fields backend, connection"),
+    /** A connection to a backend server was closed. */
+    CLOSED(
+            1009,
+            "connection.closed",
+            Level.DEBUG,
+            "A connection to a backend server was closed; fields backend, connection, reason"),
+    /** A backend server said that it leaves. */
+    BACKEND_LEAVING(
+            1010,
+            "backend.leaving",
+            Level.INFO,
+            "A response carried the header of a leaving backend server; fields backend, request"),
+    /** A request key was claimed or found. */
+    KEY_CLAIMED(
+            1011,
+            "key.claimed",
+            Level.DEBUG,
+            "The store said who owns a request key; fields request, customer, key, result"),
+    /** A write about request keys is not settled. */
+    KEY_UNSETTLED(
+            1012,
+            "key.unsettled",
+            Level.WARNING,
+            "A write about request keys had no response and is repeated; fields transaction, rows"),
+    /** A response was not stored under its request key. */
+    ANSWER_NOT_STORED(
+            1013,
+            "key.unfinished",
+            Level.WARNING,
+            "A response was not stored, so repeats of the key get 'unknown'; fields request,"
+                    + " customer, key, reason"),
+    /** A caller was too slow. */
+    SLOW_CALLERS(
+            1014,
+            "caller.slow",
+            Level.INFO,
+            "Requests that did not arrive in time were refused; fields count"),
+    /** A job was submitted, read or cancelled. */
+    JOB_CALLED(
+            1015,
+            "job.called",
+            Level.INFO,
+            "A call about a job was answered; fields request, job, method, status, reason"),
+    /** A caller closed its connection early. */
+    CALLER_GONE(
+            1016,
+            "caller.gone",
+            Level.DEBUG,
+            "The caller closed its connection before the response; fields request");
+
+    private final int number;
+    private final String title;
+    private final Level level;
+    private final String description;
+
+    RequestEvent(int number, String title, Level level, String description) {
+        this.number = number;
+        this.title = title;
+        this.level = level;
+        this.description = description;
+    }
+
+    @Override
+    public int number() {
+        return number;
+    }
+
+    @Override
+    public String title() {
+        return title;
+    }
+
+    @Override
+    public Level level() {
+        return level;
+    }
+
+    @Override
+    public String description() {
+        return description;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/peridotcourse/daemon/entry/RouterDuty.java
@@ -0,0 +1,351 @@
+package org.peridotcourse.daemon.entry;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import org.peridotcourse.BackendId;
+import org.peridotcourse.Failure;
+import org.peridotcourse.daemon.ProcessEvent;
+import org.peridotcourse.daemon.http.ChannelFactory;
+import org.peridotcourse.daemon.log.EventLog;
+import org.peridotcourse.daemon.ring.EventRing;
+import org.peridotcourse.routing.BackendInfo;
+import org.peridotcourse.routing.ClaimResult;
+import org.peridotcourse.routing.CustomerInfo;
+import org.peridotcourse.routing.EntryHosts;
+import org.peridotcourse.routing.RequestKind;
+import org.peridotcourse.routing.RequestRouter;
+import org.peridotcourse.routing.RoutingAction;
+
+/**
+ * The thread that owns the router: it takes events from a bounded ring, lets the router decide and
+ * carries out the actions.
+ *
+ * <p>Public methods are thread-safe; everything else happens on the one thread.
+ */
+public final class RouterDuty implements RequestSink, AutoCloseable {
+    private static final int BATCH = 256;
+    private static final long BUSY_TICK_MILLIS = 10;
+    private static final long IDLE_TICK_MILLIS = 50;
+    private static final long SWEEP_MILLIS = 100;
+
+    /** A stopping daemon ends watch segments early, so that the stop is short. */
+    private static final long LAST_SEGMENT_MILLIS = 1_000;
+
+    private final RequestRouter router;
+    private final RequestActions actions;
+    private final EventRing<Runnable> ring;
+    private final ArrayDeque<Runnable> local = new ArrayDeque<>();
+    private final Map<String, HeldRequest> held = new HashMap<>();
+    private final BackendLinks links;
+    private final Times times;
+    private final LongSupplier clock;
+    private final EntryMetrics metrics;
+    private final EventLog log;
+    private final Thread thread;
+
+    private volatile boolean running = true;
+    private volatile boolean stopping;
+    private volatile int heldCount;
+    private volatile int linkCount;
+    private volatile EntryView view = EntryView.EMPTY;
+    private volatile Runnable sweep = () -> {};
+    private long nextSweep;
+
+    RouterDuty(
+            RequestRouter router,
+            ChannelFactory channels,
+            KeyPort keys,
+            Times times,
+            LongSupplier clock,
+            EntryMetrics metrics,
+            EventLog log,
+            Consumer<BackendId> leaving) {
+        this.router = router;
+        this.ring = new EventRing<>(times.ringCapacity());
+        this.times = times;
+        this.clock = clock;
+        this.metrics = metrics;
+        this.log = log;
+        this.actions = new RequestActions(this, router, keys, metrics, log, leaving);
+        this.links = new BackendLinks(channels, this::post, actions);
+        this.thread = new Thread(this::loop, "router");
+    }
+
+    /**
+     * Times and sizes of the router duty.
+     *
+     * @param segmentMillis the longest segment of a watch
+     * @param ringCapacity the number of events that may wait
+     */
+    record Times(long segmentMillis, int ringCapacity) {}
+
+    /** Starts the thread. */
+    public void start() {
+        thread.start();
+    }
+
+    /**
+     * Returns the number of requests without a final response.
+     *
+     * @return the number of requests, those in the ring not included
+     */
+    public int held() {
+        return heldCount;
+    }
+
+    /**
+     * Returns the number of connections to backend servers.
+     *
+     * @return the number, including those being opened
+     */
+    public int connections() {
+        return linkCount;
+    }
+
+    /**
+     * Returns the number of events that wait for the thread.
+     *
+     * @return the number
+     */
+    public int ringSize() {
+        return ring.size();
+    }
+
+    /** Makes watch segments short from now on. */
+    public void prepareStop() {
+        stopping = true;
+    }
+
+    /**
+     * Sets what the thread does about every 100 ms. It must not block.
+     *
+     * @param action the action
+     */
+    public void onSweep(Runnable action) {
+        sweep = action;
+    }
+
+    /**
+     * Replaces what is known of customers and services.
+     *
+     * @param next the new view
+     */
+    public void updateView(EntryView next) {
+        view = next;
+    }
+
+    /**
+     * Returns what is known of customers and services.
+     *
+     * @return the view
+     */
+    public EntryView view() {
+        return view;
+    }
+
+    /**
+     * Replaces the known backend servers.
+     *
+     * @param backends all backend servers
+     * @param addresses their addresses
+     */
+    public void updateBackends(
+            Collection<BackendInfo> backends, Map<BackendId, InetSocketAddress> addresses) {
+        post(
+                () -> {
+                    links.updateAddresses(Map.copyOf(addresses));
+                    run(router.updateBackends(now(), backends));
+                });
+    }
+
+    /**
+     * Replaces the known customers.
+     *
+     * @param customers all customers
+     */
+    public void updateCustomers(Collection<CustomerInfo> customers) {
+        post(() -> run(router.updateCustomers(now(), customers)));
+    }
+
+    /**
+     * Changes the number of entry hosts that share the backend servers.
+     *
+     * @param hosts the live entry hosts
+     */
+    public void updateEntryHosts(EntryHosts hosts) {
+        post(() -> run(router.updateEntryHosts(now(), hosts)));
+    }
+
+    @Override
+    public boolean submit(CallerRequest request, Caller caller) {
+        long startNanos = System.nanoTime();
+        boolean taken = ring.offer(() -> begin(request, caller, startNanos));
+        if (!taken) {
+            metrics.ringFull("router");
+        }
+        return taken;
+    }
+
+    @Override
+    public void callerGone(String request) {
+        post(
+                () -> {
+                    if (held.containsKey(request)) {
+                        log.event(RequestEvent.CALLER_GONE)
+                                .with("request", request)
+                                .about(request)
+                                .write();
+                        run(router.onCallerGone(now(), request));
+                    }
+                });
+    }
+
+    /**
+     * Takes the result of a claim.
+     *
+     * @param request the request
+     * @param result what the store said
+     * @param stored the stored response, if there is one
+     */
+    void onClaim(String request, ClaimResult result, Optional<CallerAnswer> stored) {
+        post(
+                () -> {
+                    HeldRequest one = held.get(request);
+                    if (one != null) {
+                        one.onStored(stored);
+                        run(router.onClaim(now(), request, result));
+                    }
+                });
+    }
+
+    /** Stops the thread and closes the connections to backend servers. */
+    @Override
+    public void close() {
+        running = false;
+        ring.wake();
+        try {
+            thread.join(TimeUnit.SECONDS.toMillis(2));
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    long now() {
+        return clock.getAsLong();
+    }
+
+    Map<String, HeldRequest> heldRequests() {
+        return held;
+    }
+
+    BackendLinks links() {
+        return links;
+    }
+
+    /** Carries out the router's actions; router thread only. */
+    void run(List<RoutingAction> list) {
+        actions.run(list);
+    }
+
+    private void post(Runnable event) {
+        if (Thread.currentThread() == thread) {
+            local.add(event);
+        } else if (running) {
+            ring.report(event);
+        }
+    }
+
+    private void begin(CallerRequest request, Caller caller, long startNanos) {
+        Optional<Failure> refusal = view.refusal(request.customer(), request.service());
+        if (refusal.isPresent()) {
+            actions.refuse(request, caller, refusal.get(), startNanos);
+            return;
+        }
+        long now = now();
+        long waited = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos);
+        long segment =
+                Math.min(
+                        request.timing().segmentMillis().orElse(times.segmentMillis()),
+                        stopping ? LAST_SEGMENT_MILLIS : times.segmentMillis());
+        long wanted =
+                request.timing()
+                        .deadlineMillis()
+                        .orElseGet(
+                                () -> view.deadlineMillis(request.customer(), request.service()));
+        long duration = request.kind() == RequestKind.WATCH ? segment + wanted : wanted;
+        HeldRequest one =
+                new HeldRequest(request, caller, startNanos, now + duration - waited, segment);
+        held.put(request.id(), one);
+        log.event(RequestEvent.ACCEPTED)
+                .with("request", request.id())
+                .with("customer", request.customer())
+                .with("service", request.service())
+                .with("kind", request.kind().code())
+                .with("key", request.key().map(Object::toString).orElse("none"))
+                .with("deadline", duration)
+                .about(request.id())
+                .write();
+        run(router.offer(now, one.toInfo()));
+    }
+
+    private void loop() {
+        long nextTick = 0;
+        while (running) {
+            try {
+                int count = 0;
+                for (Runnable event = next(); event != null && count < BATCH; count++) {
+                    event.run();
+                    event = next();
+                    if (count == BATCH - 1 && event != null) {
+                        local.addFirst(event);
+                    }
+                }
+                long now = now();
+                if (now >= nextTick) {
+                    nextTick = tick(now);
+                }
+                heldCount = held.size();
+                linkCount = links.size();
+                if (local.isEmpty()) {
+                    ring.await(nextTick - now());
+                }
+            } catch (RuntimeException fault) {
+                report(fault);
+            }
+        }
+        links.closeAll();
+    }
+
+    private Runnable next() {
+        Runnable event = local.poll();
+        return event != null ? event : ring.poll();
+    }
+
+    private long tick(long now) {
+        links.observeBytes();
+        run(router.onTick(now));
+        if (now >= nextSweep) {
+            nextSweep = now + SWEEP_MILLIS;
+            sweep.run();
+        }
+        long longest = held.isEmpty() ? IDLE_TICK_MILLIS : BUSY_TICK_MILLIS;
+        return Math.max(now + 1, Math.min(router.nextTickMillis(now), now + longest));
+    }
+
+    private void report(RuntimeException fault) {
+        StackTraceElement[] trace = fault.getStackTrace();
+        log.event(ProcessEvent.DUTY_FAULT)
+                .with("duty", "router")
+                .with("fault", fault)
+                .with("at", trace.length > 0 ? trace[0] : "unknown")
+                .write();
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/peridotcourse/daemon/entry/StoredAnswer.java
@@ -0,0 +1,93 @@
+package org.peridotcourse.daemon.entry;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.peridotcourse.Result;
+import org.peridotcourse.daemon.http.HttpReply;
+import org.peridotcourse.daemon.platform.ObjectStore;
+
+/**
+ * The form of a row in table {@code requests}: a claim, or a stored response.
+ *
+ * <p>A response of up to 16 KiB is kept in the row, a larger one in the object store. It holds no
+ * state and is thread-safe.
+ */
+final class StoredAnswer {
+    static final String TABLE = "requests";
+
+    private static final int MAX_IN_ROW = 16 * 1024;
+
+    private StoredAnswer() {}
+
+    /** Returns the columns of a claim. */
+    static ObjectNode claimed(String daemon, KeyPort.Claim claim) {
+        ObjectNode row = Answers.JSON.createObjectNode();
+        row.put("daemon", daemon);
+        row.put("state", "claimed");
+        row.put("request", claim.request());
+        row.put("fingerprint", claim.fingerprint());
+        return row;
+    }
+
+    /**
+     * Returns the columns of a done request. Writes an object first if the body is large.
+     *
+     * @return the columns, or the failure of the object store
+     */
+    static Result<ObjectNode> done(
+            String daemon, KeyPort.Claim claim, HttpReply reply, ObjectStore objects) {
+        CallerAnswer answer = Answers.answered(claim.request(), reply);
+        ObjectNode row = claimed(daemon, claim);
+        row.put("state", "done");
+        row.put("status", answer.status());
+        ArrayNode headers = row.putArray("headers");
+        for (Map.Entry<String, String> header : answer.headers()) {
+            boolean own =
+                    header.getKey().equals(Headers.OUTCOME)
+                            || header.getKey().equals(Headers.REQUEST);
+            if (!own) {
+                headers.addArray().add(header.getKey()).add(header.getValue());
+            }
+        }
+        if (answer.body().length <= MAX_IN_ROW) {
+            row.put("answer", answer.body());
+            return Result.ok(row);
+        }
+        String name = "answers/" + claim.row() + "/" + claim.request();
+        row.put("object", name);
+        return objects.write(name, answer.body()).map(written -> row);
+    }
+
+    /**
+     * Returns the stored response for a repeat.
+     *
+     * @return the response, or empty if its object cannot be read
+     */
+    static Optional<CallerAnswer> toAnswer(String request, JsonNode row, ObjectStore objects) {
+        List<Map.Entry<String, String>> headers = new ArrayList<>();
+        headers.add(Map.entry(Headers.OUTCOME, "answered"));
+        headers.add(Map.entry(Headers.REQUEST, request));
+        for (JsonNode header : row.path("headers")) {
+            headers.add(Map.entry(header.path(0).asText(), header.path(1).asText()));
+        }
+        return body(row, objects)
+                .map(body -> new CallerAnswer(row.path("status").asInt(), headers, body));
+    }
+
+    private static Optional<byte[]> body(JsonNode row, ObjectStore objects) {
+        if (row.has("object")) {
+            return objects.read(row.get("object").asText()).toOptional().flatMap(found -> found);
+        }
+        try {
+            return Optional.ofNullable(row.path("answer").binaryValue());
+        } catch (IOException malformed) {
+            return Optional.empty();
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/peridotcourse/daemon/entry/package-info.java
@@ -0,0 +1,2 @@
+/** Callers' requests: HTTP server, router thread, request keys, jobs. */
+package org.peridotcourse.daemon.entry;
--- a/daemon/src/main/java/org/peridotcourse/daemon/http/HttpChannel.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/http/HttpChannel.java
@@ -31,6 +31,7 @@
 
     private CompletableFuture<HttpReply> pending;
     private ByteArrayOutputStream body;
+    private Runnable idleCloseListener;
     private boolean closed;
     private boolean keepAlive = true;
     private long bytesRead;
@@ -69,6 +70,22 @@
         return bytesRead;
     }
 
+    /**
+     * Sets what to call when the other side closes the connection while no request is outstanding.
+     *
+     * @param listener called at most once, on a selector thread
+     */
+    public void onIdleClose(Runnable listener) {
+        boolean late;
+        synchronized (this) {
+            late = closed;
+            idleCloseListener = late ? null : listener;
+        }
+        if (late) {
+            listener.run();
+        }
+    }
+
     /**
      * Sends a request. The future completes on a selector thread, so its dependents must not block.
      *
@@ -131,7 +148,15 @@
     }
 
     void onClose() {
+        Runnable listener;
+        synchronized (this) {
+            listener = pending == null ? idleCloseListener : null;
+            idleCloseListener = null;
+        }
         finish(ChannelFailure.ENDED_EARLY);
+        if (listener != null) {
+            listener.run();
+        }
     }
 
     void onBroken() {
@@ -202,6 +227,7 @@
         CompletableFuture<HttpReply> failed;
         synchronized (this) {
             closed = true;
+            idleCloseListener = null;
             failed = pending;
             pending = null;
             body = null;
--- /dev/null
+++ b/daemon/src/main/java/org/peridotcourse/daemon/package-info.java
@@ -0,0 +1,2 @@
+/** The daemon process: start, wiring and stop. */
+package org.peridotcourse.daemon;
--- /dev/null
+++ b/daemon/src/main/java/org/peridotcourse/daemon/ring/package-info.java
@@ -0,0 +1,2 @@
+/** Bounded rings between threads. */
+package org.peridotcourse.daemon.ring;
