Add admission, fair queue, choice, limits and health of request routing

Cause: the API had only a random choice behind it. Change: requests wait in a start-time fair queue per service, and connections are opened apart from requests, so no request waits for one particular connection. Slots are divided exactly among the entry hosts by their position.

--- /dev/null
+++ b/core/src/main/java/org/peridotcourse/routing/Admission.java
@@ -0,0 +1,39 @@
+package org.peridotcourse.routing;
+
+import java.util.Optional;
+
+/**
+ * Refuses at once what exceeds a limit or cannot start in time. Confined to the router's thread.
+ */
+final class Admission {
+    private final RoutingSettings settings;
+    private final Dispatcher dispatcher;
+
+    Admission(RoutingSettings settings, Dispatcher dispatcher) {
+        this.settings = settings;
+        this.dispatcher = dispatcher;
+    }
+
+    /** Returns the refusal of a new request, or empty if it is admitted. */
+    Optional<Outcome.NotRun> check(long now, RoutedRequest request, EntryHosts hosts) {
+        CustomerState customer = request.customer;
+        ServicePool.Lane lane = request.pool.laneOf(request);
+        if (!customer.hasRoom(hosts.count())) {
+            return refusal(NotRunReason.CUSTOMER_IN_FLIGHT, lane.meanMillis());
+        }
+        double wait = lane.expectedWaitMillis(customer.info());
+        double left = request.info.deadlineMillis() - now;
+        boolean late = request.isSlotted() && wait > 0 && wait + lane.meanMillis() > left;
+        if (late || !lane.hasRoom(customer.info(), settings.maxQueued())) {
+            return refusal(NotRunReason.OVERLOAD, Math.max(lane.meanMillis(), wait - left));
+        }
+        long untilRate = customer.takeRate(now, hosts.count());
+        return untilRate > 0
+                ? Optional.of(new Outcome.NotRun(NotRunReason.CUSTOMER_RATE, untilRate))
+                : Optional.empty();
+    }
+
+    private Optional<Outcome.NotRun> refusal(NotRunReason reason, double retryAfterMillis) {
+        return Optional.of(new Outcome.NotRun(reason, dispatcher.retryAfter(retryAfterMillis)));
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/peridotcourse/routing/BackendServer.java
@@ -0,0 +1,206 @@
+package org.peridotcourse.routing;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** State of one backend server as this entry host sees it. Confined to the router's thread. */
+final class BackendServer {
+    /**
+     * Pause after a refusal without a retry-after time, so that a refusing server draws no load.
+     */
+    private static final long REFUSAL_PAUSE_MILLIS = 20;
+
+    private static final long LONGEST_PAUSE_MILLIS = 1_000;
+
+    final Health health = new Health();
+    final InFlightLimit limit = new InFlightLimit();
+    final LatencyWindow latency = new LatencyWindow();
+    private final Map<Long, Connection> connections = new LinkedHashMap<>();
+    private final Deque<Connection> idle = new ArrayDeque<>();
+    private BackendInfo info;
+    private int tier;
+    private int bound = 1;
+    private boolean saidLeaving;
+    private boolean listed = true;
+    private int connecting;
+    private int inFlight;
+    private int watches;
+    private long pausedUntilMillis;
+
+    BackendServer(BackendInfo info, int tier) {
+        this.info = info;
+        this.tier = tier;
+    }
+
+    BackendInfo info() {
+        return info;
+    }
+
+    int tier() {
+        return tier;
+    }
+
+    int inFlight() {
+        return inFlight;
+    }
+
+    int watches() {
+        return watches;
+    }
+
+    int connecting() {
+        return connecting;
+    }
+
+    Deque<Connection> idle() {
+        return idle;
+    }
+
+    List<Connection> connections() {
+        return List.copyOf(connections.values());
+    }
+
+    /** Takes the host list's word; a server that said it leaves stays leaving until it was gone. */
+    void update(BackendInfo changed, int newTier) {
+        info = changed;
+        tier = newTier;
+        saidLeaving &= listed && changed.state().isAccepting();
+        listed = true;
+    }
+
+    /** Computes the shares of slots and connections; returns the share of slots. */
+    int share(EntryHosts hosts, boolean bounded, int leastShare) {
+        int salt = Math.floorMod(info.id().hashCode(), 1 << 16);
+        int share = Math.max(leastShare, hosts.partOf(info.slots(), salt));
+        limit.update(share, info.slots());
+        bound = bounded ? Math.max(1, hosts.partOf(info.connections(), salt)) : Integer.MAX_VALUE;
+        return share;
+    }
+
+    void markUnlisted() {
+        listed = false;
+    }
+
+    void markLeaving() {
+        saidLeaving = true;
+    }
+
+    boolean isListed() {
+        return listed;
+    }
+
+    boolean isAccepting() {
+        return listed && !saidLeaving && info.state().isAccepting();
+    }
+
+    void pause(long now, long retryAfterMillis) {
+        long pause = Math.max(REFUSAL_PAUSE_MILLIS, retryAfterMillis);
+        pausedUntilMillis = now + Math.min(LONGEST_PAUSE_MILLIS, pause);
+    }
+
+    boolean isPaused(long now) {
+        return now < pausedUntilMillis;
+    }
+
+    /** Returns how many requests of a kind it takes at once from this entry host. */
+    int room(boolean slotted) {
+        if (slotted) {
+            return health.isHealthy() ? Math.min(limit.value(), bound) : 1;
+        }
+        // Half of the connections, rounded up, stay free for requests that occupy slots.
+        return Math.max(1, bound - (bound + 1) / 2);
+    }
+
+    int used(boolean slotted) {
+        return slotted ? inFlight : watches;
+    }
+
+    boolean mayConnect() {
+        return connections.size() < bound;
+    }
+
+    boolean hasSurplus() {
+        return connections.size() > bound;
+    }
+
+    Connection startConnect(long id, long now) {
+        Connection connection = new Connection(id, this, now);
+        connections.put(id, connection);
+        connecting++;
+        return connection;
+    }
+
+    void onConnected(Connection connection) {
+        connection.open = true;
+        connecting--;
+        idle.addLast(connection);
+    }
+
+    /** Takes the most recently used idle connection, other than the excluded one. */
+    Connection takeIdle(long excluded) {
+        Connection last = idle.pollLast();
+        if (last == null || last.id != excluded) {
+            return last;
+        }
+        Connection other = idle.pollLast();
+        idle.addLast(last);
+        return other;
+    }
+
+    boolean hasIdle(long excluded) {
+        return idle.size() > 1 || (idle.size() == 1 && idle.peekLast().id != excluded);
+    }
+
+    void onForwarded(Connection connection, RoutedRequest request, long now) {
+        connection.request = request;
+        connection.sentMillis = now;
+        if (request.isSlotted()) {
+            inFlight++;
+        } else {
+            watches++;
+        }
+    }
+
+    /** Counts a complete response; to be called before its request is detached. */
+    void onAnswer(long millis, boolean slotted, boolean adaptive) {
+        health.onAnswer();
+        if (slotted) {
+            latency.add(millis);
+            if (adaptive) {
+                limit.onReply(millis, inFlight >= limit.value());
+            }
+        }
+    }
+
+    /** Detaches the request of a connection. */
+    void onReleased(Connection connection) {
+        if (connection.request.isSlotted()) {
+            inFlight--;
+        } else {
+            watches--;
+        }
+        connection.request = null;
+    }
+
+    void remove(Connection connection) {
+        if (connections.remove(connection.id) != null) {
+            idle.remove(connection);
+            connecting -= connection.open ? 0 : 1;
+        }
+    }
+
+    BackendStatus toStatus() {
+        return new BackendStatus(
+                info.id(),
+                isAccepting(),
+                health.isHealthy(),
+                inFlight,
+                limit.value(),
+                watches,
+                connections.size(),
+                latency.mean());
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/peridotcourse/routing/FairQueue.java
@@ -0,0 +1,133 @@
+package org.peridotcourse.routing;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeSet;
+import java.util.function.Predicate;
+
+/**
+ * Start-time fair queue: one sequence per flow, served in proportion to the weights of the flows
+ * that wait. Confined to one thread.
+ *
+ * <p>A flow's start tag moves by the reciprocal of its weight when one of its items is taken, so a
+ * flow that was idle gains no credit and a removed item costs nothing.
+ *
+ * @param <K> names of flows
+ * @param <T> items
+ */
+final class FairQueue<K extends Comparable<K>, T> {
+    private final Map<K, Flow<K, T>> flows = new HashMap<>();
+    private final TreeSet<Flow<K, T>> waiting = new TreeSet<>(Flow::compare);
+    private double virtualTime;
+    private int size;
+
+    int size() {
+        return size;
+    }
+
+    boolean isEmpty() {
+        return size == 0;
+    }
+
+    /** Returns the number of items of a flow. */
+    int sizeOf(K key) {
+        Flow<K, T> flow = flows.get(key);
+        return flow == null ? 0 : flow.items.size();
+    }
+
+    /** Returns the sum of the weights of the waiting flows, counting the given flow in. */
+    double weightWith(K key, int weight) {
+        double sum = weight;
+        for (Flow<K, T> flow : waiting) {
+            sum += flow.key.equals(key) ? 0 : flow.weight;
+        }
+        return sum;
+    }
+
+    /** Appends an item to its flow. */
+    void add(K key, int weight, T item) {
+        flowFor(key, weight).items.addLast(item);
+    }
+
+    /** Puts an item before all others of its flow. */
+    void addFirst(K key, int weight, T item) {
+        flowFor(key, weight).items.addFirst(item);
+    }
+
+    private Flow<K, T> flowFor(K key, int weight) {
+        Flow<K, T> flow = flows.computeIfAbsent(key, Flow::new);
+        flow.weight = weight;
+        if (flow.items.isEmpty()) {
+            flow.start = Math.max(virtualTime, flow.start);
+            waiting.add(flow);
+        }
+        size++;
+        return flow;
+    }
+
+    /** Takes the next item that passes the test; only the first item of each flow is tested. */
+    Optional<T> poll(Predicate<T> test) {
+        for (Flow<K, T> flow : waiting) {
+            T item = flow.items.peekFirst();
+            if (test.test(item)) {
+                waiting.remove(flow);
+                flow.items.removeFirst();
+                size--;
+                virtualTime = Math.max(virtualTime, flow.start);
+                flow.start += 1.0 / flow.weight;
+                if (!flow.items.isEmpty()) {
+                    waiting.add(flow);
+                }
+                return Optional.of(item);
+            }
+        }
+        return Optional.empty();
+    }
+
+    /** Removes an item that is given up. */
+    void remove(K key, T item) {
+        Flow<K, T> flow = flows.get(key);
+        if (flow != null && flow.items.remove(item)) {
+            size--;
+            if (flow.items.isEmpty()) {
+                waiting.remove(flow);
+            }
+        }
+    }
+
+    /** Returns the first item of each flow, in the order of service. */
+    List<T> heads() {
+        List<T> heads = new ArrayList<>();
+        waiting.forEach(flow -> heads.add(flow.items.peekFirst()));
+        return heads;
+    }
+
+    /** Returns all items. */
+    List<T> items() {
+        List<T> items = new ArrayList<>();
+        waiting.forEach(flow -> items.addAll(flow.items));
+        return items;
+    }
+
+    /** Items of one customer. */
+    private static final class Flow<K extends Comparable<K>, T> {
+        private final K key;
+        private final Deque<T> items = new ArrayDeque<>();
+        private int weight = 1;
+        private double start;
+
+        Flow(K key) {
+            this.key = key;
+        }
+
+        int compare(Flow<K, T> other) {
+            int byStart = Double.compare(start, other.start);
+            return byStart != 0 ? byStart : key.compareTo(other.key);
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/peridotcourse/routing/InFlightLimit.java
@@ -0,0 +1,63 @@
+package org.peridotcourse.routing;
+
+/**
+ * Number of requests that this entry host keeps in flight on one backend server. Confined to the
+ * router's thread.
+ *
+ * <p>It starts at the fixed share, grows while it is fully used and latency stays near the unloaded
+ * one, and shrinks on refusals and rising latency, never below the share.
+ */
+final class InFlightLimit {
+    /** Means of fewer replies vary too much to tell load from chance. */
+    private static final int WINDOW = 32;
+
+    private static final double HIGH_LATENCY = 1.5;
+    private static final double BASE_DRIFT = 1.02;
+
+    private int share = 1;
+    private int slots = 1;
+    private double limit = 1;
+    private double base = Double.MAX_VALUE;
+    private double sum;
+    private int count;
+    private boolean full;
+
+    /** Changes the bounds; a changed share is in force at once. */
+    void update(int newShare, int newSlots) {
+        int bounded = Math.min(newShare, newSlots);
+        if (bounded != share || newSlots != slots) {
+            share = bounded;
+            slots = newSlots;
+            limit = share;
+        }
+    }
+
+    int value() {
+        return (int) limit;
+    }
+
+    /** Takes the latency of a complete response and whether the limit was reached meanwhile. */
+    void onReply(long millis, boolean wasFull) {
+        sum += millis;
+        count++;
+        full |= wasFull;
+        if (count < WINDOW) {
+            return;
+        }
+        double mean = sum / count;
+        base = Math.min(base * BASE_DRIFT, mean);
+        if (mean > base * HIGH_LATENCY) {
+            limit = Math.max(share, limit * 0.8);
+        } else if (full) {
+            limit = Math.min(slots, limit + 1);
+        }
+        sum = 0;
+        count = 0;
+        full = false;
+    }
+
+    /** Takes the news that the backend server refused a request. */
+    void onRefused() {
+        limit = Math.max(Math.min(1, share), limit * 0.7);
+    }
+}
--- a/core/src/main/java/org/peridotcourse/routing/RequestRouter.java
+++ b/core/src/main/java/org/peridotcourse/routing/RequestRouter.java
@@ -3,12 +3,12 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.Iterator;
-import java.util.LinkedHashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
 import java.util.random.RandomGenerator;
-import org.peridotcourse.BackendId;
 import org.peridotcourse.CustomerId;
 import org.peridotcourse.DataCentreId;
 
@@ -16,18 +16,18 @@
  * Routes the requests of one entry host. Each event returns the actions that the daemon takes.
  *
  * <p>From a {@link RoutingAction.Forward} on, a request counts as handed over, unless the daemon
- * reports that not a byte of it was written. Call {@link #onTick} at {@link #nextTickMillis}, and
- * at least every 10 ms while requests are held. Confined to one thread.
+ * reports that not a byte of it was written. Call {@link #onTick} at {@link #nextTickMillis}.
+ * Reports on requests, attempts and connections that are over are ignored. Confined to one thread.
  */
 public final class RequestRouter {
-    private final RandomGenerator random;
-    private final Map<CustomerId, CustomerInfo> customers = new HashMap<>();
-    private final Map<BackendId, BackendInfo> backends = new LinkedHashMap<>();
-    private final Map<String, RequestInfo> held = new LinkedHashMap<>();
-    private final Map<String, Long> connectionOf = new HashMap<>();
-    private final Map<Long, String> requestOf = new HashMap<>();
-    private final Map<Long, BackendId> backendOf = new HashMap<>();
-    private long lastConnection;
+    /** Time between ticks; suspicions, probes and pauses of servers end with this precision. */
+    private static final long TICK_MILLIS = 10;
+
+    private final RoutingSettings settings;
+    private final Dispatcher dispatcher;
+    private final Map<CustomerId, CustomerState> customers = new HashMap<>();
+    private final ServicePools pools;
+    private final Admission admission;
 
     /**
      * Creates a router without customers and backend servers.
@@ -42,7 +42,10 @@
             String region,
             RoutingSettings settings,
             RandomGenerator random) {
-        this.random = random;
+        this.settings = settings;
+        this.dispatcher = new Dispatcher(settings, random);
+        this.pools = new ServicePools(dataCentre, region, settings);
+        this.admission = new Admission(settings, dispatcher);
     }
 
     /**
@@ -53,118 +56,202 @@
      * @return the actions
      */
     public List<RoutingAction> updateBackends(long now, Collection<BackendInfo> list) {
-        backends.clear();
-        list.forEach(backend -> backends.put(backend.id(), backend));
-        return List.of();
+        List<RoutingAction> out = new ArrayList<>();
+        pools.update(list);
+        for (ServicePool pool : pools.all()) {
+            for (BackendServer server : List.copyOf(pool.servers())) {
+                dispatcher.retire(pool, server, out);
+            }
+            dispatcher.refuseUnservable(pool, out);
+            dispatcher.dispatch(now, pool, out);
+        }
+        return out;
     }
 
     /**
-     * Replaces the known customers.
+     * Replaces the known customers. Requests of a removed customer that are held complete.
      *
      * @param now monotonic milliseconds
      * @param list all customers
      * @return the actions
      */
     public List<RoutingAction> updateCustomers(long now, Collection<CustomerInfo> list) {
-        customers.clear();
-        list.forEach(customer -> customers.put(customer.id(), customer));
-        return List.of();
+        Set<CustomerId> listed = new HashSet<>();
+        for (CustomerInfo info : list) {
+            listed.add(info.id());
+            CustomerState state = customers.get(info.id());
+            if (state == null) {
+                customers.put(info.id(), new CustomerState(info, now));
+            } else {
+                state.update(info);
+            }
+        }
+        customers.keySet().retainAll(listed);
+        List<RoutingAction> out = new ArrayList<>();
+        for (ServicePool pool : pools.all()) {
+            dispatcher.refuseUnservable(pool, out);
+            dispatcher.dispatch(now, pool, out);
+        }
+        return out;
     }
 
     /**
      * Changes the shares of this entry host.
      *
      * @param now monotonic milliseconds
-     * @param hosts the live entry hosts
+     * @param changed the live entry hosts
      * @return the actions
      */
-    public List<RoutingAction> updateEntryHosts(long now, EntryHosts hosts) {
-        return List.of();
+    public List<RoutingAction> updateEntryHosts(long now, EntryHosts changed) {
+        List<RoutingAction> out = new ArrayList<>();
+        pools.update(changed);
+        for (ServicePool pool : pools.all()) {
+            for (BackendServer server : pool.servers()) {
+                while (server.hasSurplus() && !server.idle().isEmpty()) {
+                    dispatcher.close(server.idle().peekFirst(), CloseReason.SURPLUS, out);
+                }
+            }
+            dispatcher.dispatch(now, pool, out);
+        }
+        return out;
     }
 
     /**
      * Takes a new request.
      *
      * @param now monotonic milliseconds
-     * @param request the request, with an identifier that was not used before
+     * @param info the request, with an identifier that was not used before
      * @return the actions
      */
-    public List<RoutingAction> offer(long now, RequestInfo request) {
-        if (!customers.containsKey(request.customer())) {
-            return refuse(request.id(), NotRunReason.UNKNOWN_CUSTOMER);
+    public List<RoutingAction> offer(long now, RequestInfo info) {
+        CustomerState customer = customers.get(info.customer());
+        if (customer == null) {
+            return refuse(info, NotRunReason.UNKNOWN_CUSTOMER, 0);
         }
-        List<BackendInfo> live =
-                backends.values().stream()
-                        .filter(b -> b.service().equals(request.service()))
-                        .filter(b -> b.state().isAccepting())
-                        .toList();
-        if (live.isEmpty()) {
-            return refuse(request.id(), NotRunReason.NO_BACKEND);
+        ServicePool pool = pools.of(info.service());
+        if (pool == null) {
+            return refuse(info, NotRunReason.UNKNOWN_SERVICE, 0);
         }
-        BackendInfo chosen = live.get(random.nextInt(live.size()));
-        held.put(request.id(), request);
-        long connection = ++lastConnection;
-        connectionOf.put(request.id(), connection);
-        requestOf.put(connection, request.id());
-        backendOf.put(connection, chosen.id());
-        if (request.key().isPresent()) {
+        if (info.deadlineMillis() <= now) {
+            return refuse(info, NotRunReason.DEADLINE, dispatcher.retryAfter(10));
+        }
+        if (pool.acceptingFor(customer.info()).isEmpty()) {
+            return refuse(info, NotRunReason.NO_BACKEND, dispatcher.retryAfter(1_000));
+        }
+        RoutedRequest request = new RoutedRequest(info, customer, pool);
+        if (settings.policy().isLimited()) {
+            Optional<Outcome.NotRun> refusal = admission.check(now, request, pools.hosts());
+            if (refusal.isPresent()) {
+                return List.of(new RoutingAction.Finish(info.id(), refusal.get()));
+            }
+        }
+        dispatcher.hold(request);
+        if (info.key().isPresent()) {
+            request.phase = RoutedRequest.Phase.CLAIMING;
+            request.claim.apply(KeyClaim.Event.CLAIM_SENT);
             return List.of(
-                    new RoutingAction.ClaimKey(
-                            request.id(), request.customer(), request.key().get()));
+                    new RoutingAction.ClaimKey(info.id(), info.customer(), info.key().get()));
         }
-        return List.of(new RoutingAction.Connect(connection, chosen.id()));
+        List<RoutingAction> out = new ArrayList<>();
+        dispatcher.enqueue(request);
+        dispatcher.dispatch(now, pool, out);
+        return out;
+    }
+
+    private static List<RoutingAction> refuse(
+            RequestInfo info, NotRunReason reason, long retryAfterMillis) {
+        return List.of(
+                new RoutingAction.Finish(info.id(), new Outcome.NotRun(reason, retryAfterMillis)));
     }
 
     /**
      * Takes the store's word on the claim of a request's key.
      *
      * @param now monotonic milliseconds
-     * @param request the request
+     * @param id the request
      * @param result what the store said
      * @return the actions
      */
-    public List<RoutingAction> onClaim(long now, String request, ClaimResult result) {
-        RequestInfo info = held.get(request);
-        if (info == null || result == ClaimResult.UNSETTLED) {
-            return List.of();
+    public List<RoutingAction> onClaim(long now, String id, ClaimResult result) {
+        RoutedRequest request = dispatcher.held(id);
+        List<RoutingAction> out = new ArrayList<>();
+        if (request == null || !request.claim.apply(KeyClaim.eventOf(result))) {
+            return out;
         }
-        long connection = connectionOf.get(request);
-        return switch (result) {
-            case CLAIMED ->
-                    List.of(new RoutingAction.Connect(connection, backendOf.get(connection)));
-            case DONE -> finish(request, new Outcome.Answered(true));
-            case IN_PROGRESS -> finish(request, new Outcome.Unknown(UnknownReason.KEY_IN_PROGRESS));
-            case REUSED -> refuse(request, NotRunReason.KEY_REUSED);
-            default -> refuse(request, NotRunReason.STORE_UNAVAILABLE);
-        };
+        switch (result) {
+            case CLAIMED -> {
+                dispatcher.enqueue(request);
+                dispatcher.refuseUnservable(request.pool, out);
+                dispatcher.dispatch(now, request.pool, out);
+            }
+            case DONE -> dispatcher.finish(request, new Outcome.Answered(true), out);
+            case IN_PROGRESS ->
+                    dispatcher.finish(
+                            request, new Outcome.Unknown(UnknownReason.KEY_IN_PROGRESS), out);
+            case REUSED -> dispatcher.refuse(request, NotRunReason.KEY_REUSED, 0, out);
+            case STORE_UNAVAILABLE ->
+                    dispatcher.refuse(
+                            request,
+                            NotRunReason.STORE_UNAVAILABLE,
+                            dispatcher.retryAfter(1_000),
+                            out);
+            default -> {
+                // An unsettled claim is resolved by the daemon, which reports again.
+            }
+        }
+        return out;
     }
 
     /**
      * Takes the news that a connection is open.
      *
      * @param now monotonic milliseconds
-     * @param connection the connection
+     * @param id the connection
      * @return the actions
      */
-    public List<RoutingAction> onConnected(long now, long connection) {
-        String request = requestOf.get(connection);
-        return request == null
-                ? List.of()
-                : List.of(
-                        new RoutingAction.Forward(
-                                request, 1, backendOf.get(connection), connection));
+    public List<RoutingAction> onConnected(long now, long id) {
+        List<RoutingAction> out = new ArrayList<>();
+        Connection connection = dispatcher.connection(id);
+        if (connection == null || connection.open) {
+            return out;
+        }
+        connection.server.onConnected(connection);
+        connection.lastByteMillis = now;
+        dispatcher.dispatch(now, poolOf(connection), out);
+        return out;
     }
 
     /**
      * Takes the news that a connection could not be opened.
      *
      * @param now monotonic milliseconds
-     * @param connection the connection
+     * @param id the connection
      * @return the actions
      */
-    public List<RoutingAction> onConnectFailed(long now, long connection) {
-        String request = requestOf.get(connection);
-        return request == null ? List.of() : refuse(request, NotRunReason.CONNECT_FAILED);
+    public List<RoutingAction> onConnectFailed(long now, long id) {
+        List<RoutingAction> out = new ArrayList<>();
+        Connection connection = dispatcher.connection(id);
+        if (connection == null || connection.open) {
+            return out;
+        }
+        ServicePool pool = poolOf(connection);
+        dispatcher.forget(connection);
+        dispatcher.fail(now, pool, connection, out);
+        for (RoutedRequest request : pool.queued()) {
+            if (request.drawn == connection.server) {
+                request.drawn = null;
+            }
+            if (pool.isUnreachableFor(request.customer.info())) {
+                dispatcher.refuse(
+                        request, NotRunReason.CONNECT_FAILED, dispatcher.retryAfter(1_000), out);
+            }
+        }
+        dispatcher.dispatch(now, pool, out);
+        return out;
+    }
+
+    private ServicePool poolOf(Connection connection) {
+        return pools.of(connection.server.info().service());
     }
 
     /**
@@ -172,37 +259,98 @@
      * request is reported by {@link #onAttemptFailed} instead.
      *
      * @param now monotonic milliseconds
-     * @param connection the connection
+     * @param id the connection
      * @return the actions
      */
-    public List<RoutingAction> onConnectionClosed(long now, long connection) {
-        return List.of();
+    public List<RoutingAction> onConnectionClosed(long now, long id) {
+        Connection connection = dispatcher.connection(id);
+        if (connection == null || connection.request != null) {
+            return List.of();
+        }
+        List<RoutingAction> out = new ArrayList<>();
+        dispatcher.forget(connection);
+        dispatcher.dispatch(now, poolOf(connection), out);
+        return out;
     }
 
     /**
      * Takes the news that bytes of a response arrived.
      *
      * @param now monotonic milliseconds
-     * @param connection the connection
+     * @param id the connection
      */
-    public void onBytes(long now, long connection) {}
+    public void onBytes(long now, long id) {
+        Connection connection = dispatcher.connection(id);
+        if (connection != null) {
+            connection.lastByteMillis = now;
+        }
+    }
 
     /**
      * Takes a complete response that carries the identifier of its request.
      *
      * @param now monotonic milliseconds
-     * @param request the request
+     * @param id the request
      * @param attempt the attempt
      * @param reply the response
      * @return the actions; no {@link RoutingAction.Finish} if the response came too late
      */
-    public List<RoutingAction> onReply(long now, String request, int attempt, Reply reply) {
-        if (!held.containsKey(request)) {
-            return List.of();
+    public List<RoutingAction> onReply(long now, String id, int attempt, Reply reply) {
+        List<RoutingAction> out = new ArrayList<>();
+        RoutedRequest request = forwarded(id, attempt);
+        if (request == null) {
+            return out;
+        }
+        Connection connection = request.connection;
+        BackendServer server = connection.server;
+        if (reply.leaving()) {
+            server.markLeaving();
+        }
+        if (reply.notRun()) {
+            server.limit.onRefused();
+            server.pause(now, reply.retryAfterMillis());
+        } else {
+            long millis = now - connection.sentMillis;
+            request.pool.laneOf(request).latency.add(millis);
+            server.onAnswer(millis, request.isSlotted(), settings.adaptive());
+        }
+        dispatcher.release(now, request, reply.reusable(), Optional.empty(), out);
+        if (!server.isAccepting()) {
+            dispatcher.retire(request.pool, server, out);
+            dispatcher.refuseUnservable(request.pool, out);
+        }
+        if (!reply.notRun()) {
+            dispatcher.finish(request, new Outcome.Answered(false), out);
+        } else {
+            long retryAfter = Math.max(reply.retryAfterMillis(), dispatcher.retryAfter(20));
+            onNotRun(now, request, NotRunReason.BACKEND_REFUSED, retryAfter, out);
+        }
+        dispatcher.dispatch(now, request.pool, out);
+        return out;
+    }
+
+    private RoutedRequest forwarded(String id, int attempt) {
+        RoutedRequest request = dispatcher.held(id);
+        return request != null
+                        && request.phase == RoutedRequest.Phase.FORWARDED
+                        && request.attempts == attempt
+                ? request
+                : null;
+    }
+
+    /** Retries or refuses a request whose last attempt certainly did not run. */
+    private void onNotRun(
+            long now,
+            RoutedRequest request,
+            NotRunReason reason,
+            long retryAfter,
+            List<RoutingAction> out) {
+        if (request.uncertainty == null) {
+            request.claim.apply(KeyClaim.Event.PROVED_NOT_RUN);
+        }
+        if (!dispatcher.retry(now, request)) {
+            dispatcher.refuse(request, reason, retryAfter, out);
         }
-        return reply.notRun()
-                ? refuse(request, NotRunReason.BACKEND_REFUSED)
-                : finish(request, new Outcome.Answered(false));
     }
 
     /**
@@ -210,28 +358,62 @@
      * closed the connection.
      *
      * @param now monotonic milliseconds
-     * @param request the request
+     * @param id the request
      * @param attempt the attempt
      * @param failure what happened
      * @param handedOver false only if it is certain that no byte of the request was written
      * @return the actions
      */
     public List<RoutingAction> onAttemptFailed(
-            long now, String request, int attempt, AttemptFailure failure, boolean handedOver) {
-        return handedOver
-                ? finish(request, new Outcome.Unknown(failure.reason()))
-                : refuse(request, NotRunReason.CONNECT_FAILED);
+            long now, String id, int attempt, AttemptFailure failure, boolean handedOver) {
+        List<RoutingAction> out = new ArrayList<>();
+        RoutedRequest request = forwarded(id, attempt);
+        if (request == null) {
+            return out;
+        }
+        Connection connection = request.connection;
+        dispatcher.release(now, request, false, Optional.empty(), out);
+        dispatcher.fail(now, request.pool, connection, out);
+        if (handedOver) {
+            request.uncertainty = failure.reason();
+            if (!dispatcher.retry(now, request)) {
+                dispatcher.finish(request, new Outcome.Unknown(failure.reason()), out);
+            }
+        } else {
+            long retryAfter = dispatcher.retryAfter(20);
+            onNotRun(now, request, NotRunReason.CONNECT_FAILED, retryAfter, out);
+        }
+        dispatcher.dispatch(now, request.pool, out);
+        return out;
     }
 
     /**
-     * Takes the news that the caller closed its connection. The outcome goes to the log only.
+     * Takes the news that the caller closed its connection. A request that may have run and must
+     * not run again completes, so that its response is stored under its key.
      *
      * @param now monotonic milliseconds
-     * @param request the request
-     * @return the actions
+     * @param id the request
+     * @return the actions; the outcome goes to the log only
      */
-    public List<RoutingAction> onCallerGone(long now, String request) {
-        return finish(request, new Outcome.Unknown(UnknownReason.CALLER_GONE));
+    public List<RoutingAction> onCallerGone(long now, String id) {
+        List<RoutingAction> out = new ArrayList<>();
+        RoutedRequest request = dispatcher.held(id);
+        if (request == null) {
+            return out;
+        }
+        if (request.phase != RoutedRequest.Phase.FORWARDED) {
+            dispatcher.refuse(request, NotRunReason.CALLER_GONE, 0, out);
+        } else if (request.isRepeatable() && request.info.key().isEmpty()) {
+            abandon(now, request, UnknownReason.CALLER_GONE, out);
+            dispatcher.dispatch(now, request.pool, out);
+        }
+        return out;
+    }
+
+    private void abandon(
+            long now, RoutedRequest request, UnknownReason reason, List<RoutingAction> out) {
+        dispatcher.finish(request, new Outcome.Unknown(reason), out);
+        dispatcher.release(now, request, false, Optional.of(CloseReason.ABANDONED), out);
     }
 
     /**
@@ -241,15 +423,37 @@
      * @return the actions
      */
     public List<RoutingAction> onTick(long now) {
-        List<RoutingAction> actions = new ArrayList<>();
-        Iterator<RequestInfo> all = List.copyOf(held.values()).iterator();
-        while (all.hasNext()) {
-            RequestInfo request = all.next();
-            if (request.deadlineMillis() <= now) {
-                actions.addAll(finish(request.id(), new Outcome.Unknown(UnknownReason.DEADLINE)));
+        List<RoutingAction> out = new ArrayList<>();
+        Optional<RoutedRequest> due = dispatcher.deadlines().due(now);
+        while (due.isPresent()) {
+            onDeadline(now, due.get(), out);
+            due = dispatcher.deadlines().due(now);
+        }
+        for (ServicePool pool : pools.all()) {
+            if (settings.policy().isLimited()) {
+                dispatcher.suspectSilent(now, pool, out);
+                for (BackendServer server : pool.servers()) {
+                    if (server.health.startProbe(now) && server.mayConnect()) {
+                        dispatcher.connect(now, server, out);
+                    }
+                }
             }
+            dispatcher.dispatch(now, pool, out);
+        }
+        return out;
+    }
+
+    private void onDeadline(long now, RoutedRequest request, List<RoutingAction> out) {
+        if (request.phase == RoutedRequest.Phase.FORWARDED) {
+            abandon(now, request, UnknownReason.DEADLINE, out);
+        } else {
+            boolean unsettled = request.claim.state() == KeyClaim.State.UNSETTLED;
+            dispatcher.refuse(
+                    request,
+                    unsettled ? NotRunReason.CLAIM_UNSETTLED : NotRunReason.DEADLINE,
+                    dispatcher.retryAfter(request.pool.laneOf(request).meanMillis()),
+                    out);
         }
-        return actions;
     }
 
     /**
@@ -259,24 +463,29 @@
      * @return monotonic milliseconds
      */
     public long nextTickMillis(long now) {
-        return now + 10;
+        return dispatcher.deadlines().earliest(now + TICK_MILLIS);
     }
 
-    private List<RoutingAction> refuse(String request, NotRunReason reason) {
-        return finish(request, new Outcome.NotRun(reason, reason.isRetryUseful() ? 100 : 0));
+    /**
+     * Returns how many requests of all services wait.
+     *
+     * @return their number
+     */
+    public int queuedCount() {
+        return pools.all().stream()
+                .mapToInt(pool -> pool.slots.queue.size() + pool.watches.queue.size())
+                .sum();
     }
 
-    private List<RoutingAction> finish(String request, Outcome outcome) {
-        List<RoutingAction> actions = new ArrayList<>();
-        held.remove(request);
-        Long connection = connectionOf.remove(request);
-        if (connection != null) {
-            requestOf.remove(connection);
-            BackendId backend = backendOf.remove(connection);
-            actions.add(
-                    new RoutingAction.CloseConnection(connection, backend, CloseReason.SURPLUS));
-        }
-        actions.add(new RoutingAction.Finish(request, outcome));
-        return actions;
+    /**
+     * Returns what is known of the backend servers.
+     *
+     * @return one entry for each backend server
+     */
+    public List<BackendStatus> backendStatus() {
+        return pools.all().stream()
+                .flatMap(pool -> pool.servers().stream())
+                .map(BackendServer::toStatus)
+                .toList();
     }
 }
--- a/core/src/main/java/org/peridotcourse/routing/RoutingSettings.java
+++ b/core/src/main/java/org/peridotcourse/routing/RoutingSettings.java
@@ -8,15 +8,24 @@
  * @param policy how backend servers are chosen and limited
  * @param maxAttempts attempts of a request, the first one included
  * @param retryPercent retries per hundred first attempts
+ * @param maxQueued requests that wait per service, as a bound of memory
+ * @param adaptive whether the limit per backend server may exceed the fixed share
+ * @param choices number of backend servers drawn for a choice; 0 for all
  */
-public record RoutingSettings(RoutingPolicy policy, int maxAttempts, int retryPercent) {
+public record RoutingSettings(
+        RoutingPolicy policy,
+        int maxAttempts,
+        int retryPercent,
+        int maxQueued,
+        boolean adaptive,
+        int choices) {
     /**
      * Returns the settings in use.
      *
      * @return the default settings
      */
     public static RoutingSettings defaults() {
-        return new RoutingSettings(RoutingPolicy.GUARDED, 2, 10);
+        return new RoutingSettings(RoutingPolicy.GUARDED, 2, 10, 4000, true, 0);
     }
 
     /**
@@ -26,6 +35,6 @@
      * @return the changed copy
      */
     public RoutingSettings withPolicy(RoutingPolicy other) {
-        return new RoutingSettings(other, maxAttempts, retryPercent);
+        return new RoutingSettings(other, maxAttempts, retryPercent, maxQueued, adaptive, choices);
     }
 }
