--- a/core/src/main/java/org/peridotcourse/routing/RequestRouter.java
+++ b/core/src/main/java/org/peridotcourse/routing/RequestRouter.java
@@ -433,7 +433,9 @@
             if (settings.policy().isLimited()) {
                 dispatcher.suspectSilent(now, pool, out);
                 for (BackendServer server : pool.servers()) {
-                    if (server.health.startProbe(now) && server.mayConnect()) {
+                    if (server.isAccepting()
+                            && server.health.startProbe(now)
+                            && server.mayConnect()) {
                         dispatcher.connect(now, server, out);
                     }
                 }
