--- /dev/null
+++ b/core/src/main/java/org/peridotcourse/config/ConfigTable.java
@@ -0,0 +1,225 @@
+package org.peridotcourse.config;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.peridotcourse.Result;
+import org.peridotcourse.base.StringId;
+
+/**
+ * The tables that operators edit, with their columns and the conversion of their rows.
+ *
+ * <p>The order of the constants is the order of references: a row refers only to rows of earlier
+ * tables. Constants are immutable and thread-safe.
+ */
+public enum ConfigTable {
+    /** Data centres. */
+    DATA_CENTRES(
+            "datacentres",
+            1,
+            List.of(
+                    Column.name("region").asRequired(),
+                    Column.word("state", "in", "out").withDefault("in"))) {
+        @Override
+        TypedRow toRow(String key, RowValues values) {
+            return DataCentreRow.of(key, values);
+        }
+    },
+    /** Customers. */
+    CUSTOMERS(
+            "customers",
+            1,
+            List.of(
+                    Column.number("weight", "", 1, 1000).withDefault(100L),
+                    Column.number("max-in-flight", "requests", 1, 100_000).withDefault(1000L),
+                    Column.number("max-requests-per-second", "requests/s", 1, 1_000_000)
+                            .withDefault(10_000L),
+                    Column.names("data-centres"),
+                    Column.number("quota-milli-cores", "milli-cores", 0, Limits.SIZE),
+                    Column.number("quota-memory-mib", "MiB", 0, Limits.SIZE),
+                    Column.number("quota-accelerators", "accelerators", 0, Limits.SIZE))) {
+        @Override
+        TypedRow toRow(String key, RowValues values) {
+            return CustomerRow.of(key, values);
+        }
+    },
+    /** Workloads of customers. */
+    WORKLOADS(
+            "workloads",
+            2,
+            List.of(
+                    Column.word("class", "latency-critical", "batch").asRequired(),
+                    Column.name("service"),
+                    Column.number("deadline-ms", "ms", 10, 60_000).withDefault(2000L),
+                    Column.number("weight", "", 1, 1000).withDefault(100L),
+                    Column.names("data-centres"),
+                    Column.number("replicas", "tasks", 0, 1000).withDefault(0L),
+                    Column.number("milli-cores", "milli-cores", 0, Limits.SIZE).withDefault(0L),
+                    Column.number("memory-mib", "MiB", 0, Limits.SIZE).withDefault(0L),
+                    Column.number("accelerators", "accelerators", 0, Limits.SIZE).withDefault(0L),
+                    Column.word("urgent", "yes", "no").withDefault("no"),
+                    Column.number("cut-off-hold-seconds", "s", 30, 3600).withDefault(600L),
+                    Column.number("max-evictions-per-minute", "evictions/min", 0, 1000)
+                            .withDefault(10L))) {
+        @Override
+        TypedRow toRow(String key, RowValues values) {
+            return WorkloadRow.of(key, values);
+        }
+
+        @Override
+        List<RowFault> rowFaults(RowKey key, RowValues values) {
+            return WorkloadRow.faults(key, values);
+        }
+    };
+
+    private final String title;
+    private final int keyParts;
+    private final List<Column> columns;
+
+    ConfigTable(String title, int keyParts, List<Column> columns) {
+        this.title = title;
+        this.keyParts = keyParts;
+        this.columns = columns;
+    }
+
+    /**
+     * Returns the table with a given name.
+     *
+     * @param title the name in the table service
+     * @return the table, or empty if operators edit no such table
+     */
+    public static Optional<ConfigTable> parse(String title) {
+        for (ConfigTable table : values()) {
+            if (table.title.equals(title)) {
+                return Optional.of(table);
+            }
+        }
+        return Optional.empty();
+    }
+
+    /**
+     * Returns the name in the table service.
+     *
+     * @return the name
+     */
+    public String title() {
+        return title;
+    }
+
+    /**
+     * Returns the columns.
+     *
+     * @return the columns in the order of the documentation
+     */
+    public List<Column> columns() {
+        return columns;
+    }
+
+    /**
+     * Returns a column.
+     *
+     * @param name its name
+     * @return the column, or empty if the table has no such column
+     */
+    public Optional<Column> column(String name) {
+        return columns.stream().filter(column -> column.name().equals(name)).findFirst();
+    }
+
+    /**
+     * Converts a row and reports all its faults at once. References to other rows are not checked.
+     *
+     * @param key the key of the row
+     * @param found the columns as plain JSON values
+     * @return the row, or {@link RowFaults}
+     */
+    public Result<TypedRow> parse(String key, Map<String, Object> found) {
+        RowKey rowKey = new RowKey(this, key);
+        List<RowFault> faults = new ArrayList<>();
+        if (!isKey(key)) {
+            String form = keyParts == 1 ? "<name>" : "<customer>/<name>";
+            faults.add(new RowFault(RowFault.Kind.INVALID_KEY, rowKey, "", show(key), form));
+        }
+        Map<String, Object> values = new HashMap<>();
+        Set<String> unknown = new HashSet<>(found.keySet());
+        for (Column column : columns) {
+            unknown.remove(column.name());
+            convert(rowKey, column, found, values).ifPresent(faults::add);
+        }
+        for (String name : unknown.stream().sorted().toList()) {
+            faults.add(
+                    new RowFault(
+                            RowFault.Kind.UNKNOWN_COLUMN,
+                            rowKey,
+                            name,
+                            show(found.get(name)),
+                            String.join(", ", columns.stream().map(Column::name).toList())));
+        }
+        RowValues converted = new RowValues(values, found.keySet());
+        faults.addAll(rowFaults(rowKey, converted));
+        return faults.isEmpty()
+                ? Result.ok(toRow(key, converted))
+                : Result.failed(new RowFaults(List.copyOf(faults)));
+    }
+
+    abstract TypedRow toRow(String key, RowValues values);
+
+    List<RowFault> rowFaults(RowKey key, RowValues values) {
+        return List.of();
+    }
+
+    private static Optional<RowFault> convert(
+            RowKey key, Column column, Map<String, Object> found, Map<String, Object> values) {
+        if (!found.containsKey(column.name())) {
+            column.fallback().ifPresent(value -> values.put(column.name(), value));
+            return column.required()
+                    ? Optional.of(
+                            new RowFault(
+                                    RowFault.Kind.MISSING_COLUMN,
+                                    key,
+                                    column.name(),
+                                    "nothing",
+                                    column.allowed()))
+                    : Optional.empty();
+        }
+        Object raw = found.get(column.name());
+        Optional<Object> value = column.convert(raw);
+        value.ifPresent(converted -> values.put(column.name(), converted));
+        return value.isPresent()
+                ? Optional.empty()
+                : Optional.of(
+                        new RowFault(
+                                RowFault.Kind.INVALID_VALUE,
+                                key,
+                                column.name(),
+                                show(raw),
+                                column.allowed()));
+    }
+
+    private boolean isKey(String key) {
+        String[] parts = key.split("/", -1);
+        boolean valid = parts.length == keyParts;
+        for (String part : parts) {
+            valid = valid && StringId.isValid(part);
+        }
+        return valid;
+    }
+
+    private static String show(Object found) {
+        String text = found instanceof String ? "'" + found + "'" : String.valueOf(found);
+        return text.length() <= Limits.SHOWN ? text : text.substring(0, Limits.SHOWN) + "...";
+    }
+
+    /** Limits that the documentation of the columns does not name. */
+    private static final class Limits {
+        /** Sizes and quotas stay far from overflow when thousands of them are added. */
+        static final long SIZE = 1_000_000_000L;
+
+        static final int SHOWN = 80;
+
+        private Limits() {}
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/peridotcourse/daemon/control/BrokenRow.java
@@ -0,0 +1,19 @@
+package org.peridotcourse.daemon.control;
+
+import org.peridotcourse.Failure;
+
+/** Tells why a text is no row at all. Constants are immutable and thread-safe. */
+enum BrokenRow implements Failure {
+    /** The text is not a JSON object. */
+    NOT_AN_OBJECT;
+
+    @Override
+    public String code() {
+        return "not-an-object";
+    }
+
+    @Override
+    public String message() {
+        return "the value of the row is not a JSON object";
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/peridotcourse/daemon/control/ConfigDuty.java
@@ -0,0 +1,207 @@
+package org.peridotcourse.daemon.control;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.LongSupplier;
+import java.util.stream.Collectors;
+import org.peridotcourse.DaemonId;
+import org.peridotcourse.Failure;
+import org.peridotcourse.Result;
+import org.peridotcourse.config.Freshness;
+import org.peridotcourse.daemon.log.EventLog;
+import org.peridotcourse.daemon.peer.PeerEvent;
+import org.peridotcourse.daemon.peer.PeerLink;
+import org.peridotcourse.daemon.platform.TableStore;
+import org.peridotcourse.membership.Peer;
+import org.peridotcourse.wire.ExchangeReply;
+
+/**
+ * Brings the configuration of this daemon forward: as a reader from the table service, otherwise by
+ * exchange with a reader.
+ *
+ * <p>One step is one round; the period is a second. A daemon whose configuration is older than the
+ * bound for starts reads the table service itself. Confined to one thread.
+ */
+public final class ConfigDuty implements Duty {
+    /** Period of the steps. */
+    public static final long PERIOD_MILLIS = 1000;
+
+    private static final long MEMBERS_PERIOD_MILLIS = 10_000;
+
+    private final PeerLink link;
+    private final Membership membership;
+    private final SnapshotHolder config;
+    private final String entryAddress;
+    private final LongSupplier clock;
+    private final EventLog log;
+    private final ConfigReader reader;
+    private final DaemonRows daemonRows;
+    private final Set<DaemonId> unreachable = new HashSet<>();
+    private Optional<Long> membersTriedMillis = Optional.empty();
+    private boolean wasReader;
+
+    /**
+     * Creates the duty.
+     *
+     * @param store the table service
+     * @param link sends messages to other daemons
+     * @param membership the known daemons
+     * @param config the configuration in force
+     * @param entryAddress {@code ip:port} of the entry server, for the row of this daemon
+     * @param clock the monotonic clock, read at the sending of requests
+     * @param log receives {@link ConfigEvent} and {@link PeerEvent} records
+     */
+    public ConfigDuty(
+            TableStore store,
+            PeerLink link,
+            Membership membership,
+            SnapshotHolder config,
+            String entryAddress,
+            LongSupplier clock,
+            EventLog log) {
+        this.link = link;
+        this.membership = membership;
+        this.config = config;
+        this.entryAddress = entryAddress;
+        this.clock = clock;
+        this.log = log;
+        this.reader = new ConfigReader(store, config, log);
+        this.daemonRows = new DaemonRows(store);
+    }
+
+    /**
+     * Takes daemons from the settings, for a start during an outage of the table service. The first
+     * read of the table replaces them.
+     *
+     * @param seeds the daemons
+     */
+    public void seed(Collection<Peer> seeds) {
+        membership.update(seeds);
+    }
+
+    @Override
+    public void step(long nowMillis) {
+        updateMembers(nowMillis);
+        if (config.snapshot().version() == 0) {
+            start();
+            return;
+        }
+        boolean isReader = membership.isReader(nowMillis);
+        noteReader(nowMillis, isReader);
+        boolean confirmed = isReader && reader.read(clock.getAsLong());
+        exchange();
+        long now = clock.getAsLong();
+        if (!confirmed && !isReader && config.ageMillis(now) > Freshness.MAX_START_AGE_MILLIS) {
+            reader.read(now);
+        }
+    }
+
+    /**
+     * Brings the first version. An earlier run of this daemon may have had any version up to the
+     * latest, so a single peer, which may be behind, is not sufficient while others reply.
+     */
+    private void start() {
+        if (reader.read(clock.getAsLong())) {
+            return;
+        }
+        Map<Boolean, List<Peer>> byPlace =
+                membership.peers().stream()
+                        .collect(Collectors.partitioningBy(this::isInOwnDataCentre));
+        if (!startFrom(byPlace.get(true))) {
+            startFrom(byPlace.get(false));
+        }
+    }
+
+    private boolean isInOwnDataCentre(Peer peer) {
+        return peer.dataCentre().equals(membership.self().dataCentre());
+    }
+
+    private boolean startFrom(List<Peer> peers) {
+        List<Received> replies = new ArrayList<>();
+        for (Peer peer : peers) {
+            long sentMillis = clock.getAsLong();
+            ask(peer, sentMillis)
+                    .filter(reply -> reply.getSender() != null)
+                    .ifPresent(reply -> replies.add(new Received(sentMillis, reply)));
+        }
+        replies.sort(Comparator.comparingLong(Received::version).reversed());
+        for (Received received : replies) {
+            membership.onReply(received.sentMillis(), clock.getAsLong(), received.reply());
+        }
+        return config.snapshot().version() > 0;
+    }
+
+    private void updateMembers(long nowMillis) {
+        long period = membership.peers().isEmpty() ? PERIOD_MILLIS : MEMBERS_PERIOD_MILLIS;
+        if (membersTriedMillis.map(at -> nowMillis - at < period).orElse(false)) {
+            return;
+        }
+        membersTriedMillis = Optional.of(nowMillis);
+        Optional<List<Peer>> peers = daemonRows.read(nowMillis);
+        if (peers.isPresent()) {
+            membership.update(peers.get());
+            daemonRows.writeOwn(nowMillis, membership.self(), entryAddress);
+        }
+    }
+
+    /** Exchanges with one daemon, or with all proposed ones while the configuration is stale. */
+    private void exchange() {
+        for (Peer peer : membership.nextExchanges(clock.getAsLong())) {
+            boolean replied = exchange(peer);
+            boolean fresh = config.ageMillis(clock.getAsLong()) <= Freshness.MAX_START_AGE_MILLIS;
+            if (replied && fresh) {
+                return;
+            }
+        }
+    }
+
+    private boolean exchange(Peer peer) {
+        long sentMillis = clock.getAsLong();
+        return ask(peer, sentMillis)
+                .map(reply -> membership.onReply(sentMillis, clock.getAsLong(), reply))
+                .orElse(false);
+    }
+
+    private Optional<ExchangeReply> ask(Peer peer, long sentMillis) {
+        Result<ExchangeReply> reply =
+                link.exchange(peer.address(), membership.request(sentMillis, peer));
+        if (reply.isOk()) {
+            if (unreachable.remove(peer.daemon())) {
+                log.event(PeerEvent.REACHABLE).with("peer", peer.daemon()).write();
+            }
+        } else {
+            if (unreachable.add(peer.daemon())) {
+                log.event(PeerEvent.UNREACHABLE)
+                        .with("peer", peer.daemon())
+                        .with("address", peer.address())
+                        .with("failure", reply.failure().map(Failure::code).orElse(""))
+                        .write();
+            }
+            membership.onFailure(clock.getAsLong(), peer);
+        }
+        return reply.toOptional();
+    }
+
+    private void noteReader(long nowMillis, boolean isReader) {
+        if (isReader != wasReader) {
+            wasReader = isReader;
+            log.event(PeerEvent.READER_CHANGED)
+                    .with("reader", isReader)
+                    .with("readers", membership.readers(nowMillis))
+                    .write();
+        }
+    }
+
+    /** A reply with the time of its request. */
+    private record Received(long sentMillis, ExchangeReply reply) {
+        long version() {
+            return reply.getSender().getConfigVersion();
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/peridotcourse/daemon/control/DaemonRows.java
@@ -0,0 +1,137 @@
+package org.peridotcourse.daemon.control;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.regex.Pattern;
+import org.peridotcourse.DaemonId;
+import org.peridotcourse.DataCentreId;
+import org.peridotcourse.Result;
+import org.peridotcourse.base.LeaseHolder;
+import org.peridotcourse.base.StringId;
+import org.peridotcourse.daemon.platform.Row;
+import org.peridotcourse.daemon.platform.RowPage;
+import org.peridotcourse.daemon.platform.TableStore;
+import org.peridotcourse.daemon.platform.Transaction;
+import org.peridotcourse.daemon.platform.WriteOutcome;
+import org.peridotcourse.membership.Peer;
+
+/**
+ * The table {@code daemons}: each daemon writes its own row, and the acceptor removes rows that
+ * have not been rewritten for an hour. Confined to one thread.
+ */
+final class DaemonRows {
+    static final String TABLE = "daemons";
+
+    /** Rewriting the row shows that the daemon lives; four rewrites fit into the hour. */
+    static final long REWRITE_MILLIS = 900_000;
+
+    static final long REMOVE_MILLIS = 3_600_000;
+
+    private static final Pattern ADDRESS = Pattern.compile("[0-9A-Za-z.\\[\\]:-]+:[0-9]{1,5}");
+
+    private final TableStore store;
+    private final Map<String, Row> rows = new HashMap<>();
+    private final Map<String, Long> seenMillis = new HashMap<>();
+    private long readUpTo;
+    private long writes;
+    private Optional<Long> writtenMillis = Optional.empty();
+
+    DaemonRows(TableStore store) {
+        this.store = store;
+    }
+
+    /** Reads changes and returns all daemons, or empty if the table service did not answer. */
+    Optional<List<Peer>> read(long nowMillis) {
+        Result<RowPage> read = TableReader.changes(store, TABLE, readUpTo);
+        if (!(read instanceof Result.Ok<RowPage> ok)) {
+            return Optional.empty();
+        }
+        for (Row row : ok.value().rows()) {
+            if (row.value().isPresent()) {
+                rows.put(row.key(), row);
+                seenMillis.put(row.key(), nowMillis);
+            } else {
+                rows.remove(row.key());
+                seenMillis.remove(row.key());
+            }
+        }
+        readUpTo = ok.value().commit();
+        return Optional.of(rows.values().stream().flatMap(row -> parse(row).stream()).toList());
+    }
+
+    /** Writes the own row if that is due, unless a later run of this daemon has written it. */
+    void writeOwn(long nowMillis, Peer self, String entryAddress) {
+        boolean due = writtenMillis.map(at -> nowMillis - at >= REWRITE_MILLIS).orElse(true);
+        Result<Optional<Row>> read =
+                due ? store.row(TABLE, self.daemon().value()) : Result.ok(Optional.empty());
+        if (!due || !(read instanceof Result.Ok<Optional<Row>> ok)) {
+            return;
+        }
+        Optional<Peer> present = ok.value().flatMap(DaemonRows::parse);
+        if (present.map(peer -> peer.incarnation() > self.incarnation()).orElse(false)) {
+            return;
+        }
+        writes++;
+        String key = self.daemon().value();
+        ObjectNode value =
+                JsonNodeFactory.instance
+                        .objectNode()
+                        .put("dataCentre", self.dataCentre().value())
+                        .put("peerAddress", self.address())
+                        .put("entryAddress", entryAddress)
+                        .put("incarnation", self.incarnation());
+        Transaction transaction =
+                Transaction.builder(key + "-" + self.incarnation() + "-daemon-" + writes)
+                        .check(TABLE, key, ok.value().map(Row::commit).orElse(0L))
+                        .put(TABLE, key, value)
+                        .build();
+        if (store.write(transaction) instanceof WriteOutcome.Committed) {
+            writtenMillis = Optional.of(nowMillis);
+        }
+    }
+
+    /** Removes rows that nobody has rewritten for an hour, as the acceptor. */
+    void sweep(long nowMillis, LeaseHolder lease, String leaseKey, String idPrefix) {
+        Transaction.Builder builder = null;
+        writes++;
+        for (Map.Entry<String, Long> seen : seenMillis.entrySet()) {
+            if (nowMillis - seen.getValue() >= REMOVE_MILLIS) {
+                if (builder == null) {
+                    builder = Transaction.builder(idPrefix + "-sweep-" + writes);
+                    builder.check(LeaseKeeper.TABLE, leaseKey, lease.commit());
+                }
+                builder.check(TABLE, seen.getKey(), rows.get(seen.getKey()).commit());
+                builder.delete(TABLE, seen.getKey());
+            }
+        }
+        if (builder != null) {
+            store.write(builder.build());
+        }
+    }
+
+    private static Optional<Peer> parse(Row row) {
+        if (row.value().isEmpty()) {
+            return Optional.empty();
+        }
+        JsonNode json = row.value().get();
+        String dataCentre = json.path("dataCentre").asText();
+        String address = json.path("peerAddress").asText();
+        boolean valid =
+                StringId.isValid(row.key())
+                        && StringId.isValid(dataCentre)
+                        && ADDRESS.matcher(address).matches();
+        return valid
+                ? Optional.of(
+                        new Peer(
+                                DaemonId.of(row.key()),
+                                DataCentreId.of(dataCentre),
+                                address,
+                                json.path("incarnation").asLong()))
+                : Optional.empty();
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/peridotcourse/daemon/control/LeaseKeeper.java
@@ -0,0 +1,265 @@
+package org.peridotcourse.daemon.control;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import java.util.Optional;
+import java.util.function.LongSupplier;
+import org.peridotcourse.Result;
+import org.peridotcourse.base.LeaseChallenger;
+import org.peridotcourse.base.LeaseHolder;
+import org.peridotcourse.base.LeaseRow;
+import org.peridotcourse.daemon.log.EventLog;
+import org.peridotcourse.daemon.platform.Row;
+import org.peridotcourse.daemon.platform.TableStore;
+import org.peridotcourse.daemon.platform.Transaction;
+import org.peridotcourse.daemon.platform.WriteOutcome;
+import org.peridotcourse.membership.Peer;
+
+/**
+ * Keeps one lease row: challenges it, renews it, and releases it on a clean stop.
+ *
+ * <p>A write whose answer was lost is repeated with the same identity until its effect is known;
+ * until then the lease counts from the last confirmed write. The duty that acts under the lease
+ * runs on the same thread and asks {@link #held} before each action, with a fresh clock reading.
+ * Confined to one thread.
+ */
+public final class LeaseKeeper implements Duty {
+    /** Table of lease rows. */
+    public static final String TABLE = "leases";
+
+    private final TableStore store;
+    private final String key;
+    private final Peer self;
+    private final long leaseMillis;
+    private final LongSupplier holdMillis;
+    private final LongSupplier clock;
+    private final EventLog log;
+    private final LeaseChallenger challenger;
+
+    private Optional<LeaseHolder> holder = Optional.empty();
+    private Optional<Pending> pending = Optional.empty();
+    private boolean stopping;
+
+    /**
+     * Creates a keeper that does not hold the lease.
+     *
+     * @param store the table service
+     * @param key the key of the lease row
+     * @param self this daemon; its name and incarnation are part of the identity of writes
+     * @param terms the durations
+     * @param clock the monotonic clock, read at the sending of writes
+     * @param log receives {@link ConfigEvent} records
+     */
+    public LeaseKeeper(
+            TableStore store,
+            String key,
+            Peer self,
+            Terms terms,
+            LongSupplier clock,
+            EventLog log) {
+        this.store = store;
+        this.key = key;
+        this.self = self;
+        this.leaseMillis = terms.leaseMillis();
+        this.holdMillis = terms.holdMillis();
+        this.clock = clock;
+        this.log = log;
+        this.challenger = new LeaseChallenger(self.daemon().value());
+    }
+
+    /**
+     * The durations of a lease.
+     *
+     * @param leaseMillis how long a confirmed write keeps the lease
+     * @param holdMillis returns how long batch tasks may outlast a confirmed write
+     */
+    public record Terms(long leaseMillis, LongSupplier holdMillis) {
+        /**
+         * Returns the terms of a lease without tasks.
+         *
+         * @param leaseMillis how long a confirmed write keeps the lease
+         * @return the terms
+         */
+        public static Terms of(long leaseMillis) {
+            return new Terms(leaseMillis, () -> leaseMillis);
+        }
+    }
+
+    /**
+     * Returns the lease if it may be acted under.
+     *
+     * @param nowMillis the present time, read right before the action
+     * @return the lease, whose commit every write must check, or empty
+     */
+    public Optional<LeaseHolder> held(long nowMillis) {
+        return holder.filter(lease -> lease.isHeld(nowMillis));
+    }
+
+    /**
+     * Returns the view of the row from outside, for the rule about tasks of another data centre.
+     *
+     * @return the challenger, fed by the steps while the lease is not held
+     */
+    public LeaseChallenger challenger() {
+        return challenger;
+    }
+
+    /**
+     * Returns the key of the lease row.
+     *
+     * @return the key
+     */
+    public String key() {
+        return key;
+    }
+
+    @Override
+    public void step(long nowMillis) {
+        if (pending.isPresent()) {
+            send(pending.get());
+        } else if (holder.isPresent()) {
+            renew(nowMillis);
+        } else if (!stopping) {
+            challenge();
+        }
+    }
+
+    /** Gives the lease back, so that the successor need not wait. Call it on a clean stop. */
+    public void release() {
+        stopping = true;
+        if (pending.isPresent()) {
+            send(pending.get());
+        }
+        if (holder.isPresent() && pending.isEmpty()) {
+            LeaseHolder lease = holder.get();
+            write(lease.release(), lease.commit());
+            holder = Optional.empty();
+            log.event(ConfigEvent.LEASE_RELEASED)
+                    .with("lease", key)
+                    .with("epoch", lease.epoch())
+                    .write();
+        }
+    }
+
+    private void challenge() {
+        if (!observe()) {
+            return;
+        }
+        challenger
+                .takeover(clock.getAsLong(), leaseMillis, holdMillis.getAsLong())
+                .ifPresent(row -> write(row, challenger.commit()));
+    }
+
+    private void renew(long nowMillis) {
+        LeaseHolder lease = holder.get();
+        lease.renewal(nowMillis, holdMillis.getAsLong())
+                .ifPresent(row -> write(row, lease.commit()));
+    }
+
+    private void write(LeaseRow row, long commit) {
+        String id =
+                String.join(
+                        "-",
+                        self.daemon().value(),
+                        Long.toString(self.incarnation()),
+                        key,
+                        Long.toString(row.epoch()),
+                        Long.toString(row.beat()),
+                        Long.toString(commit));
+        Transaction transaction =
+                Transaction.builder(id)
+                        .check(TABLE, key, commit)
+                        .put(TABLE, key, toJson(row))
+                        .build();
+        send(new Pending(transaction, row, clock.getAsLong()));
+    }
+
+    private void send(Pending write) {
+        pending = Optional.of(write);
+        WriteOutcome outcome = store.write(write.transaction());
+        if (outcome instanceof WriteOutcome.Committed committed) {
+            onCommitted(write, committed.commit());
+        } else if (outcome instanceof WriteOutcome.Conflict) {
+            Result<Optional<Row>> read = store.row(TABLE, key);
+            if (read instanceof Result.Ok<Optional<Row>> ok) {
+                onConflict(write, ok.value());
+            }
+        }
+    }
+
+    private void onConflict(Pending write, Optional<Row> found) {
+        Optional<Row> own = found.filter(row -> row.writer().equals(write.transaction().id()));
+        if (own.isPresent()) {
+            onCommitted(write, own.get().commit());
+            return;
+        }
+        pending = Optional.empty();
+        observe(clock.getAsLong(), found);
+        holder.ifPresent(
+                lease -> {
+                    lease.superseded();
+                    log.event(ConfigEvent.LEASE_LOST)
+                            .with("lease", key)
+                            .with("epoch", lease.epoch())
+                            .with("reason", "superseded")
+                            .write();
+                });
+        holder = Optional.empty();
+    }
+
+    private void onCommitted(Pending write, long commit) {
+        pending = Optional.empty();
+        LeaseRow row = write.row();
+        if (row.isReleased()) {
+            return;
+        }
+        if (holder.isPresent()) {
+            holder.get().confirmed(row, commit, write.sentMillis());
+        } else {
+            holder = Optional.of(new LeaseHolder(row, commit, write.sentMillis()));
+            log.event(ConfigEvent.LEASE_TAKEN)
+                    .with("lease", key)
+                    .with("epoch", row.epoch())
+                    .write();
+        }
+    }
+
+    private boolean observe() {
+        Result<Optional<Row>> read = store.row(TABLE, key);
+        if (read instanceof Result.Ok<Optional<Row>> ok) {
+            observe(clock.getAsLong(), ok.value());
+            return true;
+        }
+        return false;
+    }
+
+    private void observe(long nowMillis, Optional<Row> found) {
+        challenger.observe(
+                nowMillis,
+                found.flatMap(Row::value).flatMap(LeaseKeeper::parse),
+                found.map(Row::commit).orElse(0L));
+    }
+
+    private static Optional<LeaseRow> parse(JsonNode json) {
+        return Optional.of(
+                new LeaseRow(
+                        json.path("holder").asText(),
+                        json.path("epoch").asLong(),
+                        json.path("leaseMillis").asLong(),
+                        json.path("holdMillis").asLong(),
+                        json.path("beat").asLong()));
+    }
+
+    private static JsonNode toJson(LeaseRow row) {
+        return JsonNodeFactory.instance
+                .objectNode()
+                .put("holder", row.holder())
+                .put("epoch", row.epoch())
+                .put("leaseMillis", row.leaseMillis())
+                .put("holdMillis", row.holdMillis())
+                .put("beat", row.beat());
+    }
+
+    /** A write whose outcome is not known yet, with the time of its first sending. */
+    private record Pending(Transaction transaction, LeaseRow row, long sentMillis) {}
+}
--- /dev/null
+++ b/daemon/src/main/java/org/peridotcourse/daemon/control/Membership.java
@@ -0,0 +1,285 @@
+package org.peridotcourse.daemon.control;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.peridotcourse.BackendId;
+import org.peridotcourse.DaemonId;
+import org.peridotcourse.DataCentreId;
+import org.peridotcourse.base.StringId;
+import org.peridotcourse.config.ConfigChange;
+import org.peridotcourse.config.DataCentreRow;
+import org.peridotcourse.daemon.log.EventLog;
+import org.peridotcourse.daemon.peer.PeerEvent;
+import org.peridotcourse.membership.Backends;
+import org.peridotcourse.membership.Host;
+import org.peridotcourse.membership.HostList;
+import org.peridotcourse.membership.Members;
+import org.peridotcourse.membership.Peer;
+import org.peridotcourse.wire.BackendNote;
+import org.peridotcourse.wire.ConfigDelta;
+import org.peridotcourse.wire.ExchangeReply;
+import org.peridotcourse.wire.ExchangeRequest;
+import org.peridotcourse.wire.PeerHello;
+
+/**
+ * Peers, backend servers and entry hosts as this daemon knows them, and the content of messages
+ * between daemons.
+ *
+ * <p>The configuration duty, the peer server, the host duty and the request path share it; no call
+ * blocks on I/O. It is thread-safe.
+ */
+public final class Membership {
+    private final Peer self;
+    private final SnapshotHolder config;
+    private final EventLog log;
+    private final Members members;
+    private final Backends backends = new Backends();
+    private final Map<DaemonId, Long> versions = new HashMap<>();
+    private boolean leaving;
+
+    /**
+     * Creates the membership of a daemon that has just started.
+     *
+     * @param self this daemon
+     * @param config the configuration in force, which messages read and bring forward
+     * @param log receives {@link PeerEvent} and {@link ConfigEvent} records
+     */
+    public Membership(Peer self, SnapshotHolder config, EventLog log) {
+        this.self = self;
+        this.config = config;
+        this.log = log;
+        this.members = new Members(self.daemon(), self.dataCentre());
+    }
+
+    /**
+     * Returns this daemon.
+     *
+     * @return name, data centre, peer address and incarnation
+     */
+    public Peer self() {
+        return self;
+    }
+
+    /**
+     * Returns the other daemons.
+     *
+     * @return the known daemons in the order of their names
+     */
+    public synchronized List<Peer> peers() {
+        return members.peers();
+    }
+
+    /**
+     * Returns the daemons of the own data centre that read the table service.
+     *
+     * @param nowMillis the present time
+     * @return at most two names
+     */
+    public synchronized List<DaemonId> readers(long nowMillis) {
+        return members.readers(nowMillis);
+    }
+
+    /**
+     * Returns the backend servers with their leaving state merged from all sources.
+     *
+     * @return the backend servers of the last host list
+     */
+    public synchronized List<Host> backends() {
+        return backends.hosts();
+    }
+
+    /**
+     * Tells whether a backend server is leaving.
+     *
+     * @param backend the backend server
+     * @return true if it receives no new requests
+     */
+    public synchronized boolean isLeaving(BackendId backend) {
+        return backends.isLeaving(backend);
+    }
+
+    /**
+     * Returns the number of live entry hosts of all data centres, at least 1.
+     *
+     * @return the number in the last host list
+     */
+    public synchronized int entryHosts() {
+        return backends.entryHosts(Optional.empty());
+    }
+
+    /**
+     * Returns the number of live entry hosts of one data centre, at least 1.
+     *
+     * @param dataCentre the data centre
+     * @return the number in the last host list
+     */
+    public synchronized int entryHosts(DataCentreId dataCentre) {
+        return backends.entryHosts(Optional.of(dataCentre));
+    }
+
+    /**
+     * Returns the age of the host list in use.
+     *
+     * @param nowMillis the present time
+     * @return milliseconds since it was true, or empty before the first list
+     */
+    public synchronized Optional<Long> hostListAgeMillis(long nowMillis) {
+        return backends.listAgeMillis(nowMillis);
+    }
+
+    /**
+     * Takes the leaving header of a backend server's response.
+     *
+     * @param nowMillis the present time
+     * @param backend the backend server
+     */
+    public synchronized void onLeavingHeader(long nowMillis, BackendId backend) {
+        backends.onLeavingHeader(nowMillis, backend);
+    }
+
+    /** Tells peers from now on that this daemon is about to stop. */
+    public synchronized void leave() {
+        leaving = true;
+    }
+
+    synchronized void onHostList(long sentMillis, HostList list) {
+        backends.onList(sentMillis, list);
+    }
+
+    synchronized void update(Collection<Peer> peers) {
+        members.update(peers);
+    }
+
+    synchronized boolean isReader(long nowMillis) {
+        return members.isReader(nowMillis);
+    }
+
+    synchronized List<Peer> nextExchanges(long nowMillis) {
+        List<DataCentreRow> rows = config.snapshot().rows(DataCentreRow.class);
+        Optional<String> region =
+                config.snapshot().dataCentre(self.dataCentre()).map(DataCentreRow::region);
+        List<DataCentreId> ownRegion =
+                rows.stream()
+                        .filter(row -> region.equals(Optional.of(row.region())))
+                        .map(DataCentreRow::id)
+                        .toList();
+        return members.nextExchanges(nowMillis, config.ageMillis(nowMillis), ownRegion);
+    }
+
+    synchronized ExchangeRequest request(long nowMillis, Peer peer) {
+        ExchangeRequest request = new ExchangeRequest(hello(nowMillis), notes(nowMillis));
+        Optional.ofNullable(versions.get(peer.daemon()))
+                .flatMap(config::changeFor)
+                .flatMap(WireCodec::toWire)
+                .ifPresent(request::setDelta);
+        return request;
+    }
+
+    /** Takes the reply to a request; returns false if it was ignored. */
+    synchronized boolean onReply(long sentMillis, long nowMillis, ExchangeReply reply) {
+        PeerHello sender = reply.getSender();
+        if (!accept(nowMillis, sender)) {
+            return false;
+        }
+        WireCodec.fromWire(reply.getBackends())
+                .forEach(note -> backends.onReplyNote(sentMillis, note));
+        install(sender, reply.getDelta());
+        config.confirm(sender.getConfigVersion(), sentMillis, sender.getConfigAgeMillis());
+        return true;
+    }
+
+    synchronized void onFailure(long nowMillis, Peer peer) {
+        members.failed(nowMillis, peer.daemon());
+        versions.remove(peer.daemon());
+    }
+
+    /**
+     * Answers a message of another daemon. A request proves no age, because its transit time is
+     * unknown, so it never confirms a version. Its rows are left out until the duty has brought the
+     * first version, because they may be older than what an earlier run of this daemon had.
+     *
+     * @param nowMillis the present time
+     * @param request the message
+     * @return the reply
+     */
+    public synchronized ExchangeReply answer(long nowMillis, ExchangeRequest request) {
+        PeerHello sender = request.getSender();
+        boolean accepted = accept(nowMillis, sender);
+        if (accepted) {
+            WireCodec.fromWire(request.getBackends())
+                    .forEach(note -> backends.onRequestNote(nowMillis, note));
+            if (config.snapshot().version() > 0) {
+                install(sender, request.getDelta());
+            }
+        }
+        ExchangeReply reply = new ExchangeReply(hello(nowMillis), notes(nowMillis));
+        if (accepted) {
+            config.changeFor(sender.getConfigVersion())
+                    .flatMap(WireCodec::toWire)
+                    .ifPresent(reply::setDelta);
+        }
+        return reply;
+    }
+
+    private boolean accept(long nowMillis, PeerHello sender) {
+        if (sender == null || !StringId.isValid(sender.getDaemon())) {
+            log.event(PeerEvent.MALFORMED)
+                    .with("peer", sender == null ? "" : sender.getDaemon())
+                    .with("reason", "no valid sender")
+                    .write();
+            return false;
+        }
+        DaemonId daemon = DaemonId.of(sender.getDaemon());
+        if (!members.heard(nowMillis, daemon, sender.getIncarnation(), sender.isLeaving())) {
+            log.event(PeerEvent.OUTDATED_SENDER)
+                    .with("peer", daemon)
+                    .with("incarnation", sender.getIncarnation())
+                    .write();
+            return false;
+        }
+        versions.put(daemon, sender.getConfigVersion());
+        return true;
+    }
+
+    private void install(PeerHello sender, ConfigDelta delta) {
+        if (delta == null) {
+            return;
+        }
+        Optional<ConfigChange> change = WireCodec.fromWire(delta);
+        long before = config.snapshot().version();
+        if (change.isEmpty()) {
+            log.event(ConfigEvent.VERSION_REFUSED)
+                    .with("version", delta.getToVersion())
+                    .with("present", before)
+                    .with("from", sender.getDaemon())
+                    .with("reason", "malformed rows")
+                    .write();
+        } else if (config.install(change.get())) {
+            log.event(ConfigEvent.VERSION_INSTALLED)
+                    .with("version", delta.getToVersion())
+                    .with("before", before)
+                    .with("rows", change.get().entries().size())
+                    .with("from", sender.getDaemon())
+                    .write();
+        }
+    }
+
+    private PeerHello hello(long nowMillis) {
+        SnapshotHolder.Standing standing = config.standing(nowMillis);
+        return new PeerHello(
+                self.daemon().value(),
+                self.dataCentre().value(),
+                self.incarnation(),
+                leaving,
+                standing.snapshot().version(),
+                standing.ageMillis());
+    }
+
+    private List<BackendNote> notes(long nowMillis) {
+        return new ArrayList<>(WireCodec.toWire(backends.notes(nowMillis)));
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/peridotcourse/daemon/control/TableReader.java
@@ -0,0 +1,60 @@
+package org.peridotcourse.daemon.control;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.peridotcourse.Result;
+import org.peridotcourse.daemon.platform.Row;
+import org.peridotcourse.daemon.platform.RowPage;
+import org.peridotcourse.daemon.platform.StoreFailure;
+import org.peridotcourse.daemon.platform.TableStore;
+
+/**
+ * Reads all changes of a table over as many pages as needed. It holds no state and is thread-safe.
+ */
+final class TableReader {
+    private static final int PAGE_ROWS = 1000;
+
+    /** A transaction with more rows than this cannot be read. */
+    private static final int MAX_PAGE_ROWS = 64 * PAGE_ROWS;
+
+    private TableReader() {}
+
+    /**
+     * Reads the rows that changed after a commit. A page may end within the rows of one
+     * transaction, so the next page begins before the last commit of the page before it.
+     *
+     * @param store the table service
+     * @param table the table
+     * @param since the commit after which rows are wanted, 0 for all present rows
+     * @return the rows at their latest commit in the order of their commits, and the commit as of
+     *     which nothing is missing
+     */
+    static Result<RowPage> changes(TableStore store, String table, long since) {
+        Map<String, Row> rows = new LinkedHashMap<>();
+        long from = since;
+        int limit = PAGE_ROWS;
+        while (true) {
+            Result<RowPage> read = store.rows(table, "", from, limit);
+            if (!(read instanceof Result.Ok<RowPage> ok)) {
+                return read;
+            }
+            RowPage page = ok.value();
+            for (Row row : page.rows()) {
+                rows.remove(row.key());
+                rows.put(row.key(), row);
+            }
+            if (!page.more() || page.rows().isEmpty()) {
+                return Result.ok(new RowPage(page.commit(), List.copyOf(rows.values()), false));
+            }
+            long last = page.rows().get(page.rows().size() - 1).commit();
+            if (last - 1 > from) {
+                from = last - 1;
+            } else if (limit < MAX_PAGE_ROWS) {
+                limit *= 2;
+            } else {
+                return Result.failed(StoreFailure.PROTOCOL);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/peridotcourse/daemon/control/WireCodec.java
@@ -0,0 +1,90 @@
+package org.peridotcourse.daemon.control;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.peridotcourse.BackendId;
+import org.peridotcourse.base.StringId;
+import org.peridotcourse.config.ConfigChange;
+import org.peridotcourse.config.ConfigEntry;
+import org.peridotcourse.config.ConfigTable;
+import org.peridotcourse.config.RowKey;
+import org.peridotcourse.membership.LeavingNote;
+import org.peridotcourse.wire.BackendNote;
+import org.peridotcourse.wire.ConfigDelta;
+import org.peridotcourse.wire.ConfigRow;
+
+/** Converts between messages and their meaning. It holds no state and is thread-safe. */
+final class WireCodec {
+    /** A change that is larger is not sent; the receiver reads the table service itself. */
+    private static final int MAX_DELTA_CHARS = 1 << 20;
+
+    private WireCodec() {}
+
+    static Optional<ConfigDelta> toWire(ConfigChange change) {
+        List<ConfigRow> rows = new ArrayList<>();
+        long size = 0;
+        for (ConfigEntry entry : change.entries()) {
+            ConfigRow row = new ConfigRow(entry.key().table().title(), entry.key().key());
+            if (!entry.isRemoved()) {
+                row.setValue(entry.text());
+            }
+            size += entry.text().length();
+            rows.add(row);
+        }
+        return size > MAX_DELTA_CHARS
+                ? Optional.empty()
+                : Optional.of(new ConfigDelta(change.fromVersion(), change.toVersion(), rows));
+    }
+
+    /** Returns the change, or empty if any part of it is malformed. */
+    static Optional<ConfigChange> fromWire(ConfigDelta delta) {
+        boolean inOrder = delta.getFromVersion() >= 0 && delta.getToVersion() > 0;
+        if (!inOrder || delta.getRows() == null) {
+            return Optional.empty();
+        }
+        List<ConfigEntry> entries = new ArrayList<>();
+        for (ConfigRow row : delta.getRows()) {
+            Optional<ConfigTable> table =
+                    Optional.ofNullable(row.getTable()).flatMap(ConfigTable::parse);
+            if (table.isEmpty() || row.getKey() == null) {
+                return Optional.empty();
+            }
+            Optional<ConfigEntry> entry =
+                    RowCodec.entry(
+                            new RowKey(table.get(), row.getKey()),
+                            delta.getToVersion(),
+                            Optional.ofNullable(row.getValue()));
+            if (entry.isEmpty()) {
+                return Optional.empty();
+            }
+            entries.add(entry.get());
+        }
+        return Optional.of(
+                new ConfigChange(
+                        delta.getFromVersion(), delta.getToVersion(), List.copyOf(entries)));
+    }
+
+    static List<BackendNote> toWire(List<LeavingNote> notes) {
+        List<BackendNote> wire = new ArrayList<>();
+        for (LeavingNote note : notes) {
+            wire.add(new BackendNote(note.backend().value(), note.leaving(), note.ageMillis()));
+        }
+        return wire;
+    }
+
+    /** Returns the notes that name a backend server; others are left out. */
+    static List<LeavingNote> fromWire(List<BackendNote> notes) {
+        List<LeavingNote> known = new ArrayList<>();
+        for (BackendNote note : notes == null ? List.<BackendNote>of() : notes) {
+            if (StringId.isValid(note.getBackend())) {
+                known.add(
+                        new LeavingNote(
+                                BackendId.of(note.getBackend()),
+                                note.isLeaving(),
+                                note.getAgeMillis()));
+            }
+        }
+        return known;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/peridotcourse/daemon/peer/PeerClient.java
@@ -0,0 +1,125 @@
+package org.peridotcourse.daemon.peer;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Map;
+import org.apache.thrift.TConfiguration;
+import org.apache.thrift.TException;
+import org.apache.thrift.protocol.TCompactProtocol;
+import org.apache.thrift.transport.TSocket;
+import org.apache.thrift.transport.TTransport;
+import org.apache.thrift.transport.TTransportException;
+import org.apache.thrift.transport.layered.TFramedTransport;
+import org.peridotcourse.Result;
+import org.peridotcourse.wire.ExchangeReply;
+import org.peridotcourse.wire.ExchangeRequest;
+import org.peridotcourse.wire.Peer;
+
+/**
+ * Sends messages to other daemons over framed Thrift, with one kept connection for each.
+ *
+ * <p>A connection whose exchange failed is closed. If it had been kept, the message is sent once
+ * more over a new one, because the other daemon may have been restarted; a time-out is not
+ * repeated. Confined to one thread.
+ */
+public final class PeerClient implements PeerLink, AutoCloseable {
+    private static final int MAX_RECURSION = 16;
+
+    private final int connectTimeoutMillis;
+    private final int replyTimeoutMillis;
+    private final Map<String, TTransport> connections = new HashMap<>();
+
+    /**
+     * Creates a client without connections.
+     *
+     * @param connectTimeoutMillis the longest time to open a connection
+     * @param replyTimeoutMillis the longest wait for more bytes of a reply
+     */
+    public PeerClient(int connectTimeoutMillis, int replyTimeoutMillis) {
+        this.connectTimeoutMillis = connectTimeoutMillis;
+        this.replyTimeoutMillis = replyTimeoutMillis;
+    }
+
+    @Override
+    public Result<ExchangeReply> exchange(String address, ExchangeRequest request) {
+        boolean kept = connections.containsKey(address);
+        try {
+            return Result.ok(send(address, request));
+        } catch (TTransportException broken) {
+            drop(address);
+            if (kept && broken.getType() != TTransportException.TIMED_OUT) {
+                return sendOnNewConnection(address, request);
+            }
+            return Result.failed(PeerFailure.UNREACHABLE);
+        } catch (TException malformed) {
+            drop(address);
+            return Result.failed(PeerFailure.PROTOCOL);
+        }
+    }
+
+    @Override
+    public void close() {
+        connections.values().forEach(TTransport::close);
+        connections.clear();
+    }
+
+    /**
+     * Closes the connections to daemons that are no longer known.
+     *
+     * @param addresses the addresses of the known daemons
+     */
+    public void retain(Collection<String> addresses) {
+        connections
+                .entrySet()
+                .removeIf(
+                        entry -> {
+                            boolean unknown = !addresses.contains(entry.getKey());
+                            if (unknown) {
+                                entry.getValue().close();
+                            }
+                            return unknown;
+                        });
+    }
+
+    private Result<ExchangeReply> sendOnNewConnection(String address, ExchangeRequest request) {
+        try {
+            return Result.ok(send(address, request));
+        } catch (TException failed) {
+            drop(address);
+            return Result.failed(PeerFailure.UNREACHABLE);
+        }
+    }
+
+    private ExchangeReply send(String address, ExchangeRequest request) throws TException {
+        TTransport transport = connections.get(address);
+        if (transport == null) {
+            transport = open(address);
+            connections.put(address, transport);
+        }
+        return new Peer.Client(new TCompactProtocol(transport)).exchange(request);
+    }
+
+    private TTransport open(String address) throws TTransportException {
+        int colon = address.lastIndexOf(':');
+        TConfiguration limits =
+                new TConfiguration(
+                        PeerServer.MAX_FRAME_BYTES, PeerServer.MAX_FRAME_BYTES, MAX_RECURSION);
+        TSocket socket =
+                new TSocket(
+                        limits,
+                        address.substring(0, colon),
+                        Integer.parseInt(address.substring(colon + 1)),
+                        replyTimeoutMillis,
+                        connectTimeoutMillis);
+        TTransport framed = new TFramedTransport(socket, PeerServer.MAX_FRAME_BYTES);
+        framed.open();
+        return framed;
+    }
+
+    private void drop(String address) {
+        TTransport transport = connections.remove(address);
+        if (transport != null) {
+            transport.close();
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/peridotcourse/daemon/peer/PeerLink.java
@@ -0,0 +1,18 @@
+package org.peridotcourse.daemon.peer;
+
+import org.peridotcourse.Result;
+import org.peridotcourse.wire.ExchangeReply;
+import org.peridotcourse.wire.ExchangeRequest;
+
+/** Sends messages to other daemons. A call blocks for at most the time-outs of the link. */
+@FunctionalInterface
+public interface PeerLink {
+    /**
+     * Sends a message and waits for the reply. The message may arrive twice.
+     *
+     * @param address {@code ip:port} of the other daemon's peer server
+     * @param request the message
+     * @return the reply, or a {@link PeerFailure}
+     */
+    Result<ExchangeReply> exchange(String address, ExchangeRequest request);
+}
--- /dev/null
+++ b/daemon/src/main/java/org/peridotcourse/daemon/peer/package-info.java
@@ -0,0 +1,2 @@
+/** Thrift link between daemons. */
+package org.peridotcourse.daemon.peer;
--- /dev/null
+++ b/daemon/src/test/java/org/peridotcourse/daemon/control/AcceptorDutyTest.java
@@ -0,0 +1,234 @@
+package org.peridotcourse.daemon.control;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.ShrinkingMode;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.junit.jupiter.api.Test;
+import org.peridotcourse.CustomerId;
+import org.peridotcourse.config.ConfigTable;
+import org.peridotcourse.config.CustomerRow;
+import org.peridotcourse.config.RowKey;
+import org.peridotcourse.daemon.platform.Transaction;
+import org.peridotcourse.daemon.platform.WriteOutcome;
+
+/** Checks acceptance under lost answers, races, outages and pauses. */
+class AcceptorDutyTest {
+    private static final CustomerId SHOP = CustomerId.of("shop");
+    private final Cluster cluster = new Cluster();
+    private final Cluster.Node first = cluster.add("d1", "xela", 1).withAcceptor();
+    private final FakeTable table = cluster.table;
+
+    private String status(String key) {
+        return table.value("acceptance", key).map(note -> note.path("status").asText()).orElse("");
+    }
+
+    private long acceptedWrites() {
+        return table.written.stream()
+                .filter(t -> t.puts().stream().anyMatch(p -> p.key().equals("version")))
+                .count();
+    }
+
+    private long weight(Cluster.Node node) {
+        return node.config.snapshot().customer(SHOP).map(CustomerRow::weight).orElse(0);
+    }
+
+    /** Guards against a row that is accepted again in each round. */
+    @Test
+    void acceptsAnEditOnce() {
+        long commit = table.put("customers", "shop", "{'weight':7}");
+        cluster.rounds(5);
+        assertEquals("accepted", status("customers/shop"));
+        assertEquals(
+                commit,
+                table.value("acceptance", "customers/shop")
+                        .orElseThrow()
+                        .get("rowCommit")
+                        .asLong());
+        assertEquals(1, acceptedWrites());
+        assertEquals(7, weight(first));
+    }
+
+    /** Guards against a faulty row that displaces the last accepted one or gives no reason. */
+    @Test
+    void refusesFaultyRowWithReason() {
+        table.put("customers", "shop", "{'weight':7}");
+        cluster.rounds(3);
+        table.put("customers", "shop", "{'weight':0,'colour':'red'}");
+        cluster.rounds(3);
+        String message =
+                table.value("acceptance", "customers/shop").orElseThrow().get("message").asText();
+        assertEquals("refused", status("customers/shop"));
+        assertTrue(message.contains("customers/shop column weight: invalid-value, found 0"));
+        assertTrue(message.contains("a whole number from 1 to 1000"));
+        assertTrue(message.contains("unknown-column"));
+        assertEquals(7, weight(first));
+        assertEquals(1, acceptedWrites());
+    }
+
+    /** Guards against a row that stays refused after the customer it needs was written. */
+    @Test
+    void acceptsRowWhenItsReferenceArrives() {
+        table.put("workloads", "shop/night", "{'class':'batch'}");
+        cluster.rounds(3);
+        assertEquals("refused", status("workloads/shop/night"));
+        table.put("customers", "shop", "{}");
+        cluster.rounds(3);
+        assertEquals("accepted", status("workloads/shop/night"));
+    }
+
+    /** Guards against a removal that leaves no new version, so that daemons keep the row. */
+    @Test
+    void removalReachesDaemons() {
+        table.put("customers", "shop", "{'weight':7}");
+        table.put("customers", "other", "{}");
+        cluster.rounds(3);
+        long before = first.version();
+        table.remove("customers", "shop");
+        cluster.rounds(3);
+        assertTrue(first.version() > before);
+        assertTrue(first.config.snapshot().customer(SHOP).isEmpty());
+        Cluster.Node restarted = cluster.add("d2", "xela", 1);
+        cluster.rounds(2);
+        assertEquals(first.version(), restarted.version());
+    }
+
+    /** Guards against a removal during a change of acceptors that is never noticed. */
+    @Test
+    void successorNoticesEarlierRemoval() {
+        table.put("customers", "shop", "{'weight':7}");
+        cluster.rounds(3);
+        first.alive = false;
+        table.remove("customers", "shop");
+        Cluster.Node second = cluster.add("d2", "xela", 1).withAcceptor();
+        cluster.rounds(15);
+        assertTrue(second.config.snapshot().customer(SHOP).isEmpty());
+        assertTrue(table.value("accepted", "customers/shop").isEmpty());
+    }
+
+    /** Guards against a write that is treated as failed and then made twice. */
+    @Test
+    void settlesLostAnswer() {
+        cluster.rounds(2);
+        for (FakeTable.Fault fault : FakeTable.Fault.values()) {
+            long before = acceptedWrites();
+            table.put("customers", "shop", "{'weight':" + (9 + fault.ordinal()) + "}");
+            table.writeFaults.add(fault);
+            cluster.rounds(1);
+            table.deliver();
+            cluster.rounds(4);
+            assertEquals("accepted", status("customers/shop"));
+            assertEquals(9 + fault.ordinal(), weight(first));
+            assertEquals(before + 1, acceptedWrites());
+        }
+    }
+
+    /** Guards against a paused acceptor that writes after another one has taken over. */
+    @Test
+    void pausedAcceptorIsRefused() {
+        Cluster.Node second = cluster.add("d2", "xela", 1).withAcceptor();
+        table.put("customers", "shop", "{'weight':5}");
+        cluster.rounds(3);
+        table.writeFaults.add(FakeTable.Fault.DELAY);
+        table.put("customers", "shop", "{'weight':6}");
+        cluster.round();
+        first.alive = false;
+        cluster.rounds(14);
+        assertTrue(second.lease.held(cluster.now).isPresent());
+        table.put("customers", "shop", "{'weight':8}");
+        cluster.rounds(3);
+        long version = second.version();
+        table.deliver();
+        first.alive = true;
+        cluster.rounds(3);
+        assertEquals(8, weight(first));
+        assertEquals(8, weight(second));
+        assertEquals(version, second.version());
+        assertTrue(first.lease.held(cluster.now).isEmpty());
+    }
+
+    /** Guards against a judgement of a row that an operator has just replaced. */
+    @Test
+    void racingOperatorsConflict() {
+        long commit = table.put("customers", "shop", "{'weight':5}");
+        Transaction one = edit("a", commit, 6);
+        Transaction two = edit("b", commit, 7);
+        assertTrue(table.write(one) instanceof WriteOutcome.Committed);
+        assertTrue(table.write(two) instanceof WriteOutcome.Conflict);
+        cluster.rounds(3);
+        assertEquals(6, weight(first));
+    }
+
+    private static Transaction edit(String id, long commit, int weight) {
+        return Transaction.builder(id)
+                .check("customers", "shop", commit)
+                .put("customers", "shop", FakeTable.json("{'weight':" + weight + "}"))
+                .build();
+    }
+
+    /** Guards against more rows than fit into a page or a transaction. */
+    @Test
+    void acceptsManyRowsOverSeveralPages() {
+        table.pageDivisor = 150;
+        for (int i = 0; i < 250; i++) {
+            table.put("customers", "c" + i, "{}");
+        }
+        cluster.rounds(4);
+        assertEquals(250, first.config.snapshot().rows(CustomerRow.class).size());
+        assertTrue(
+                table.written.stream().allMatch(t -> t.puts().size() + t.checks().size() <= 302));
+    }
+
+    /**
+     * Guards against a version that goes back, is given twice with different rows, or is in force
+     * without having been accepted, under any mix of pauses, outages, lost answers and edits.
+     */
+    @Property(tries = 150, seed = "20261204", shrinking = ShrinkingMode.OFF)
+    void versionsNeverGoBack(
+            @ForAll @Size(min = 20, max = 60) List<@IntRange(min = 0, max = 11) Integer> steps) {
+        Cluster run = new Cluster();
+        for (int i = 1; i <= 4; i++) {
+            run.add("d" + i, i <= 2 ? "xela" : "zacapa", 1).withAcceptor();
+        }
+        Map<Long, Integer> weights = new HashMap<>();
+        long[] seen = new long[4];
+        int edits = 0;
+        for (int step : steps) {
+            edits++;
+            switch (step) {
+                case 0, 1, 2 -> run.table.put("customers", "shop", "{'weight':" + edits + "}");
+                case 3 -> run.table.put("customers", "shop", "{'weight':0}");
+                case 4, 5, 6, 7 -> run.nodes.get(step - 4).alive ^= true;
+                case 8 -> run.table.down ^= true;
+                case 9 ->
+                        run.table.writeFaults.add(
+                                FakeTable.Fault.values()[edits % FakeTable.Fault.values().length]);
+                case 10 -> run.table.deliver();
+                default -> {
+                    boolean healed = run.cut.remove("zacapa") || !run.cut.add("zacapa");
+                    run.now += healed ? 1 : 5000;
+                }
+            }
+            run.rounds(1 + step % 4);
+            for (int i = 0; i < 4; i++) {
+                Cluster.Node node = run.nodes.get(i);
+                assertTrue(node.version() >= seen[i]);
+                seen[i] = node.version();
+                int weight = (int) weight(node);
+                assertEquals(weight, weights.computeIfAbsent(seen[i], version -> weight));
+            }
+        }
+        Optional<JsonNode> row =
+                run.table.value("accepted", new RowKey(ConfigTable.CUSTOMERS, "shop").toString());
+        assertTrue(row.isEmpty() || row.get().path("weight").asInt() > 0);
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/peridotcourse/daemon/control/ConfigDutyTest.java
@@ -0,0 +1,178 @@
+package org.peridotcourse.daemon.control;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.peridotcourse.DataCentreId;
+import org.peridotcourse.config.ConfigChange;
+import org.peridotcourse.config.Freshness;
+
+/** Checks how versions and their ages spread over readers and followers of two data centres. */
+class ConfigDutyTest {
+    private static final DataCentreId XELA = DataCentreId.of("xela");
+    private static final DataCentreId ZACAPA = DataCentreId.of("zacapa");
+    private final Cluster cluster = new Cluster();
+
+    @BeforeEach
+    void start() {
+        for (int i = 1; i <= 4; i++) {
+            cluster.add("x" + i, "xela", 1).withAcceptor();
+        }
+        for (int i = 1; i <= 4; i++) {
+            cluster.add("z" + i, "zacapa", 1).withAcceptor();
+        }
+        cluster.table.put("datacentres", "xela", "{'region':'altiplano'}");
+        cluster.table.put("datacentres", "zacapa", "{'region':'oriente'}");
+        cluster.rounds(12);
+    }
+
+    private Cluster.Node node(String name) {
+        return cluster.nodes.stream()
+                .filter(node -> node.alive && node.self.daemon().value().equals(name))
+                .findFirst()
+                .orElseThrow();
+    }
+
+    private long age(String name) {
+        return node(name).config.ageMillis(cluster.now);
+    }
+
+    /** Guards against followers that never learn, and against starts without fresh proof. */
+    @Test
+    void everyDaemonIsFreshAndMayStart() {
+        long version = node("x1").version();
+        for (Cluster.Node node : cluster.nodes) {
+            assertEquals(version, node.version());
+            assertTrue(node.config.ageMillis(cluster.now) <= Freshness.MAX_START_AGE_MILLIS);
+            assertTrue(node.config.mayStart(XELA, cluster.now));
+        }
+        assertEquals(List.of("x1", "x2"), readers("x4"));
+    }
+
+    private List<String> readers(String name) {
+        return node(name).membership.readers(cluster.now).stream().map(Object::toString).toList();
+    }
+
+    /** Guards against a data centre that goes on starting tasks after it was taken out. */
+    @Test
+    void takenOutDataCentreStopsStartsWithinSeconds() {
+        cluster.table.put("datacentres", "xela", "{'region':'altiplano','state':'out'}");
+        cluster.rounds(6);
+        for (Cluster.Node node : cluster.nodes) {
+            assertFalse(node.config.mayStart(XELA, cluster.now));
+            assertTrue(node.config.mayStart(ZACAPA, cluster.now));
+        }
+    }
+
+    /** Guards against followers that stay without a reader when both readers die. */
+    @Test
+    void nextDaemonsReadWhenReadersDie() {
+        node("x1").alive = false;
+        node("x2").alive = false;
+        cluster.rounds(4);
+        assertEquals(List.of("x3", "x4"), readers("x3"));
+        assertTrue(age("x4") <= Freshness.MAX_START_AGE_MILLIS);
+    }
+
+    /** Guards against a version that is lost, or an age that stays low, in a cut data centre. */
+    @Test
+    void cutDataCentreKeepsVersionWithGrowingAge() {
+        long version = node("z1").version();
+        cluster.cut.add("zacapa");
+        cluster.table.put("datacentres", "zacapa", "{'region':'oriente','state':'out'}");
+        cluster.rounds(20);
+        for (String name : List.of("z1", "z2", "z3", "z4")) {
+            assertEquals(version, node(name).version());
+            assertTrue(age(name) >= 19_000);
+            assertFalse(node(name).config.mayStart(ZACAPA, cluster.now));
+        }
+        cluster.cut.clear();
+        cluster.rounds(15);
+        assertEquals(node("x1").version(), node("z4").version());
+        assertFalse(node("z4").config.mayStart(ZACAPA, cluster.now));
+    }
+
+    /** Guards against starts or lost versions while the store is down for long. */
+    @Test
+    void longOutageKeepsVersionAndStopsStarts() {
+        long version = node("x4").version();
+        cluster.table.down = true;
+        cluster.rounds(600);
+        for (Cluster.Node node : cluster.nodes) {
+            assertEquals(version, node.version());
+            assertFalse(node.config.mayStart(XELA, cluster.now));
+        }
+        cluster.table.down = false;
+        cluster.rounds(3);
+        assertTrue(node("x4").config.mayStart(XELA, cluster.now));
+        cluster.table.put("customers", "shop", "{}");
+        cluster.rounds(15);
+        assertTrue(node("z4").version() > version);
+    }
+
+    /** Guards against a restart during an outage that brings an older version into force. */
+    @Test
+    void restartedFollowerTakesHighestVersionOfItsPeers() {
+        cluster.cut.add("zacapa");
+        cluster.table.put("customers", "shop", "{}");
+        cluster.rounds(15);
+        long version = node("x4").version();
+        assertTrue(version > node("z4").version());
+        cluster.table.down = true;
+        cluster.cut.clear();
+        node("x4").alive = false;
+        Cluster.Node again = cluster.add("x4", "xela", 2);
+        again.configDuty.seed(cluster.nodes.stream().map(node -> node.self).toList());
+        again.membership.answer(
+                cluster.now, node("z4").membership.request(cluster.now, again.self));
+        assertEquals(0, again.version());
+        cluster.round();
+        assertEquals(version, again.version());
+    }
+
+    /** Guards against a data centre that loses freshness although a neighbour can prove it. */
+    @Test
+    void readersWithoutStoreAskAnotherDataCentre() {
+        cluster.table.down = true;
+        cluster.rounds(5);
+        long before = cluster.peerBytes;
+        cluster.table.put("customers", "shop", "{}");
+        cluster.rounds(2);
+        assertTrue(cluster.peerBytes > before);
+        long proven = node("x1").version() + 100;
+        Cluster.Node informed = node("z1");
+        informed.config.install(new ConfigChange(informed.version(), proven, List.of()));
+        informed.config.confirm(proven, cluster.now, 0);
+        cluster.rounds(3);
+        assertEquals(proven, node("x1").version());
+        assertEquals(proven, node("x4").version());
+    }
+
+    /** Guards against an outdated run of a daemon whose late message is taken for the new one. */
+    @Test
+    void rowOfLaterRunIsKept() {
+        node("x4").alive = false;
+        cluster.add("x4", "xela", 5);
+        cluster.rounds(12);
+        assertEquals(
+                5, cluster.table.value("daemons", "x4").orElseThrow().get("incarnation").asLong());
+        Cluster.Node old = cluster.add("x4", "xela", 3);
+        cluster.rounds(12);
+        assertEquals(
+                5, cluster.table.value("daemons", "x4").orElseThrow().get("incarnation").asLong());
+        assertTrue(old.version() > 0);
+    }
+
+    /** Guards against rows of daemons that stopped long ago. */
+    @Test
+    void acceptorRemovesRowsOfDaemonsThatAreGone() {
+        node("z4").alive = false;
+        cluster.rounds(3800);
+        assertTrue(cluster.table.value("daemons", "z4").isEmpty());
+        assertTrue(cluster.table.value("daemons", "z3").isPresent());
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/peridotcourse/daemon/control/FakeTable.java
@@ -0,0 +1,150 @@
+package org.peridotcourse.daemon.control;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.Deque;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.peridotcourse.Result;
+import org.peridotcourse.daemon.platform.Row;
+import org.peridotcourse.daemon.platform.RowPage;
+import org.peridotcourse.daemon.platform.StoreFailure;
+import org.peridotcourse.daemon.platform.TableStore;
+import org.peridotcourse.daemon.platform.Transaction;
+import org.peridotcourse.daemon.platform.WriteOutcome;
+
+/** Table service in memory with commits, outages, lost answers and writes that arrive late. */
+final class FakeTable implements TableStore {
+    /** What happens to one write. */
+    enum Fault {
+        /** The write takes effect, its answer is lost. */
+        LOSE_ANSWER,
+        /** The write is lost. */
+        LOSE_REQUEST,
+        /** The write takes effect at the next {@link FakeTable#deliver}, its answer is lost. */
+        DELAY
+    }
+
+    final Deque<Fault> writeFaults = new ArrayDeque<>();
+    final List<Transaction> written = new ArrayList<>();
+    boolean down;
+
+    /** Makes pages smaller than asked for, so that small tables need several of them. */
+    int pageDivisor = 1;
+
+    private final Map<String, TreeMap<String, Row>> tables = new TreeMap<>();
+    private final List<Transaction> inTransit = new ArrayList<>();
+    private long commit;
+    private long operatorWrites;
+
+    static JsonNode json(String text) {
+        try {
+            return new ObjectMapper().readTree(text.replace('\'', '"'));
+        } catch (JsonProcessingException malformed) {
+            throw new IllegalArgumentException(malformed);
+        }
+    }
+
+    /** Writes a row as an operator and returns its commit. */
+    synchronized long put(String table, String key, String text) {
+        Transaction edit =
+                Transaction.builder("operator-" + operatorWrites++)
+                        .put(table, key, json(text))
+                        .build();
+        return ((WriteOutcome.Committed) apply(edit)).commit();
+    }
+
+    synchronized void remove(String table, String key) {
+        apply(Transaction.builder("operator-" + operatorWrites++).delete(table, key).build());
+    }
+
+    /** Lets delayed writes take effect. */
+    synchronized void deliver() {
+        inTransit.forEach(this::apply);
+        inTransit.clear();
+    }
+
+    synchronized Optional<JsonNode> value(String table, String key) {
+        return Optional.ofNullable(table(table).get(key)).flatMap(Row::value);
+    }
+
+    synchronized long commit(String table, String key) {
+        return Optional.ofNullable(table(table).get(key)).map(Row::commit).orElse(0L);
+    }
+
+    @Override
+    public synchronized Result<Optional<Row>> row(String table, String key) {
+        return down
+                ? Result.failed(StoreFailure.UNAVAILABLE)
+                : Result.ok(
+                        Optional.ofNullable(table(table).get(key))
+                                .filter(row -> row.value().isPresent()));
+    }
+
+    @Override
+    public synchronized Result<RowPage> rows(String table, String prefix, long since, int limit) {
+        if (down) {
+            return Result.failed(StoreFailure.UNAVAILABLE);
+        }
+        List<Row> changed =
+                table(table).values().stream()
+                        .filter(row -> row.commit() > since && row.key().startsWith(prefix))
+                        .filter(row -> since > 0 || row.value().isPresent())
+                        .sorted(Comparator.comparingLong(Row::commit))
+                        .toList();
+        int size = Math.min(changed.size(), Math.max(1, limit / pageDivisor));
+        return Result.ok(new RowPage(commit, changed.subList(0, size), size < changed.size()));
+    }
+
+    @Override
+    public synchronized WriteOutcome write(Transaction transaction) {
+        if (down) {
+            return new WriteOutcome.Unknown();
+        }
+        Fault fault = writeFaults.poll();
+        if (fault == null) {
+            return apply(transaction);
+        }
+        if (fault == Fault.LOSE_ANSWER) {
+            apply(transaction);
+        } else if (fault == Fault.DELAY) {
+            inTransit.add(transaction);
+        }
+        return new WriteOutcome.Unknown();
+    }
+
+    private WriteOutcome apply(Transaction transaction) {
+        List<WriteOutcome.Mismatch> conflicts = new ArrayList<>();
+        for (Transaction.Check check : transaction.checks()) {
+            Row row = table(check.table()).get(check.key());
+            long found = row == null || row.value().isEmpty() ? 0 : row.commit();
+            if (found != check.commit()) {
+                conflicts.add(new WriteOutcome.Mismatch(check.table(), check.key(), found));
+            }
+        }
+        if (!conflicts.isEmpty()) {
+            return new WriteOutcome.Conflict(conflicts);
+        }
+        commit++;
+        written.add(transaction);
+        for (Transaction.Put put : transaction.puts()) {
+            Row row = new Row(put.key(), commit, transaction.id(), Optional.of(put.value()));
+            table(put.table()).put(put.key(), row);
+        }
+        for (Transaction.Delete delete : transaction.deletes()) {
+            Row row = new Row(delete.key(), commit, transaction.id(), Optional.empty());
+            table(delete.table()).put(delete.key(), row);
+        }
+        return new WriteOutcome.Committed(commit);
+    }
+
+    private TreeMap<String, Row> table(String name) {
+        return tables.computeIfAbsent(name, key -> new TreeMap<>());
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/peridotcourse/daemon/control/HttpSize.java
@@ -0,0 +1,34 @@
+package org.peridotcourse.daemon.control;
+
+import org.peridotcourse.Result;
+import org.peridotcourse.daemon.platform.Row;
+import org.peridotcourse.daemon.platform.RowPage;
+
+/** Bytes of a read of rows over HTTP/1.1, without the heads of TCP and IP. */
+final class HttpSize {
+    private static final String REPLY_HEAD =
+            "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: 1000\r\n\r\n";
+
+    private HttpSize() {}
+
+    static long read(String table, long since, int limit, Result<RowPage> page) {
+        String request =
+                "GET /v1/rows/"
+                        + table
+                        + "?prefix=&since="
+                        + since
+                        + "&limit="
+                        + limit
+                        + " HTTP/1.1\r\nHost: 10.20.30.40:8080\r\nContent-Length: 0\r\n\r\n";
+        long size = request.length();
+        if (page instanceof Result.Ok<RowPage> ok) {
+            size += REPLY_HEAD.length() + "{'commit':,'rows':[],'more':false}".length() + 6;
+            for (Row row : ok.value().rows()) {
+                size += "{'key':'','commit':,'writer':'','value':},".length() + 6;
+                size += row.key().length() + row.writer().length();
+                size += row.value().map(value -> value.toString().length()).orElse(14);
+            }
+        }
+        return size;
+    }
+}
