Add the worker and backend server stand-ins

The worker keeps epochs by group, leases on its own clock and a record of what ran when; the backend server keeps slots, a short queue and a record of the plans that ran. Both register in the host list and offer faults at /fault.

--- /dev/null
+++ b/standins/src/main/java/org/peridotcourse/standins/BackendMain.java
@@ -0,0 +1,104 @@
+package org.peridotcourse.standins;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Stand-in for a backend server of a service.
+ *
+ * <p>It registers itself in the platform's host list. On SIGTERM it marks itself as leaving, serves
+ * on for {@code --leave-ms}, refuses what comes later, and ends when no request is in flight.
+ */
+public final class BackendMain {
+    /** Requests in flight longer than this are given up on, so that the process ends. */
+    private static final long LONGEST_STOP_MILLIS = 25_000;
+
+    private BackendMain() {}
+
+    /**
+     * Runs the stand-in until SIGTERM.
+     *
+     * @param arguments the options
+     * @throws IOException if the port is taken
+     */
+    public static void main(String... arguments) throws IOException {
+        CommandLineOptions options =
+                new CommandLineOptions()
+                        .with("port", "port on 127.0.0.1, 0 for a free one")
+                        .with("name", "name of the server")
+                        .with("platform", "address of the platform")
+                        .with("service", "service of the server")
+                        .with("data-centre", "data centre of the server")
+                        .with("rack", "rack of the server")
+                        .with("slots", "requests that run at a time")
+                        .with("queue", "requests that wait for a slot")
+                        .with("connections", "largest number of connections")
+                        .with("service-time", "fixed:MS, exponential:MS or lognormal:MS:SIGMA")
+                        .with("seed", "seed of the service times")
+                        .with("watch-event-ms", "time between two events of a watch")
+                        .with("leave-ms", "time between leaving and refusing")
+                        .parse("backend", arguments);
+        BackendLimits limits =
+                new BackendLimits(
+                        options.text("name", "backend"),
+                        (int) options.number("slots", 8),
+                        (int) options.number("queue", 4),
+                        (int) options.number("connections", 64),
+                        options.number("watch-event-ms", 1000));
+        ServiceTimes times =
+                ServiceTimes.parse(
+                        options.text("service-time", "lognormal:10:0.5"),
+                        options.number("seed", 1));
+        BackendHandler handler = new BackendHandler(limits, times, StandInProcess::monotonicMillis);
+        StandInServer server = StandInServer.start((int) options.number("port", 0), handler);
+        handler.serveOn(server);
+
+        PlatformLink platform = new PlatformLink(options.text("platform", "127.0.0.1:1"));
+        ObjectNode host = host(options, limits, server.address());
+        long leaveMillis = options.number("leave-ms", 3000);
+        StandInProcess.onStop(
+                () -> {
+                    handler.leave();
+                    platform.register(limits.name(), host.deepCopy().put("state", "leaving"));
+                    drain(handler, server, leaveMillis);
+                    server.stop();
+                });
+        platform.keepRegistering(limits.name(), host, server);
+        StandInProcess.ready(limits.name(), server);
+    }
+
+    private static void drain(BackendHandler handler, StandInServer server, long leaveMillis) {
+        CountDownLatch idle = new CountDownLatch(1);
+        server.later(leaveMillis, handler::close);
+        // The pause between two looks lets the last response reach the network.
+        server.every(
+                200,
+                () -> {
+                    if (handler.isClosed() && handler.isIdle()) {
+                        idle.countDown();
+                    }
+                });
+        try {
+            if (!idle.await(leaveMillis + LONGEST_STOP_MILLIS, TimeUnit.MILLISECONDS)) {
+                System.err.println("stopped with requests in flight");
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private static ObjectNode host(
+            CommandLineOptions options, BackendLimits limits, String address) {
+        return Json.object()
+                .put("role", "backend")
+                .put("dataCentre", options.text("data-centre", "dc"))
+                .put("rack", options.text("rack", "rack-1"))
+                .put("address", address)
+                .put("state", "live")
+                .put("service", options.text("service", "service"))
+                .put("slots", limits.slots())
+                .put("connections", limits.connections());
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/peridotcourse/standins/ServiceTimes.java
@@ -0,0 +1,42 @@
+package org.peridotcourse.standins;
+
+import java.util.Random;
+
+/**
+ * A seeded distribution of service times, such as {@code fixed:5}, {@code exponential:5} or {@code
+ * lognormal:5:0.6} (median in milliseconds and sigma). It is thread-safe.
+ */
+final class ServiceTimes {
+    private final Random random;
+    private final String shape;
+    private final double scaleMillis;
+    private final double sigma;
+
+    private ServiceTimes(Random random, String shape, double scaleMillis, double sigma) {
+        this.random = random;
+        this.shape = shape;
+        this.scaleMillis = scaleMillis;
+        this.sigma = sigma;
+    }
+
+    static ServiceTimes parse(String text, long seed) {
+        String[] parts = text.split(":");
+        boolean known = parts[0].matches("fixed|exponential|lognormal");
+        if (!known || parts.length != (parts[0].equals("lognormal") ? 3 : 2)) {
+            throw new MalformedCallException("unknown distribution: " + text);
+        }
+        double sigma = parts.length == 3 ? Double.parseDouble(parts[2]) : 0;
+        return new ServiceTimes(new Random(seed), parts[0], Double.parseDouble(parts[1]), sigma);
+    }
+
+    synchronized double nextMillis() {
+        switch (shape) {
+            case "exponential":
+                return -Math.log(1 - random.nextDouble()) * scaleMillis;
+            case "lognormal":
+                return Math.exp(random.nextGaussian() * sigma) * scaleMillis;
+            default:
+                return scaleMillis;
+        }
+    }
+}
--- a/standins/src/main/java/org/peridotcourse/standins/StandInServer.java
+++ b/standins/src/main/java/org/peridotcourse/standins/StandInServer.java
@@ -3,8 +3,10 @@
 import java.io.IOException;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.logging.Level;
@@ -82,11 +84,11 @@
         return lastConnection.get();
     }
 
-    void later(long delayMillis, Runnable action) {
+    void later(double delayMillis, Runnable action) {
         if (delayMillis <= 0) {
             action.run();
         } else {
-            timer.schedule(action, delayMillis, TimeUnit.MILLISECONDS);
+            timer.schedule(action, (long) (delayMillis * 1000), TimeUnit.MICROSECONDS);
         }
     }
 
@@ -94,9 +96,16 @@
         timer.scheduleAtFixedRate(action, intervalMillis, intervalMillis, TimeUnit.MILLISECONDS);
     }
 
+    /** Stops; responses that are being written get a second to reach the network. */
     void stop() {
         timer.shutdownNow();
-        server.shutdownNow();
+        try {
+            server.shutdown(1, TimeUnit.SECONDS).get(2, TimeUnit.SECONDS);
+        } catch (ExecutionException | TimeoutException e) {
+            server.shutdownNow();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
     }
 
     /** Numbers connections in the order in which they are accepted. */
--- /dev/null
+++ b/standins/src/main/java/org/peridotcourse/standins/WorkerHandler.java
@@ -0,0 +1,143 @@
+package org.peridotcourse.standins;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.Optional;
+import java.util.function.LongSupplier;
+
+/**
+ * The worker's interface, with its record at {@code /v1/record} and faults at {@code /fault}
+ * ({@code failEveryTask}, {@code noiseFactor}, {@code silent}). It is thread-safe.
+ */
+final class WorkerHandler implements Handler {
+    private final WorkerState state;
+    private final PlatformLink platform;
+    private final LongSupplier clock;
+    private volatile boolean silent;
+
+    /**
+     * Creates the handler.
+     *
+     * @param state the tasks
+     * @param platform the object store
+     * @param clock the worker's own monotonic milliseconds
+     */
+    WorkerHandler(WorkerState state, PlatformLink platform, LongSupplier clock) {
+        this.state = state;
+        this.platform = platform;
+        this.clock = clock;
+    }
+
+    @Override
+    public void handle(Call call, Responder responder) {
+        if (call.path().equals("/fault")) {
+            JsonNode wanted = call.method().equals("GET") ? Json.object() : call.json();
+            silent = wanted.path("silent").asBoolean(silent);
+            responder.send(Reply.json(200, state.fault(wanted).put("silent", silent)));
+        } else if (call.path().equals("/v1/record")) {
+            ObjectNode body = Json.object().put("clock", clock.getAsLong());
+            body.set("record", state.record());
+            responder.send(Reply.json(200, body));
+        } else if (silent) {
+            // The caller sees an open connection without a response.
+            return;
+        } else if (call.path().equals("/v1/report")) {
+            responder.send(Reply.json(200, state.report(clock.getAsLong())));
+        } else if (call.is("POST", "/v1/commands")) {
+            responder.send(commands(call.json()));
+        } else {
+            responder.send(Reply.error(404, "no-such-path"));
+        }
+    }
+
+    private Reply commands(JsonNode body) {
+        String group = Json.text(body, "group");
+        long epoch = Json.number(body, "epoch");
+        ObjectNode answer = Json.object().put("clock", clock.getAsLong()).put("epoch", epoch);
+        ArrayNode results = answer.putArray("results");
+        Optional<Long> higher = state.higherEpoch(group, epoch);
+        if (higher.isPresent()) {
+            return Reply.json(
+                    409, Json.object().put("error", "stale-epoch").put("epoch", higher.get()));
+        }
+        for (JsonNode command : body.path("commands")) {
+            // A newer owner may have spoken while an earlier command waited for the object store.
+            ObjectNode result =
+                    state.higherEpoch(group, epoch).isPresent()
+                            ? Json.object().put("error", "stale-epoch")
+                            : run(group, command);
+            results.add(result);
+        }
+        return Reply.json(200, answer);
+    }
+
+    private ObjectNode run(String group, JsonNode command) {
+        String op = Json.text(command, "op");
+        switch (op) {
+            case "start":
+                return start(group, command);
+            case "renew":
+                state.renew(
+                        group,
+                        Json.number(command, "batchUntil"),
+                        Json.number(command, "serviceUntil"),
+                        clock.getAsLong());
+                return ok();
+            case "stop":
+                state.stop(
+                        Json.text(command, "task"),
+                        Json.number(command, "attempt"),
+                        clock.getAsLong());
+                return ok();
+            case "checkpoint":
+            case "throttle":
+                return state.running(
+                                Json.text(command, "task"),
+                                Json.number(command, "attempt"),
+                                clock.getAsLong())
+                        .map(task -> op.equals("throttle") ? throttle(task, command) : save(task))
+                        .orElseGet(() -> error("not-running"));
+            default:
+                return error("unknown-command");
+        }
+    }
+
+    private ObjectNode start(String group, JsonNode command) {
+        long doneMillis = 0;
+        String checkpoint = command.path("checkpoint").asText("");
+        if (!checkpoint.isEmpty() && !checkpoint.equals("null")) {
+            Optional<JsonNode> saved = platform.object(checkpoint);
+            if (saved.isEmpty()) {
+                return error("checkpoint-unavailable");
+            }
+            doneMillis = saved.get().path("doneMillis").asLong();
+        }
+        return state.start(group, command, doneMillis, clock.getAsLong())
+                .map(WorkerHandler::error)
+                .orElseGet(WorkerHandler::ok);
+    }
+
+    private ObjectNode save(WorkerTask task) {
+        long doneMillis = state.doneMillis(task);
+        String name = "checkpoints/" + task.id() + "/" + task.attempt() + "-" + doneMillis;
+        if (!platform.putObject(name, Json.object().put("doneMillis", doneMillis))) {
+            return error("checkpoint-failed");
+        }
+        state.checkpointed(task, name, clock.getAsLong());
+        return ok().put("checkpoint", name).put("progress", doneMillis);
+    }
+
+    private ObjectNode throttle(WorkerTask task, JsonNode command) {
+        state.throttle(task, Json.number(command, "percent"), clock.getAsLong());
+        return ok();
+    }
+
+    private static ObjectNode ok() {
+        return Json.object().put("ok", true);
+    }
+
+    private static ObjectNode error(String code) {
+        return Json.object().put("error", code);
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/peridotcourse/standins/WorkerTask.java
@@ -0,0 +1,187 @@
+package org.peridotcourse.standins;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.Locale;
+import org.peridotcourse.Resources;
+
+/**
+ * One attempt of a task on the worker stand-in: its lease, its progress and what it uses.
+ *
+ * <p>The payload may be a JSON object, or a string that contains one, with {@code workMillis}
+ * (10000 for batch tasks, endless for services), {@code failAfterMillis}, {@code usedPercent} and
+ * {@code usedMemoryPercent} of the declared size (60, 80), {@code noise} (share by which the task
+ * slows services on the same worker, 0) and {@code p99Millis} (services, 20). Not thread-safe; it
+ * belongs to {@link WorkerState}.
+ */
+final class WorkerTask {
+    static final String BATCH = "batch";
+
+    private final String id;
+    private final long attempt;
+    private final String group;
+    private final String workload;
+    private final String workClass;
+    private final Resources declared;
+    private final JsonNode payload;
+    private State state = State.RUNNING;
+    private long leaseUntil;
+    private long advancedTo;
+    private double doneMillis;
+    private long throttlePercent = 100;
+    private long endedAt;
+    private String checkpoint = "";
+
+    WorkerTask(String group, JsonNode command, long doneMillis, long nowMillis) {
+        this.id = Json.text(command, "task");
+        this.attempt = Json.number(command, "attempt");
+        this.group = group;
+        this.workload = Json.text(command, "workload");
+        this.workClass = Json.text(command, "class");
+        this.declared =
+                Resources.of(
+                        command.path("milliCores").asLong(),
+                        command.path("memoryMiB").asLong(),
+                        command.path("accelerators").asLong());
+        this.payload = payload(command.path("payload"));
+        this.leaseUntil = Json.number(command, "leaseUntil");
+        this.checkpoint = command.path("checkpoint").asText("");
+        this.doneMillis = doneMillis;
+        this.advancedTo = nowMillis;
+    }
+
+    private static JsonNode payload(JsonNode given) {
+        if (given.isTextual() && given.textValue().startsWith("{")) {
+            return Json.parse(given.textValue());
+        }
+        return given;
+    }
+
+    String id() {
+        return id;
+    }
+
+    long attempt() {
+        return attempt;
+    }
+
+    String group() {
+        return group;
+    }
+
+    String workload() {
+        return workload;
+    }
+
+    State state() {
+        return state;
+    }
+
+    long endedAt() {
+        return endedAt;
+    }
+
+    Resources declared() {
+        return declared;
+    }
+
+    long doneMillis() {
+        return (long) doneMillis;
+    }
+
+    double noise() {
+        return payload.path("noise").asDouble(0);
+    }
+
+    long quietP99Millis() {
+        return payload.path("p99Millis").asLong(20);
+    }
+
+    boolean isRunning() {
+        return state == State.RUNNING;
+    }
+
+    boolean isBatch() {
+        return workClass.equals(BATCH);
+    }
+
+    long usedMilliCores() {
+        long wanted = declared.milliCores() * payload.path("usedPercent").asLong(60) / 100;
+        return isRunning() ? wanted * throttlePercent / 100 : 0;
+    }
+
+    long usedMemoryMib() {
+        long wanted = declared.memoryMib() * payload.path("usedMemoryPercent").asLong(80) / 100;
+        return isRunning() ? wanted : 0;
+    }
+
+    /**
+     * Runs the task up to the present time, at most to the end of its lease.
+     *
+     * @param nowMillis the present time
+     * @param failing whether the worker fails every task
+     * @return true if the task ended
+     */
+    boolean advance(long nowMillis, boolean failing) {
+        if (!isRunning()) {
+            return false;
+        }
+        long end = Math.min(nowMillis, leaseUntil);
+        doneMillis += Math.max(0, end - advancedTo) * throttlePercent / 100.0;
+        advancedTo = Math.max(end, advancedTo);
+        if (failing || doneMillis >= payload.path("failAfterMillis").asLong(Long.MAX_VALUE)) {
+            end(State.FAILED, end);
+        } else if (doneMillis >= payload.path("workMillis").asLong(endlessUnlessBatch())) {
+            end(State.FINISHED, end);
+        } else if (nowMillis >= leaseUntil) {
+            end(State.STOPPED, leaseUntil);
+        }
+        return !isRunning();
+    }
+
+    void renew(long until) {
+        leaseUntil = Math.max(leaseUntil, until);
+    }
+
+    void throttle(long percent) {
+        throttlePercent = Math.max(0, Math.min(100, percent));
+    }
+
+    void checkpointed(String name) {
+        checkpoint = name;
+    }
+
+    void stop(long nowMillis) {
+        end(State.STOPPED, nowMillis);
+    }
+
+    ObjectNode json(WorkerUsage usage) {
+        ObjectNode node = Json.object().put("task", id).put("attempt", attempt);
+        node.put("state", state.name().toLowerCase(Locale.ROOT));
+        if (checkpoint.isEmpty()) {
+            node.putNull("checkpoint");
+        } else {
+            node.put("checkpoint", checkpoint);
+        }
+        node.put("progress", doneMillis());
+        node.put("usedMilliCores", usage.milliCores(id, attempt));
+        return node.put("usedMemoryMiB", usage.memoryMib(id, attempt));
+    }
+
+    private long endlessUnlessBatch() {
+        return isBatch() ? 10_000 : Long.MAX_VALUE;
+    }
+
+    private void end(State last, long atMillis) {
+        state = last;
+        endedAt = atMillis;
+    }
+
+    /** The states that a worker reports. */
+    enum State {
+        RUNNING,
+        FINISHED,
+        FAILED,
+        STOPPED
+    }
+}
