Add the open-loop load client

It prints counts by outcome, latencies and goodput as one line of JSON. Latency counts from the planned arrival, so a slow sender hides no waiting.

--- /dev/null
+++ b/standins/src/main/java/org/peridotcourse/standins/LoadTally.java
@@ -0,0 +1,107 @@
+package org.peridotcourse.standins;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.Map;
+import java.util.TreeMap;
+import org.HdrHistogram.Histogram;
+
+/**
+ * Counts outcomes and latencies of a load run. Latency counts from the planned arrival, so a slow
+ * sender does not hide waiting. It is thread-safe.
+ */
+final class LoadTally {
+    private static final long LARGEST_MICROS = 120_000_000L;
+
+    private final Map<String, Long> outcomes = new TreeMap<>();
+    private final Map<String, Long> reasons = new TreeMap<>();
+    private final Map<String, Group> customers = new TreeMap<>();
+    private final Map<String, Group> kinds = new TreeMap<>();
+    private final Group all = new Group();
+    private final Histogram refusals = new Histogram(LARGEST_MICROS, 3);
+    private long sent;
+    private long crossed;
+
+    synchronized void sent() {
+        sent++;
+    }
+
+    /**
+     * Counts the end of a request.
+     *
+     * @param arrival the request
+     * @param outcome the outcome that the response names, or why there is no response
+     * @param reason the reason of a refusal, empty for none
+     * @param micros the time since the planned arrival
+     * @param good whether the response came whole, with status 200, before the deadline
+     */
+    synchronized void ended(
+            LoadPlan.Arrival arrival, String outcome, String reason, long micros, boolean good) {
+        outcomes.merge(outcome, 1L, Long::sum);
+        if (!reason.isEmpty()) {
+            reasons.merge(outcome + "/" + reason, 1L, Long::sum);
+        }
+        long bounded = Math.min(Math.max(1, micros), LARGEST_MICROS);
+        if (outcome.equals("answered")) {
+            group(kinds, arrival.kind().header).add(bounded, good);
+            group(customers, arrival.customer()).add(bounded, good);
+            if (arrival.kind() != LoadPlan.Kind.WATCH) {
+                all.add(bounded, good);
+            }
+        } else {
+            refusals.recordValue(bounded);
+        }
+    }
+
+    /** Counts a response that belongs to another request. */
+    synchronized void crossed() {
+        crossed++;
+    }
+
+    /**
+     * Returns the result. The overall latencies and goodput leave out watches, whose responses wait
+     * for events.
+     *
+     * @param seconds the length of the run
+     * @return the JSON form
+     */
+    synchronized ObjectNode json(double seconds) {
+        ObjectNode body = Json.object().put("sent", sent).put("seconds", seconds);
+        long ended = outcomes.values().stream().mapToLong(Long::longValue).sum();
+        body.put("unfinished", sent - ended).put("crossed", crossed);
+        ObjectNode byOutcome = body.putObject("outcomes");
+        outcomes.forEach(byOutcome::put);
+        ObjectNode byReason = body.putObject("reasons");
+        reasons.forEach(byReason::put);
+        body.setAll(all.json(seconds));
+        body.put("refusalP99Millis", refusals.getValueAtPercentile(99) / 1000.0);
+        ObjectNode byKind = body.putObject("kinds");
+        kinds.forEach((name, group) -> byKind.set(name, group.json(seconds)));
+        ObjectNode byCustomer = body.putObject("customers");
+        customers.forEach((name, group) -> byCustomer.set(name, group.json(seconds)));
+        return body;
+    }
+
+    private static Group group(Map<String, Group> groups, String name) {
+        return groups.computeIfAbsent(name, unused -> new Group());
+    }
+
+    /** Latencies and good responses of a part of the requests. */
+    private static final class Group {
+        private final Histogram latencies = new Histogram(LARGEST_MICROS, 3);
+        private long good;
+
+        void add(long micros, boolean isGood) {
+            latencies.recordValue(micros);
+            good += isGood ? 1 : 0;
+        }
+
+        ObjectNode json(double seconds) {
+            return Json.object()
+                    .put("answered", latencies.getTotalCount())
+                    .put("p50Millis", latencies.getValueAtPercentile(50) / 1000.0)
+                    .put("p99Millis", latencies.getValueAtPercentile(99) / 1000.0)
+                    .put("p999Millis", latencies.getValueAtPercentile(99.9) / 1000.0)
+                    .put("goodputPerSecond", Math.round(good / seconds * 10) / 10.0);
+        }
+    }
+}
