--- a/standins/src/main/java/org/peridotcourse/standins/LoadMain.java
+++ b/standins/src/main/java/org/peridotcourse/standins/LoadMain.java
@@ -26,6 +26,7 @@
                     .connectTimeout(Duration.ofSeconds(2))
                     .build();
     private final LoadTally tally = new LoadTally();
+    private final LoadTally warmUpTally = new LoadTally();
     private final Phaser running = new Phaser(1);
     private final String[] entries;
     private final String service;
@@ -51,7 +52,8 @@
                 new CommandLineOptions()
                         .with("entry", "address of an entry host; may be repeated")
                         .with("rate", "arrivals per second")
-                        .with("seconds", "length of the run")
+                        .with("seconds", "length of the counted run")
+                        .with("warm-up-seconds", "time before it, whose requests do not count")
                         .with("customers", "NAME:SHARE,...")
                         .with("kinds", "lookup:SHARE,plan:SHARE,watch:SHARE")
                         .with("service", "the service")
@@ -72,21 +74,21 @@
                         options.number("rate", 50));
         LoadMain load = new LoadMain(options);
         double seconds = options.number("seconds", 10);
-        load.send(plan, seconds);
+        load.send(plan, options.number("warm-up-seconds", 0), seconds);
         System.out.println(load.tally.json(seconds));
     }
 
-    private void send(LoadPlan plan, double seconds) {
+    private void send(LoadPlan plan, double warmUpSeconds, double seconds) {
         long begin = System.nanoTime();
         double at = plan.nextGapSeconds();
-        while (at < seconds) {
+        while (at < warmUpSeconds + seconds) {
             long planned = begin + (long) (at * 1e9);
             long wait = planned - System.nanoTime();
             while (wait > 0) {
                 LockSupport.parkNanos(wait);
                 wait = planned - System.nanoTime();
             }
-            send(plan.next(), planned);
+            send(plan.next(), planned, at < warmUpSeconds ? warmUpTally : tally);
             at += plan.nextGapSeconds();
         }
         try {
@@ -100,7 +102,7 @@
         }
     }
 
-    private void send(LoadPlan.Arrival arrival, long planned) {
+    private void send(LoadPlan.Arrival arrival, long planned, LoadTally counts) {
         String nonce = run + "-" + arrival.number();
         String entry = entries[(int) (arrival.number() % entries.length)];
         String path =
@@ -120,32 +122,36 @@
         if (arrival.kind() == LoadPlan.Kind.PLAN) {
             request.header("Peridot-Key", nonce);
         }
-        tally.sent();
+        counts.sent();
         running.register();
         client.sendAsync(request.build(), HttpResponse.BodyHandlers.ofString())
                 .whenComplete(
                         (response, failure) -> {
-                            end(arrival, nonce, response, planned);
+                            end(arrival, nonce, response, planned, counts);
                             running.arriveAndDeregister();
                         });
     }
 
     private void end(
-            LoadPlan.Arrival arrival, String nonce, HttpResponse<String> response, long planned) {
+            LoadPlan.Arrival arrival,
+            String nonce,
+            HttpResponse<String> response,
+            long planned,
+            LoadTally counts) {
         long micros = TimeUnit.NANOSECONDS.toMicros(System.nanoTime() - planned);
         if (response == null) {
-            tally.ended(arrival, "no-response", "", micros, false);
+            counts.ended(arrival, "no-response", "", micros, false);
             return;
         }
         String outcome = response.headers().firstValue("Peridot-Outcome").orElse("no-outcome");
         JsonNode body = body(response);
         if (outcome.equals("answered") && response.statusCode() == 200) {
             if (!body.path("query").path("nonce").asText().equals(nonce)) {
-                tally.crossed();
+                counts.crossed();
             }
         }
         boolean good = response.statusCode() == 200 && micros <= deadlineMillis * 1000;
-        tally.ended(arrival, outcome, body.path("reason").asText(""), micros, good);
+        counts.ended(arrival, outcome, body.path("reason").asText(""), micros, good);
     }
 
     private static JsonNode body(HttpResponse<String> response) {
