Add peridotctl with check, status, explain and rows

Operators edit rows by conditional writes and see whether each row is accepted. A write whose response is lost is repeated with the same identity until its effect is known. The check of rows uses the acceptor's own rules.

--- /dev/null
+++ b/ctl/src/main/java/org/peridotcourse/ctl/Daemons.java
@@ -0,0 +1,16 @@
+package org.peridotcourse.ctl;
+
+import org.apache.commons.cli.CommandLine;
+
+/** Reads the option that names daemons. It holds no state. */
+final class Daemons {
+    private Daemons() {}
+
+    static String[] addresses(CommandLine line) throws CtlException {
+        String[] addresses = line.getOptionValues("daemon");
+        if (addresses == null) {
+            throw new CtlException(CtlFailure.usage("--daemon is missing"));
+        }
+        return addresses;
+    }
+}
--- /dev/null
+++ b/ctl/src/main/java/org/peridotcourse/ctl/ExplainCommand.java
@@ -0,0 +1,48 @@
+package org.peridotcourse.ctl;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.apache.commons.cli.CommandLine;
+
+/**
+ * Shows what daemons decided about a request or task. Each daemon knows only its own decisions, so
+ * all named daemons are asked. It holds no state.
+ */
+final class ExplainCommand implements Subcommand {
+    @Override
+    public ExitCode run(CommandLine line, Console console) throws CtlException {
+        if (line.hasOption("request") == line.hasOption("task")) {
+            throw new CtlException(CtlFailure.usage("name either --request or --task"));
+        }
+        String kind = line.hasOption("request") ? "request" : "task";
+        String id = line.getOptionValue(kind);
+        ObjectNode result = JsonHttp.MAPPER.createObjectNode().put(kind, id);
+        ArrayNode decisions = result.putArray("decisions");
+        CtlException unreachable = null;
+        for (String address : Daemons.addresses(line)) {
+            try {
+                JsonHttp.Response response =
+                        new JsonHttp(address).get("/explain?" + kind + "=" + JsonHttp.encode(id));
+                if (response.status() != 404) {
+                    add(response.expect(address, 200), decisions);
+                }
+            } catch (CtlException e) {
+                unreachable = e;
+            }
+        }
+        if (decisions.isEmpty() && unreachable != null) {
+            throw unreachable;
+        }
+        if (unreachable != null) {
+            console.error("peridotctl explain: " + unreachable.failure().message());
+        }
+        console.value(result);
+        return decisions.isEmpty() ? ExitCode.NOT_FOUND : ExitCode.OK;
+    }
+
+    private static void add(JsonNode body, ArrayNode decisions) {
+        JsonNode list = body.isArray() ? body : body.path("decisions");
+        list.forEach(decisions::add);
+    }
+}
--- /dev/null
+++ b/ctl/src/main/java/org/peridotcourse/ctl/RowStore.java
@@ -0,0 +1,105 @@
+package org.peridotcourse.ctl;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+/** Operators' rows in the platform's table service. It holds no state and is thread-safe. */
+final class RowStore {
+    /** A lost response is rare; five tries bridge a restart of the connection. */
+    private static final int TRIES = 5;
+
+    private static final int PAGE = 500;
+
+    private final JsonHttp http;
+
+    RowStore(JsonHttp http) {
+        this.http = http;
+    }
+
+    Optional<JsonNode> row(String table, String key) throws CtlException {
+        JsonNode body =
+                http.get("/v1/rows/" + JsonHttp.encode(table) + "?key=" + JsonHttp.encode(key))
+                        .expect(http.address(), 200);
+        return Optional.of(body.path("row")).filter(JsonNode::isObject);
+    }
+
+    List<JsonNode> rows(String table, String prefix) throws CtlException {
+        List<JsonNode> found = new ArrayList<>();
+        long since = 0;
+        boolean more = true;
+        while (more) {
+            JsonNode page = page(table, prefix, since);
+            for (JsonNode row : page.path("rows")) {
+                since = row.path("commit").asLong();
+                found.removeIf(earlier -> earlier.get("key").equals(row.get("key")));
+                if (!row.path("deleted").asBoolean()) {
+                    found.add(row);
+                }
+            }
+            more = page.path("more").asBoolean() && !page.path("rows").isEmpty();
+        }
+        found.sort((a, b) -> a.path("key").asText().compareTo(b.path("key").asText()));
+        return found;
+    }
+
+    /**
+     * Puts or removes a row if it is as expected, and settles a lost response.
+     *
+     * @param id the identity of the write
+     * @param table the table
+     * @param key the key
+     * @param value the columns, empty to remove the row
+     * @param expected the commit of the present row, 0 for an absent one
+     * @return the commit, empty if somebody else changed the row
+     * @throws CtlException if it is not known whether the write took effect
+     */
+    Optional<Long> write(
+            String id, String table, String key, Optional<JsonNode> value, long expected)
+            throws CtlException {
+        ObjectNode transaction = JsonHttp.MAPPER.createObjectNode().put("id", id);
+        ObjectNode check = transaction.putArray("checks").addObject();
+        check.put("table", table).put("key", key).put("commit", expected);
+        ObjectNode row = transaction.putArray(value.isPresent() ? "puts" : "deletes").addObject();
+        row.put("table", table).put("key", key);
+        value.ifPresent(columns -> row.set("value", columns));
+        CtlException last = null;
+        for (int i = 0; i < TRIES; i++) {
+            try {
+                JsonHttp.Response response = http.post("/v1/transactions", transaction);
+                if (response.status() == 409) {
+                    return last == null ? Optional.empty() : ownCommit(id, table, key);
+                }
+                JsonNode body = response.expect(http.address(), 200);
+                return Optional.of(body.path("commit").asLong());
+            } catch (CtlException e) {
+                last = e;
+            }
+        }
+        throw last;
+    }
+
+    private Optional<Long> ownCommit(String id, String table, String key) throws CtlException {
+        JsonNode body =
+                http.get(
+                                "/v1/rows/"
+                                        + JsonHttp.encode(table)
+                                        + "?prefix="
+                                        + JsonHttp.encode(key)
+                                        + "&since=1")
+                        .expect(http.address(), 200);
+        for (JsonNode row : body.path("rows")) {
+            if (row.path("key").asText().equals(key) && row.path("writer").asText().equals(id)) {
+                return Optional.of(row.path("commit").asLong());
+            }
+        }
+        return Optional.empty();
+    }
+
+    private JsonNode page(String table, String prefix, long since) throws CtlException {
+        String query = "?prefix=" + JsonHttp.encode(prefix) + "&since=" + since + "&limit=" + PAGE;
+        return http.get("/v1/rows/" + JsonHttp.encode(table) + query).expect(http.address(), 200);
+    }
+}
--- /dev/null
+++ b/ctl/src/main/java/org/peridotcourse/ctl/RowsCommand.java
@@ -0,0 +1,220 @@
+package org.peridotcourse.ctl;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.UUID;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+import java.util.stream.Collectors;
+import org.apache.commons.cli.CommandLine;
+import org.peridotcourse.config.ConfigTable;
+import org.peridotcourse.config.RowFault;
+
+/** Shows and edits the rows that operators own. It holds no state. */
+final class RowsCommand implements Subcommand {
+    private static final String ACCEPTANCE = "acceptance";
+    private static final long POLL_MILLIS = 200;
+
+    @Override
+    public ExitCode run(CommandLine line, Console console) throws CtlException {
+        List<String> arguments = line.getArgList();
+        String platform = line.getOptionValue("platform", System.getenv("PERIDOT_PLATFORM"));
+        if (platform == null) {
+            throw new CtlException(CtlFailure.usage("--platform is missing"));
+        }
+        RowStore store = new RowStore(new JsonHttp(platform));
+        String verb = arguments.isEmpty() ? "" : arguments.get(0);
+        boolean listing = verb.equals("list");
+        boolean known = listing || verb.equals("get") || verb.equals("delete");
+        int size = listing ? 2 : 3;
+        if (verb.equals("put") ? arguments.size() < 4 : !known || arguments.size() != size) {
+            throw new CtlException(CtlFailure.usage("list, get, put or delete is needed"));
+        }
+        String table = arguments.get(1);
+        switch (verb) {
+            case "list":
+                return list(store, table, line.getOptionValue("prefix", ""), console);
+            case "get":
+                return get(store, table, arguments.get(2), console);
+            default:
+                return write(store, line, console);
+        }
+    }
+
+    private static ExitCode list(RowStore store, String table, String prefix, Console console)
+            throws CtlException {
+        Map<String, JsonNode> notes = new HashMap<>();
+        for (JsonNode note : store.rows(ACCEPTANCE, table + "/" + prefix)) {
+            notes.put(note.path("key").asText(), note.path("value"));
+        }
+        ArrayNode rows = JsonHttp.MAPPER.createArrayNode();
+        for (JsonNode row : store.rows(table, prefix)) {
+            JsonNode note = notes.get(table + "/" + row.path("key").asText());
+            rows.add(shown(row, Optional.ofNullable(note)));
+        }
+        if (console.isJson()) {
+            console.value(rows);
+        } else {
+            rows.forEach(row -> console.line(line(row)));
+        }
+        return ExitCode.OK;
+    }
+
+    private static ExitCode get(RowStore store, String table, String key, Console console)
+            throws CtlException {
+        JsonNode row = store.row(table, key).orElseThrow(() -> notFound(table, key));
+        console.value(shown(row, note(store, table, key)));
+        return ExitCode.OK;
+    }
+
+    private static ExitCode write(RowStore store, CommandLine line, Console console)
+            throws CtlException {
+        List<String> arguments = line.getArgList();
+        String table = arguments.get(1);
+        String key = arguments.get(2);
+        boolean put = arguments.get(0).equals("put");
+        if (ConfigTable.parse(table).isEmpty()) {
+            String known =
+                    Arrays.stream(ConfigTable.values())
+                            .map(ConfigTable::title)
+                            .collect(Collectors.joining(", "));
+            throw new CtlException(CtlFailure.usage("operators edit only the tables " + known));
+        }
+        Optional<JsonNode> present = store.row(table, key);
+        if (!put && present.isEmpty()) {
+            throw notFound(table, key);
+        }
+        Optional<JsonNode> value = Optional.empty();
+        if (put) {
+            ObjectNode columns = JsonHttp.MAPPER.createObjectNode();
+            if (line.hasOption("merge")) {
+                present.ifPresent(row -> columns.setAll((ObjectNode) row.get("value")));
+            }
+            columns.setAll(RowColumns.parse(arguments.subList(3, arguments.size())));
+            value = Optional.of(columns);
+            if (!line.hasOption("unchecked") && hasFaults(table, key, columns, console)) {
+                return ExitCode.FAULTS;
+            }
+        }
+        long commit = present.map(row -> row.path("commit").asLong()).orElse(0L);
+        long expected = line.hasOption("expect") ? number(line, "expect") : commit;
+        String id = "peridotctl-" + UUID.randomUUID();
+        Optional<Long> written = store.write(id, table, key, value, expected);
+        if (written.isEmpty()) {
+            console.error("the row has changed meanwhile; it is now:");
+            Optional<JsonNode> newer = store.row(table, key);
+            console.value(
+                    newer.isPresent()
+                            ? shown(newer.get(), note(store, table, key))
+                            : JsonHttp.MAPPER.createObjectNode().put("key", key).put("commit", 0));
+            return ExitCode.CONFLICT;
+        }
+        long wait = line.hasOption("wait") ? number(line, "wait") : 0;
+        return follow(store, table, key, written.get(), wait, console);
+    }
+
+    private static boolean hasFaults(
+            String table, String key, ObjectNode columns, Console console) {
+        List<RowFault> faults = RowsFile.faultsOf(table, key, columns);
+        if (console.isJson() && !faults.isEmpty()) {
+            ObjectNode result = JsonHttp.MAPPER.createObjectNode().put("error", "faults");
+            ArrayNode list = result.putArray("faults");
+            for (RowFault fault : faults) {
+                list.addObject()
+                        .put("column", fault.column())
+                        .put("code", fault.kind().code())
+                        .put("found", fault.found())
+                        .put("allowed", fault.allowed());
+            }
+            console.value(result);
+        } else {
+            faults.forEach(fault -> console.line(fault.toString()));
+        }
+        return !faults.isEmpty();
+    }
+
+    /** Shows the acceptance of a written row, waiting for it if asked to. */
+    private static ExitCode follow(
+            RowStore store, String table, String key, long commit, long seconds, Console console)
+            throws CtlException {
+        ObjectNode result = JsonHttp.MAPPER.createObjectNode();
+        result.put("table", table).put("key", key).put("commit", commit);
+        long deadline = System.nanoTime() + TimeUnit.SECONDS.toNanos(seconds);
+        Optional<JsonNode> note = note(store, table, key);
+        while (isBehind(note, commit) && System.nanoTime() < deadline) {
+            LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(POLL_MILLIS));
+            note = note(store, table, key);
+        }
+        describe(result, commit, note);
+        console.value(result);
+        if (isBehind(note, commit)) {
+            return seconds > 0 ? ExitCode.PENDING : ExitCode.OK;
+        }
+        return note.get().path("status").asText().equals("accepted")
+                ? ExitCode.OK
+                : ExitCode.FAULTS;
+    }
+
+    private static boolean isBehind(Optional<JsonNode> note, long commit) {
+        return note.map(value -> value.path("rowCommit").asLong() < commit).orElse(true);
+    }
+
+    private static Optional<JsonNode> note(RowStore store, String table, String key)
+            throws CtlException {
+        return store.row(ACCEPTANCE, table + "/" + key).map(row -> row.path("value"));
+    }
+
+    private static ObjectNode shown(JsonNode row, Optional<JsonNode> note) {
+        ObjectNode node = JsonHttp.MAPPER.createObjectNode();
+        node.put("key", row.path("key").asText()).put("commit", row.path("commit").asLong());
+        describe(node, row.path("commit").asLong(), note);
+        node.set("columns", row.path("value"));
+        return node;
+    }
+
+    private static void describe(ObjectNode node, long commit, Optional<JsonNode> note) {
+        if (isBehind(note, commit)) {
+            node.put("acceptance", "pending");
+            return;
+        }
+        JsonNode value = note.get();
+        node.put("acceptance", value.path("status").asText());
+        if (value.path("status").asText().equals("refused")) {
+            node.put("code", value.path("code").asText());
+            node.put("message", value.path("message").asText());
+        }
+    }
+
+    private static String line(JsonNode row) {
+        String line =
+                row.path("key").asText()
+                        + " commit="
+                        + row.path("commit")
+                        + " "
+                        + row.path("acceptance").asText()
+                        + " "
+                        + row.path("columns");
+        return row.has("message") ? line + "\n    " + row.path("message").asText() : line;
+    }
+
+    private static long number(CommandLine line, String option) throws CtlException {
+        String text = line.getOptionValue(option);
+        try {
+            return Long.parseLong(text);
+        } catch (NumberFormatException e) {
+            throw new CtlException(
+                    CtlFailure.usage("--" + option + " needs a whole number, found " + text));
+        }
+    }
+
+    private static CtlException notFound(String table, String key) {
+        return new CtlException(
+                new CtlFailure(ExitCode.NOT_FOUND, "not-found", "no row " + table + "/" + key));
+    }
+}
--- /dev/null
+++ b/ctl/src/main/java/org/peridotcourse/ctl/StatusCommand.java
@@ -0,0 +1,26 @@
+package org.peridotcourse.ctl;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.apache.commons.cli.CommandLine;
+
+/** Shows the status page of each named daemon. It holds no state. */
+final class StatusCommand implements Subcommand {
+    @Override
+    public ExitCode run(CommandLine line, Console console) throws CtlException {
+        ExitCode code = ExitCode.OK;
+        ObjectNode all = JsonHttp.MAPPER.createObjectNode();
+        for (String address : Daemons.addresses(line)) {
+            try {
+                JsonHttp http = new JsonHttp(address);
+                JsonNode status = http.get("/status").expect(address, 200);
+                all.set(address, status);
+            } catch (CtlException e) {
+                all.putObject(address).put("error", e.failure().message());
+                code = e.failure().exitCode();
+            }
+        }
+        console.value(all);
+        return code;
+    }
+}
