--- a/standins/src/main/java/org/peridotcourse/standins/LoadMain.java
+++ b/standins/src/main/java/org/peridotcourse/standins/LoadMain.java
@@ -17,7 +17,9 @@
  * ended, and prints one line of JSON with the results.
  *
  * <p>Arrivals go to the entry addresses in turn. Plans carry a request key. Each request carries a
- * nonce, and a response whose body has another one is counted as crossed.
+ * nonce, and a response whose body has another one is counted as crossed. The HTTP client of the
+ * JDK repeats a GET whose reused connection was closed before the first byte of the response, so
+ * such a loss is not counted.
  */
 public final class LoadMain {
     private final HttpClient client =
--- a/standins/src/main/java/org/peridotcourse/standins/WorkerState.java
+++ b/standins/src/main/java/org/peridotcourse/standins/WorkerState.java
@@ -7,6 +7,7 @@
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import org.peridotcourse.Resources;
@@ -111,7 +112,7 @@
     }
 
     synchronized void stopAll(long nowMillis) {
-        tasks.values().forEach(task -> stop(task.id(), task.attempt(), nowMillis));
+        List.copyOf(tasks.values()).forEach(task -> stop(task.id(), task.attempt(), nowMillis));
     }
 
     synchronized Optional<WorkerTask> running(String task, long attempt, long nowMillis) {
