Add the placement owner and its lease arithmetic

The daemon needs a stable interface to the placement decisions. PlacementOwner takes events (lease, configuration, rows, reports, answers, ticks) and returns typed actions (grouped writes, commands, reports to fetch). LeaseHolder, LeaseChallenger and LeaseClock hold the lease rules.

--- /dev/null
+++ b/core/src/main/java/org/peridotcourse/base/LeaseClock.java
@@ -0,0 +1,23 @@
+package org.peridotcourse.base;
+
+/**
+ * Converts bounds of the local clock into a remote process's monotonic clock.
+ *
+ * <p>A reading W received at local time t was taken no later than t. At the remote time {@code W +
+ * (bound - t)} the local clock therefore shows at most {@code bound}, whatever the delay of the
+ * message was. Instances are immutable and thread-safe.
+ *
+ * @param remoteMillis the remote clock's reading
+ * @param receivedMillis the local time at which the reading arrived, or a later one
+ */
+public record LeaseClock(long remoteMillis, long receivedMillis) {
+    /**
+     * Converts a bound.
+     *
+     * @param boundMillis a time of the local clock
+     * @return a time of the remote clock that is never later than the bound
+     */
+    public long toRemote(long boundMillis) {
+        return remoteMillis + (boundMillis - receivedMillis);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/peridotcourse/placement/Book.java
@@ -0,0 +1,319 @@
+package org.peridotcourse.placement;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.peridotcourse.CustomerId;
+import org.peridotcourse.DataCentreId;
+import org.peridotcourse.JobId;
+import org.peridotcourse.Resources;
+import org.peridotcourse.TaskId;
+import org.peridotcourse.WorkerId;
+import org.peridotcourse.WorkloadId;
+import org.peridotcourse.base.LeaseHolder;
+
+/**
+ * The owner's memory: lease, configuration, workers, jobs and tasks.
+ *
+ * <p>Keeps the workers' ledgers and the customers' use in step with the tasks. Confined to one
+ * thread.
+ */
+final class Book {
+    final OwnerSettings settings;
+    final PlacementPolicy policy;
+    final Map<WorkerId, Worker> workers = new TreeMap<>();
+    final Map<String, Job> jobs = new HashMap<>();
+    final Map<CustomerId, Customer> customers = new TreeMap<>();
+    final Map<DataCentreId, Peer> peers = new TreeMap<>();
+    final InterferenceModel interference = new InterferenceModel();
+
+    /** Rows whose job has not been seen. */
+    final Map<String, List<TaskRow>> orphans = new HashMap<>();
+
+    /** Commits of removals, until a poll as of that commit or a later one has been seen. */
+    final Map<String, Long> removed = new HashMap<>();
+
+    /** Hosts of all data centres. */
+    List<WorkerHost> hosts = List.of();
+
+    /** The time of the present decision. */
+    long nowMillis;
+
+    LeaseHolder lease;
+    boolean loaded;
+    long loadedMillis;
+
+    /** Batch leases granted by earlier owners to workers that were not reached end by then. */
+    long earlierBoundMillis;
+
+    PlacementConfig config = PlacementConfig.EMPTY;
+    long configConfirmedMillis = Long.MIN_VALUE / 2;
+    Resources capacity = Resources.ZERO;
+    Resources allCapacity = Resources.ZERO;
+    int placed;
+    int queued;
+    long evictions;
+    long starts;
+    List<PlacementAction> actions = new ArrayList<>();
+
+    private final Map<WorkloadId, UsageEstimator> estimators = new HashMap<>();
+
+    Book(OwnerSettings settings, PlacementPolicy policy) {
+        this.settings = settings;
+        this.policy = policy;
+    }
+
+    DataCentreId dataCentre() {
+        return settings.dataCentre();
+    }
+
+    boolean isHeld(long nowMillis) {
+        return lease != null && lease.isHeld(nowMillis);
+    }
+
+    boolean isReady(long nowMillis) {
+        return loaded && isHeld(nowMillis);
+    }
+
+    /** Tells whether there is proof that tasks may start here. */
+    boolean mayStart(long nowMillis) {
+        return isReady(nowMillis)
+                && config.isIn(dataCentre())
+                && nowMillis - configConfirmedMillis <= OwnerSettings.CONFIG_AGE_MILLIS;
+    }
+
+    boolean isLatencyCritical(Job job) {
+        return job.replicas;
+    }
+
+    Optional<PlacementConfig.WorkloadRule> rule(WorkloadId workload) {
+        return Optional.ofNullable(config.workloads().get(workload));
+    }
+
+    Customer customer(CustomerId id) {
+        return customers.computeIfAbsent(id, Customer::new);
+    }
+
+    UsageEstimator estimator(WorkloadId workload) {
+        return estimators.computeIfAbsent(workload, key -> new UsageEstimator());
+    }
+
+    /** Returns a worker; one that the host list does not show has no capacity. */
+    Worker worker(WorkerId id) {
+        Worker known = workers.get(id);
+        if (known == null) {
+            known = new Worker(id, new Ledger(Resources.ZERO));
+            known.leaving = true;
+            known.batchBoundMillis = earlierBoundMillis;
+            known.serviceBoundMillis = Long.MAX_VALUE / 2;
+            workers.put(id, known);
+        }
+        return known;
+    }
+
+    Task find(TaskId id) {
+        int cut = id.value().lastIndexOf('/');
+        Job job = jobs.get(id.value().substring(0, cut));
+        return job == null ? null : job.tasks.get(index(id));
+    }
+
+    static int index(TaskId id) {
+        return Integer.parseInt(id.value().substring(id.value().lastIndexOf('/') + 1));
+    }
+
+    static String jobKey(TaskId id) {
+        return id.value().substring(0, id.value().lastIndexOf('/'));
+    }
+
+    static CustomerId customerOf(String jobKey) {
+        return CustomerId.of(jobKey.substring(0, jobKey.indexOf('/')));
+    }
+
+    /** Records a job row, if it is newer than the known one. */
+    Job putJob(long nowMillis, JobRow row) {
+        String key = row.spec().id().value();
+        Job job = jobs.get(key);
+        if (job == null) {
+            if (row.progress().state().isFinal()) {
+                return null;
+            }
+            job = new Job(key, customer(customerOf(key)), false, row, nowMillis);
+            jobs.put(key, job);
+        } else if (row.commit() > job.row.commit()) {
+            job.row = row;
+        }
+        return job;
+    }
+
+    /** Replaces what is known of a task by its row. */
+    void adopt(long nowMillis, TaskRow row) {
+        Job job = jobs.get(jobKey(row.task()));
+        if (job == null) {
+            if (!isReplica(row.task())) {
+                List<TaskRow> waiting =
+                        orphans.computeIfAbsent(jobKey(row.task()), key -> new ArrayList<>());
+                waiting.removeIf(other -> other.task().equals(row.task()));
+                waiting.add(row);
+                return;
+            }
+            job = replicaJob(nowMillis, jobKey(row.task()), row.size());
+        }
+        Task task = job.tasks.get(index(row.task()));
+        if (task == null) {
+            task = new Task(job, index(row.task()));
+            job.tasks.put(task.index, task);
+        } else {
+            unlink(nowMillis, task);
+        }
+        task.state = row.state();
+        task.attempt = row.attempt();
+        task.checkpoint = row.checkpoint().orElse(null);
+        task.commit = row.commit();
+        task.busy = false;
+        task.forgetAttempt();
+        if (row.state().isPlaced()) {
+            attach(nowMillis, task, worker(row.worker().orElseThrow()));
+        } else if (row.state() == TaskState.QUEUED) {
+            queue(task);
+        }
+    }
+
+    /** Forgets a task that is no longer in this data centre. */
+    void forget(long nowMillis, Task task, long commit) {
+        unlink(nowMillis, task);
+        task.job.tasks.remove(task.index);
+        task.busy = false;
+        removed.put(task.job.key + "/" + task.index, commit);
+        if (task.job.state().isFinal() && task.job.tasks.isEmpty()) {
+            jobs.remove(task.job.key);
+        }
+    }
+
+    void queue(Task task) {
+        task.state = TaskState.QUEUED;
+        task.job.enqueue(task);
+        queued++;
+    }
+
+    void unlink(long nowMillis, Task task) {
+        if (task.worker != null) {
+            detach(nowMillis, task);
+        } else if (task.state == TaskState.QUEUED) {
+            unqueue(task);
+        }
+    }
+
+    void unqueue(Task task) {
+        task.job.dequeue(task);
+        queued--;
+    }
+
+    /** Charges a task to a worker and to its customer. */
+    void attach(long nowMillis, Task task, Worker worker) {
+        task.worker = worker;
+        task.estimate = estimator(task.job.workload()).estimate(task.job.size());
+        worker.ledger.adopt(task.job.size(), task.estimate);
+        worker.tasks.add(task);
+        placed++;
+        if (!task.job.replicas) {
+            worker.changedMillis = nowMillis;
+            task.job.customer.used = task.job.customer.used.plus(task.job.size());
+        }
+    }
+
+    void detach(long nowMillis, Task task) {
+        Worker worker = task.worker;
+        task.worker = null;
+        worker.ledger.release(task.job.size(), task.estimate);
+        worker.tasks.remove(task);
+        worker.health.withdrawn();
+        placed--;
+        if (!task.job.replicas) {
+            worker.changedMillis = nowMillis;
+            task.job.customer.used = task.job.customer.used.minus(task.job.size());
+        }
+    }
+
+    String replicaKey(WorkloadId workload) {
+        String[] parts = workload.value().split("/");
+        return parts[0] + "/" + REPLICAS + parts[1] + "." + dataCentre().value();
+    }
+
+    /** Replica groups are named so that no two data centres share a task id. */
+    static final String REPLICAS = "service.";
+
+    static boolean isReplica(TaskId task) {
+        return task.value().split("/")[1].startsWith(REPLICAS);
+    }
+
+    /** Returns the group of a service's replicas. */
+    Job replicaJob(long nowMillis, String key, Optional<Resources> size) {
+        Job known = jobs.get(key);
+        if (known != null) {
+            return known;
+        }
+        String name = key.substring(key.indexOf('/') + 1);
+        String workload =
+                name.substring(
+                        REPLICAS.length(), name.length() - dataCentre().value().length() - 1);
+        CustomerId customer = customerOf(key);
+        WorkloadId id = WorkloadId.of(customer.value() + "/" + workload);
+        JobRow row =
+                JobRow.submitted(
+                        new JobRow.Spec(
+                                JobId.of(key), id, 0, size.orElse(Resources.ZERO), true, ""));
+        Job job = new Job(key, customer(customer), true, row, nowMillis);
+        jobs.put(key, job);
+        return job;
+    }
+
+    /** Forgets tasks and the standing of workers, ahead of a complete read. */
+    void clear(long boundMillis) {
+        loaded = false;
+        earlierBoundMillis = Math.max(earlierBoundMillis, boundMillis);
+        jobs.values().removeIf(job -> job.replicas);
+        for (Job job : jobs.values()) {
+            job.tasks.clear();
+            job.queued.clear();
+            job.busy = false;
+            job.pending = false;
+        }
+        customers.clear();
+        Map<String, Job> old = new HashMap<>(jobs);
+        jobs.clear();
+        for (Job job : old.values()) {
+            Job fresh =
+                    new Job(
+                            job.key,
+                            customer(customerOf(job.key)),
+                            false,
+                            job.row,
+                            job.firstSeenMillis);
+            fresh.failedOn.addAll(job.failedOn);
+            jobs.put(job.key, fresh);
+        }
+        orphans.clear();
+        removed.clear();
+        placed = 0;
+        queued = 0;
+        for (Worker worker : workers.values()) {
+            for (Task task : worker.tasks) {
+                worker.ledger.release(task.job.size(), task.estimate);
+            }
+            worker.tasks.clear();
+            worker.beginEpoch(boundMillis);
+        }
+    }
+
+    void decide(String subject, String decision, Worker worker, String reason) {
+        actions.add(
+                new PlacementAction.Decided(
+                        subject,
+                        decision,
+                        Optional.ofNullable(worker).map(known -> known.id),
+                        reason));
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/peridotcourse/placement/Customer.java
@@ -0,0 +1,64 @@
+package org.peridotcourse.placement;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.peridotcourse.CustomerId;
+import org.peridotcourse.Resources;
+
+/** Use and queue of one customer in this data centre. Confined to one thread. */
+final class Customer {
+    final CustomerId id;
+    int queuedTasks;
+
+    /** Declared sizes of its placed batch tasks. */
+    Resources used = Resources.ZERO;
+
+    /** Number of the last scheduling pass in which nothing of it could be placed. */
+    long blockedPass;
+
+    private final List<Job> replicas = new ArrayList<>();
+    private final List<Job> urgent = new ArrayList<>();
+    private final List<Job> normal = new ArrayList<>();
+
+    Customer(CustomerId id) {
+        this.id = id;
+    }
+
+    /** Adds a job whose first task was queued. */
+    void add(Job job) {
+        list(job).add(job);
+    }
+
+    /** Removes a job whose last task left the queue. */
+    void remove(Job job) {
+        list(job).remove(job);
+    }
+
+    private List<Job> list(Job job) {
+        if (job.replicas) {
+            return replicas;
+        }
+        return job.row.spec().urgent() ? urgent : normal;
+    }
+
+    List<Job> replicas() {
+        return replicas;
+    }
+
+    List<Job> urgent() {
+        return urgent;
+    }
+
+    List<Job> normal() {
+        return normal;
+    }
+
+    /** Tells whether it has no queued batch job. */
+    boolean isIdle() {
+        return urgent.isEmpty() && normal.isEmpty();
+    }
+
+    boolean hasUrgent() {
+        return !urgent.isEmpty();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/peridotcourse/placement/Estimate.java
@@ -0,0 +1,12 @@
+package org.peridotcourse.placement;
+
+/**
+ * What a task is expected to use. Instances are immutable and thread-safe.
+ *
+ * @param milliCores processor time
+ * @param memoryMib memory, never below the declared size
+ */
+record Estimate(long milliCores, long memoryMib) {
+    /** Nothing. */
+    static final Estimate NONE = new Estimate(0, 0);
+}
--- /dev/null
+++ b/core/src/main/java/org/peridotcourse/placement/FairOrder.java
@@ -0,0 +1,74 @@
+package org.peridotcourse.placement;
+
+import java.util.Optional;
+import org.peridotcourse.Resources;
+
+/**
+ * Order of customers by weighted dominant share, within their quotas.
+ *
+ * <p>The shares count the placed batch tasks of this data centre. Confined to one thread.
+ */
+final class FairOrder {
+    private final Book book;
+
+    FairOrder(Book book) {
+        this.book = book;
+    }
+
+    /** Returns the dominant share of a customer divided by its weight. */
+    double weightedShare(Customer customer) {
+        return customer.used.dominantShare(book.capacity) / weight(customer);
+    }
+
+    private int weight(Customer customer) {
+        PlacementConfig.CustomerRule rule = book.config.customers().get(customer.id);
+        return rule == null ? 1 : Math.max(1, rule.weight());
+    }
+
+    /**
+     * Returns the next customer with queued batch work that was not given up in this pass: first
+     * those with urgent work, then the one with the least weighted share.
+     */
+    Customer next(long pass, boolean urgentOnly) {
+        Customer best = null;
+        double least = Double.MAX_VALUE;
+        for (Customer customer : book.customers.values()) {
+            if (customer.queuedTasks == 0 || customer.blockedPass == pass) {
+                continue;
+            }
+            if (urgentOnly ? !customer.hasUrgent() : customer.isIdle()) {
+                continue;
+            }
+            double share = weightedShare(customer);
+            if (share < least) {
+                least = share;
+                best = customer;
+            }
+        }
+        return best;
+    }
+
+    /**
+     * Tells whether a task keeps its customer within the quota. Each data centre enforces the part
+     * of the quota that corresponds to its part of the capacity, so that the sum never exceeds it.
+     */
+    boolean isWithinQuota(Customer customer, Resources size) {
+        PlacementConfig.CustomerRule rule = book.config.customers().get(customer.id);
+        Optional<Resources> quota = rule == null ? Optional.empty() : rule.quota();
+        return quota.isEmpty() || customer.used.plus(size).isWithin(localPart(quota.get()));
+    }
+
+    private Resources localPart(Resources quota) {
+        return new Resources(
+                part(quota.milliCores(), book.capacity.milliCores(), book.allCapacity.milliCores()),
+                part(quota.memoryMib(), book.capacity.memoryMib(), book.allCapacity.memoryMib()),
+                part(
+                        quota.accelerators(),
+                        book.capacity.accelerators(),
+                        book.allCapacity.accelerators()));
+    }
+
+    private static long part(long quota, long here, long all) {
+        return all == 0 || here == all ? quota : (long) ((double) quota * here / all);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/peridotcourse/placement/Guards.java
@@ -0,0 +1,166 @@
+package org.peridotcourse.placement;
+
+import java.util.LinkedHashSet;
+import java.util.Locale;
+import java.util.Set;
+import org.peridotcourse.WorkloadId;
+
+/**
+ * Reacts to interference and to estimates that exceed a worker's capacity.
+ *
+ * <p>Confined to one thread.
+ */
+final class Guards {
+    /**
+     * Time after a change of the neighbours before a report counts, in addition to the age of its
+     * figures; shorter windows attribute the latency to the wrong neighbour.
+     */
+    private static final long SETTLE_MILLIS = 2_000;
+
+    private static final int THROTTLED_PERCENT = 50;
+
+    private final Book book;
+    private final Outbox outbox;
+    private final EvictionBudget budget = new EvictionBudget();
+
+    Guards(Book book, Outbox outbox) {
+        this.book = book;
+        this.outbox = outbox;
+    }
+
+    /** Follows a changed estimate of a running task; evicts if the worker cannot hold it. */
+    void estimate(Task task) {
+        if (!isOn()) {
+            return;
+        }
+        Estimate wanted = book.estimator(task.job.workload()).estimate(task.job.size());
+        if (wanted.equals(task.estimate)) {
+            return;
+        }
+        task.estimate = task.worker.ledger.adjust(task.estimate, wanted);
+        if (task.estimate.milliCores() < wanted.milliCores()
+                || task.estimate.memoryMib() < wanted.memoryMib()) {
+            task.worker.pressed = true;
+        }
+    }
+
+    /** Learns from a report and carries out the step that it leads to. */
+    void observe(long nowMillis, Worker worker, WorkerReport report) {
+        if (!isOn()) {
+            return;
+        }
+        if (worker.pressed) {
+            worker.pressed = false;
+            evict(nowMillis, worker, null, "estimates exceed the capacity");
+        }
+        if (report.services().isEmpty()
+                || nowMillis - report.usageAgeMillis() - worker.changedMillis < SETTLE_MILLIS) {
+            return;
+        }
+        Set<WorkloadId> neighbours = new LinkedHashSet<>();
+        for (Task task : worker.tasks) {
+            if (!task.job.replicas) {
+                neighbours.add(task.job.workload());
+            }
+        }
+        double worst = 1;
+        WorkloadId culprit = null;
+        for (WorkerReport.ServiceReport service : report.services()) {
+            double ratio =
+                    book.interference.observe(
+                            nowMillis, service.workload(), service.p99Millis(), neighbours);
+            if (ratio > worst) {
+                worst = ratio;
+                culprit = culprit(nowMillis, service.workload(), neighbours);
+            }
+        }
+        if (worker.guard.observe(neighbours.isEmpty() ? 1 : worst)) {
+            act(nowMillis, worker, culprit);
+        }
+    }
+
+    private boolean isOn() {
+        return book.policy.isGuarded() && book.settings.guards();
+    }
+
+    private WorkloadId culprit(long nowMillis, WorkloadId service, Set<WorkloadId> neighbours) {
+        WorkloadId found = null;
+        double highest = 0;
+        for (WorkloadId neighbour : neighbours) {
+            double ratio = book.interference.ratio(nowMillis, service, neighbour);
+            if (ratio > highest) {
+                highest = ratio;
+                found = neighbour;
+            }
+        }
+        return found;
+    }
+
+    private void act(long nowMillis, Worker worker, WorkloadId culprit) {
+        WorkerGuard.Step step = worker.guard.step();
+        book.decide(
+                worker.id.value(),
+                "guard-" + step.name().toLowerCase(Locale.ROOT).replace('_', '-'),
+                worker,
+                culprit == null ? "latency is normal" : "culprit " + culprit);
+        for (Task task : worker.tasks) {
+            boolean throttled =
+                    step.ordinal() >= WorkerGuard.Step.THROTTLE.ordinal()
+                            && task.job.workload().equals(culprit);
+            boolean lifted = step.ordinal() < WorkerGuard.Step.THROTTLE.ordinal();
+            if (throttled && task.throttlePercent == 100) {
+                outbox.throttle(task, THROTTLED_PERCENT);
+            } else if (lifted && task.throttlePercent < 100) {
+                outbox.throttle(task, 100);
+            }
+        }
+        if (step == WorkerGuard.Step.EVICT) {
+            evict(nowMillis, worker, culprit, "interference");
+        }
+    }
+
+    private void evict(long nowMillis, Worker worker, WorkloadId culprit, String reason) {
+        Task least = null;
+        for (Task task : worker.tasks) {
+            boolean candidate =
+                    !task.job.replicas
+                            && !task.busy
+                            && task.state == TaskState.RUNNING
+                            && task.controlRequest == 0
+                            && (culprit == null || task.job.workload().equals(culprit));
+            if (candidate && (least == null || task.unsavedProgress() < least.unsavedProgress())) {
+                least = task;
+            }
+        }
+        if (least == null) {
+            return;
+        }
+        int limit =
+                book.rule(least.job.workload())
+                        .map(PlacementConfig.WorkloadRule::maxEvictionsPerMinute)
+                        .orElse(0);
+        if (!budget.take(nowMillis, least.job.workload(), limit)) {
+            return;
+        }
+        book.evictions++;
+        least.state = TaskChart.next(least.state, TaskEvent.CHECKPOINT_REQUESTED);
+        outbox.checkpoint(least);
+        book.decide(least.id().value(), "evicted", worker, reason);
+    }
+
+    /** Returns the expected slow-down of the services on a worker by a batch workload. */
+    double expected(long nowMillis, Worker worker, WorkloadId batch) {
+        double sum = 0;
+        for (Task task : worker.tasks) {
+            if (task.job.replicas) {
+                sum += book.interference.ratio(nowMillis, task.job.workload(), batch) - 1;
+            }
+        }
+        return sum;
+    }
+
+    /** Tells whether a worker takes more batch work. */
+    boolean allowsGrowth(Worker worker) {
+        return !isOn() || (worker.guard.step() == WorkerGuard.Step.NONE && !worker.pressed);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/peridotcourse/placement/Job.java
@@ -0,0 +1,85 @@
+package org.peridotcourse.placement;
+
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import org.peridotcourse.CustomerId;
+import org.peridotcourse.Resources;
+import org.peridotcourse.WorkerId;
+import org.peridotcourse.WorkloadId;
+
+/** What the owner knows of one job, or of the replicas of one service. Confined to one thread. */
+final class Job {
+    final String key;
+    final Customer customer;
+
+    /** True for replicas, which have no row in the table {@code jobs}. */
+    final boolean replicas;
+
+    JobRow row;
+
+    /** A change of the row is in flight or being read back. */
+    boolean busy;
+
+    /** A change of the row, such as a creation of tasks, is collected. */
+    boolean pending;
+
+    final long firstSeenMillis;
+    final Map<Integer, Task> tasks = new HashMap<>();
+    final ArrayDeque<Task> queued = new ArrayDeque<>();
+    final Set<WorkerId> failedOn = new HashSet<>();
+
+    /** Number of the last scheduling pass in which no worker was found. */
+    long blockedPass;
+
+    Job(String key, Customer customer, boolean replicas, JobRow row, long firstSeenMillis) {
+        this.key = key;
+        this.customer = customer;
+        this.replicas = replicas;
+        this.row = row;
+        this.firstSeenMillis = firstSeenMillis;
+    }
+
+    WorkloadId workload() {
+        return row.spec().workload();
+    }
+
+    CustomerId customerId() {
+        return customer.id;
+    }
+
+    Resources size() {
+        return row.spec().size();
+    }
+
+    JobState state() {
+        return row.progress().state();
+    }
+
+    boolean isSchedulable() {
+        return !queued.isEmpty() && !row.cancel() && state() != JobState.HELD;
+    }
+
+    /** Puts a task into the queue of its job. */
+    void enqueue(Task task) {
+        queued.addLast(task);
+        if (queued.size() == 1) {
+            customer.add(this);
+        }
+        customer.queuedTasks++;
+    }
+
+    /** Takes a task out of the queue of its job. */
+    void dequeue(Task task) {
+        boolean found =
+                queued.peekFirst() == task ? queued.pollFirst() != null : queued.remove(task);
+        if (found) {
+            customer.queuedTasks--;
+            if (queued.isEmpty()) {
+                customer.remove(this);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/peridotcourse/placement/JobProgress.java
@@ -0,0 +1,40 @@
+package org.peridotcourse.placement;
+
+import java.util.List;
+import java.util.Optional;
+import org.peridotcourse.DataCentreId;
+
+/** Computes the progress of a job after a group of changes. Stateless and thread-safe. */
+final class JobProgress {
+    private JobProgress() {}
+
+    static JobRow.Progress after(Job job, List<Change> changes) {
+        JobRow.Progress old = job.row.progress();
+        int finished = old.finished();
+        int cancelled = old.cancelled();
+        int created = old.created();
+        JobState state = old.state();
+        Optional<String> reason = old.reason();
+        Optional<DataCentreId> claim = old.dataCentre();
+        for (Change change : changes) {
+            if (change.job != job) {
+                continue;
+            }
+            finished += change.finished;
+            cancelled += change.cancelled;
+            created = Math.max(created, change.createTo);
+            if (change.jobState != null) {
+                state = change.jobState;
+                reason = Optional.ofNullable(change.reason);
+            }
+            if (change.claim != null) {
+                claim = change.claim;
+            }
+        }
+        if (finished + cancelled >= job.row.spec().tasks() && state != JobState.REFUSED) {
+            state = cancelled > 0 ? JobState.CANCELLED : JobState.FINISHED;
+            created = job.row.spec().tasks();
+        }
+        return new JobRow.Progress(state, claim, created, finished, cancelled, reason);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/peridotcourse/placement/JobState.java
@@ -0,0 +1,50 @@
+package org.peridotcourse.placement;
+
+import java.util.Locale;
+
+/** State of a job, as its row shows it. */
+public enum JobState {
+    /** Stored by an entry host; no owner has written it yet. */
+    SUBMITTED,
+    /** An owner creates or has created its task rows. */
+    ACCEPTED,
+    /** It fits no worker that it may use, or its workload is unknown; nothing ran. */
+    REFUSED,
+    /** It failed on several workers and waits for an operator. */
+    HELD,
+    /** Every task ended well. */
+    FINISHED,
+    /** Every task ended, and at least one was cancelled. */
+    CANCELLED;
+
+    private final String code = name().toLowerCase(Locale.ROOT);
+
+    /**
+     * Returns the text used in rows.
+     *
+     * @return the lower-case name
+     */
+    public String code() {
+        return code;
+    }
+
+    /**
+     * Returns the state with a text.
+     *
+     * @param code the text
+     * @return the state
+     * @throws IllegalArgumentException if there is no such state
+     */
+    public static JobState parse(String code) {
+        return valueOf(code.toUpperCase(Locale.ROOT));
+    }
+
+    /**
+     * Tells whether the job can have no further task.
+     *
+     * @return true for refused, finished and cancelled
+     */
+    public boolean isFinal() {
+        return this == REFUSED || this == FINISHED || this == CANCELLED;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/peridotcourse/placement/Outbox.java
@@ -0,0 +1,148 @@
+package org.peridotcourse.placement;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.peridotcourse.TaskId;
+
+/**
+ * Collects commands per worker and computes the leases that they grant.
+ *
+ * <p>The bound of a lease is recorded before its command can leave, so the record covers commands
+ * whose answers are lost. Confined to one thread.
+ */
+final class Outbox {
+    private final Book book;
+    private final Map<Worker, Batch> collected = new LinkedHashMap<>();
+    private final Map<Long, Sent> outstanding = new HashMap<>();
+    private long number;
+
+    Outbox(Book book) {
+        this.book = book;
+    }
+
+    /** A command and the task that it concerns, null for none. */
+    record Item(WorkerCommand command, Task task, int attempt) {}
+
+    /** The commands collected for one worker. */
+    private static final class Batch {
+        final long number;
+        final List<Item> items = new ArrayList<>();
+
+        Batch(long number) {
+            this.number = number;
+        }
+    }
+
+    /** A request without an answer. */
+    record Sent(Worker worker, List<Item> items) {}
+
+    void clear() {
+        collected.clear();
+        outstanding.clear();
+    }
+
+    /** Starts a task whose row is committed. */
+    void start(long nowMillis, Task task) {
+        Worker worker = task.worker;
+        long bound =
+                Math.min(
+                        nowMillis + OwnerSettings.START_LEASE_MILLIS, book.lease.holdUntilMillis());
+        worker.batchBoundMillis = Math.max(worker.batchBoundMillis, bound);
+        worker.serviceBoundMillis = Math.max(worker.serviceBoundMillis, bound);
+        book.starts++;
+        task.startRequest =
+                add(
+                        worker,
+                        new WorkerCommand.Start(
+                                task.id(),
+                                task.attempt,
+                                worker.clock.toRemote(bound),
+                                task.job.workload(),
+                                book.isLatencyCritical(task.job),
+                                task.job.size(),
+                                task.published(),
+                                task.job.row.spec().payload()),
+                        task);
+    }
+
+    /** Extends the leases on a worker. */
+    void renew(long nowMillis, Worker worker) {
+        long batch =
+                Math.min(
+                        nowMillis + OwnerSettings.BATCH_LEASE_MILLIS, book.lease.holdUntilMillis());
+        long service = nowMillis + OwnerSettings.SERVICE_LEASE_MILLIS;
+        worker.batchBoundMillis = Math.max(worker.batchBoundMillis, batch);
+        worker.serviceBoundMillis = Math.max(worker.serviceBoundMillis, service);
+        worker.renewRequest =
+                add(
+                        worker,
+                        new WorkerCommand.Renew(
+                                worker.clock.toRemote(batch), worker.clock.toRemote(service)),
+                        null);
+    }
+
+    /** Stops a task of this owner; the answer confirms it. */
+    void stop(Task task) {
+        task.controlRequest =
+                add(task.worker, new WorkerCommand.Stop(task.id(), task.attempt, false), task);
+    }
+
+    /** Stops an attempt that no row stands for, or whose outcome is recorded. */
+    void release(Worker worker, TaskId task, int attempt) {
+        add(worker, new WorkerCommand.Stop(task, attempt, true), null);
+    }
+
+    void checkpoint(Task task) {
+        task.controlRequest =
+                add(task.worker, new WorkerCommand.Checkpoint(task.id(), task.attempt), task);
+    }
+
+    void throttle(Task task, int percent) {
+        task.throttlePercent = percent;
+        add(task.worker, new WorkerCommand.Throttle(task.id(), task.attempt, percent), null);
+    }
+
+    private long add(Worker worker, WorkerCommand command, Task task) {
+        Batch batch = collected.computeIfAbsent(worker, key -> new Batch(++number));
+        batch.items.add(new Item(command, task, task == null ? 0 : task.attempt));
+        return batch.number;
+    }
+
+    /** Emits one request per worker. Renewals need no valid lease, everything else does. */
+    void flush(long nowMillis) {
+        if (collected.isEmpty()) {
+            return;
+        }
+        boolean held = book.isHeld(nowMillis);
+        collected.forEach((worker, batch) -> emit(worker, batch, held));
+        collected.clear();
+    }
+
+    private void emit(Worker worker, Batch batch, boolean held) {
+        if (!held) {
+            batch.items.removeIf(item -> !(item.command() instanceof WorkerCommand.Renew));
+        }
+        if (batch.items.isEmpty()) {
+            return;
+        }
+        outstanding.put(batch.number, new Sent(worker, batch.items));
+        List<WorkerCommand> commands = new ArrayList<>(batch.items.size());
+        batch.items.forEach(item -> commands.add(item.command()));
+        book.actions.add(
+                new PlacementAction.SendCommands(
+                        worker.id,
+                        batch.number,
+                        book.lease.epoch(),
+                        worker.clock.remoteMillis(),
+                        commands));
+    }
+
+    /** Returns and forgets the request that was answered or failed. */
+    Optional<Sent> settled(long requestNumber) {
+        return Optional.ofNullable(outstanding.remove(requestNumber));
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/peridotcourse/placement/OwnerSettings.java
@@ -0,0 +1,54 @@
+package org.peridotcourse.placement;
+
+import org.peridotcourse.DataCentreId;
+
+/**
+ * Settings of a placement owner.
+ *
+ * <p>Instances are immutable and thread-safe.
+ *
+ * @param dataCentre the data centre
+ * @param daemon name of the daemon, unique per incarnation; it prefixes the identities of writes
+ * @param tickMillis interval of ticks; each flushes the collected rows
+ * @param reportMillis interval of each worker's reports
+ * @param renewMillis interval of each worker's lease renewals
+ * @param marginMillis margin for clock drift, added before a lease counts as expired
+ * @param guards false turns off interference guards, for comparison
+ */
+public record OwnerSettings(
+        DataCentreId dataCentre,
+        String daemon,
+        long tickMillis,
+        long reportMillis,
+        long renewMillis,
+        long marginMillis,
+        boolean guards) {
+    /** Longest lease granted to a batch task at a time. */
+    public static final long BATCH_LEASE_MILLIS = 30_000;
+
+    /** Longest lease granted to a latency-critical task. */
+    public static final long SERVICE_LEASE_MILLIS = 24L * 3600 * 1000;
+
+    /**
+     * Lease of a start command. It bounds how late a delayed command can still start a task in a
+     * data centre that has been taken out; the first renewal extends it.
+     */
+    public static final long START_LEASE_MILLIS = 4_000;
+
+    /** Oldest configuration under which a task may start. */
+    public static final long CONFIG_AGE_MILLIS = 3_000;
+
+    /** Most rows in one transaction. */
+    public static final int WRITE_ROWS = 200;
+
+    /**
+     * Returns the usual settings.
+     *
+     * @param dataCentre the data centre
+     * @param daemon name of the daemon, unique per incarnation
+     * @return the settings
+     */
+    public static OwnerSettings of(DataCentreId dataCentre, String daemon) {
+        return new OwnerSettings(dataCentre, daemon, 50, 2_000, 8_000, 1_000, true);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/peridotcourse/placement/Peer.java
@@ -0,0 +1,19 @@
+package org.peridotcourse.placement;
+
+import org.peridotcourse.Resources;
+import org.peridotcourse.base.LeaseChallenger;
+
+/** What the owner knows of another data centre's owner. Confined to one thread. */
+final class Peer {
+    final LeaseChallenger challenger;
+
+    /** What its owner published as free, less what was handed over since. */
+    Resources free = Resources.ZERO;
+
+    long commit;
+    long readRequestedMillis = Long.MIN_VALUE / 2;
+
+    Peer(String name, long marginMillis) {
+        challenger = new LeaseChallenger(name, marginMillis);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/peridotcourse/placement/Task.java
@@ -0,0 +1,69 @@
+package org.peridotcourse.placement;
+
+import java.util.Optional;
+import org.peridotcourse.DataCentreId;
+import org.peridotcourse.TaskId;
+
+/** What the owner knows of one task of its data centre. Confined to one thread. */
+final class Task {
+    /** The worker's clock at the start is not known. */
+    static final long NOT_ACKNOWLEDGED = -1;
+
+    final Job job;
+    final int index;
+    TaskState state;
+    int attempt;
+    Worker worker;
+    String checkpoint;
+    long commit;
+
+    /** A change of the row is collected, in flight or being read back. */
+    boolean busy;
+
+    /** Number of the outstanding request that carries its start, 0 for none. */
+    long startRequest;
+
+    /** Number of the outstanding request that carries its stop or checkpoint, 0 for none. */
+    long controlRequest;
+
+    /** The worker's clock when it acknowledged the start. */
+    long startClock = NOT_ACKNOWLEDGED;
+
+    /** Number of the last report that listed it. */
+    long reportNumber;
+
+    long progress;
+    long savedProgress;
+    Estimate estimate = Estimate.NONE;
+    int throttlePercent = 100;
+
+    /** Where it shall continue once it is stopped, null for this data centre. */
+    DataCentreId target;
+
+    Task(Job job, int index) {
+        this.job = job;
+        this.index = index;
+        this.state = TaskState.QUEUED;
+    }
+
+    TaskId id() {
+        return TaskId.of(job.key + "/" + index);
+    }
+
+    Optional<String> published() {
+        return Optional.ofNullable(checkpoint);
+    }
+
+    long unsavedProgress() {
+        return progress - savedProgress;
+    }
+
+    /** Forgets what concerns the last attempt on its worker. */
+    void forgetAttempt() {
+        startRequest = 0;
+        controlRequest = 0;
+        startClock = NOT_ACKNOWLEDGED;
+        throttlePercent = 100;
+        target = null;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/peridotcourse/placement/TaskEvent.java
@@ -0,0 +1,44 @@
+package org.peridotcourse.placement;
+
+import java.util.Locale;
+
+/** Events of the task chart. */
+enum TaskEvent {
+    /** A worker was chosen. */
+    CHOSEN,
+    /** The start command was withheld, because its conditions no longer held. */
+    WITHHELD,
+    /** The worker reports that the attempt runs. */
+    STARTED,
+    /** A checkpoint was requested ahead of a stop. */
+    CHECKPOINT_REQUESTED,
+    /** The reason for the stop went away before the checkpoint was published. */
+    KEPT,
+    /** A stop was recorded. */
+    STOP_REQUESTED,
+    /** The worker confirmed that the attempt does not run and cannot start. */
+    STOPPED,
+    /** The lease of the attempt has expired with its margin. */
+    EXPIRED,
+    /** The worker reports a good end. */
+    FINISHED,
+    /** The worker reports a bad end. */
+    FAILED,
+    /** Another attempt is allowed. */
+    RETRIED,
+    /** The job failed on too many workers. */
+    HELD,
+    /** An operator released the job. */
+    RELEASED,
+    /** The customer cancelled the job. */
+    CANCELLED,
+    /** The worker of a replica does not answer. */
+    UNREACHABLE;
+
+    private final String code = name().toLowerCase(Locale.ROOT).replace('_', '-');
+
+    /** Returns the text used in the chart. */
+    String code() {
+        return code;
+    }
+}
