Tune request routing on a load model

Change: the limit per backend server adapts, requests wait at most half of their deadline, and a request whose time left is below the usual latency is refused instead of forwarded.

--- a/core/src/main/java/org/peridotcourse/routing/Admission.java
+++ b/core/src/main/java/org/peridotcourse/routing/Admission.java
@@ -6,6 +6,12 @@
  * Refuses at once what exceeds a limit or cannot start in time. Confined to the router's thread.
  */
 final class Admission {
+    /**
+     * Part of the time left that a request may wait. A longer queue adds no goodput, and requests
+     * that start close to their deadline waste the slot when they miss it.
+     */
+    private static final double LONGEST_WAIT = 0.5;
+
     private final RoutingSettings settings;
     private final Dispatcher dispatcher;
 
@@ -23,9 +29,10 @@
         }
         double wait = lane.expectedWaitMillis(customer.info());
         double left = request.info.deadlineMillis() - now;
-        boolean late = request.isSlotted() && wait > 0 && wait + lane.meanMillis() > left;
+        boolean late = request.isSlotted() && wait > left * LONGEST_WAIT;
         if (late || !lane.hasRoom(customer.info(), settings.maxQueued())) {
-            return refusal(NotRunReason.OVERLOAD, Math.max(lane.meanMillis(), wait - left));
+            return refusal(
+                    NotRunReason.OVERLOAD, Math.max(lane.meanMillis(), wait - left * LONGEST_WAIT));
         }
         long untilRate = customer.takeRate(now, hosts.count());
         return untilRate > 0
--- a/core/src/main/java/org/peridotcourse/routing/Dispatcher.java
+++ b/core/src/main/java/org/peridotcourse/routing/Dispatcher.java
@@ -84,12 +84,16 @@
         connect(now, pool, lane, out);
     }
 
-    /** Tells whether the request would most likely pass its deadline while it runs. */
+    /**
+     * Tells whether the request would probably pass its deadline while it runs. Services whose
+     * usual latency exceeds half of the deadline get that half.
+     */
     private boolean isTooLate(long now, ServicePool.Lane lane, RoutedRequest request) {
+        long deadline = request.info.deadlineMillis();
+        double half = (deadline - request.offeredMillis) / 2.0;
         return settings.policy().isLimited()
                 && lane.slotted
-                && !lane.latency.isEmpty()
-                && request.info.deadlineMillis() - now < lane.meanMillis();
+                && deadline - now < Math.min(half, lane.latency.high());
     }
 
     private void connect(
--- a/core/src/main/java/org/peridotcourse/routing/InFlightLimit.java
+++ b/core/src/main/java/org/peridotcourse/routing/InFlightLimit.java
@@ -11,6 +11,10 @@
     /** Means of fewer replies vary too much to tell load from chance. */
     private static final int WINDOW = 32;
 
+    /** Replies at the full limit after which it grows; doubles with each refusal. */
+    private static final int FIRST_GROWTH = 8;
+
+    private static final int LAST_GROWTH = 512;
     private static final double HIGH_LATENCY = 1.5;
     private static final double BASE_DRIFT = 1.02;
 
@@ -20,7 +24,9 @@
     private double base = Double.MAX_VALUE;
     private double sum;
     private int count;
-    private boolean full;
+    private boolean high;
+    private int fullReplies;
+    private int growAfter = FIRST_GROWTH;
 
     /** Changes the bounds; a changed share is in force at once. */
     void update(int newShare, int newSlots) {
@@ -40,24 +46,29 @@
     void onReply(long millis, boolean wasFull) {
         sum += millis;
         count++;
-        full |= wasFull;
+        fullReplies += wasFull ? 1 : 0;
+        if (fullReplies >= growAfter && !high) {
+            limit = Math.min(slots, limit + 1);
+            fullReplies = 0;
+        }
         if (count < WINDOW) {
             return;
         }
         double mean = sum / count;
         base = Math.min(base * BASE_DRIFT, mean);
-        if (mean > base * HIGH_LATENCY) {
+        high = mean > base * HIGH_LATENCY;
+        if (high) {
             limit = Math.max(share, limit * 0.8);
-        } else if (full) {
-            limit = Math.min(slots, limit + 1);
+            fullReplies = 0;
         }
         sum = 0;
         count = 0;
-        full = false;
     }
 
     /** Takes the news that the backend server refused a request. */
     void onRefused() {
-        limit = Math.max(Math.min(1, share), limit * 0.7);
+        limit = Math.max(Math.min(1, share), Math.min(share, limit - 1));
+        growAfter = Math.min(LAST_GROWTH, growAfter * 2);
+        fullReplies = 0;
     }
 }
--- a/core/src/main/java/org/peridotcourse/routing/RequestRouter.java
+++ b/core/src/main/java/org/peridotcourse/routing/RequestRouter.java
@@ -138,7 +138,7 @@
         if (pool.acceptingFor(customer.info()).isEmpty()) {
             return refuse(info, NotRunReason.NO_BACKEND, dispatcher.retryAfter(1_000));
         }
-        RoutedRequest request = new RoutedRequest(info, customer, pool);
+        RoutedRequest request = new RoutedRequest(info, customer, pool, now);
         if (settings.policy().isLimited()) {
             Optional<Outcome.NotRun> refusal = admission.check(now, request, pools.hosts());
             if (refusal.isPresent()) {
--- a/core/src/main/java/org/peridotcourse/routing/RoutedRequest.java
+++ b/core/src/main/java/org/peridotcourse/routing/RoutedRequest.java
@@ -17,6 +17,7 @@
     final RequestInfo info;
     final CustomerState customer;
     final ServicePool pool;
+    final long offeredMillis;
     final KeyClaim claim = new KeyClaim();
     Phase phase = Phase.QUEUED;
     int attempts;
@@ -34,7 +35,8 @@
     /** Why an earlier attempt may have run; null if none may have. */
     UnknownReason uncertainty;
 
-    RoutedRequest(RequestInfo info, CustomerState customer, ServicePool pool) {
+    RoutedRequest(RequestInfo info, CustomerState customer, ServicePool pool, long now) {
+        this.offeredMillis = now;
         this.info = info;
         this.customer = customer;
         this.pool = pool;
--- /dev/null
+++ b/core/src/test/java/org/peridotcourse/routing/LoadModelTest.java
@@ -0,0 +1,86 @@
+package org.peridotcourse.routing;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+
+/**
+ * Guards against a routing policy that misses the targets for tail latency, goodput, fairness and
+ * recovery, on a model with 30 servers of 8 slots and 8 entry hosts.
+ */
+class LoadModelTest {
+    private static final long SEED = 4;
+
+    private static LoadModel model(double load) {
+        LoadModel model = new LoadModel();
+        model.load = load;
+        model.seconds = 3;
+        return model;
+    }
+
+    private static LoadModel.Figures print(String name, double load, LoadModel.Figures figures) {
+        System.out.printf("%4.0f%% load, %-8s %s%n", load * 100, name, figures);
+        return figures;
+    }
+
+    @Test
+    void tailAndGoodputMeetTheTargetsAtEveryLoad() {
+        for (double load : new double[] {0.5, 0.8, 1.0, 1.5, 3.0}) {
+            LoadModel plain = model(load);
+            plain.settings = plain.settings.withPolicy(RoutingPolicy.PLAIN);
+            print("plain", load, plain.run(SEED));
+            LoadModel.Figures ideal = print("ideal", load, model(load).runIdeal(SEED));
+            LoadModel.Figures guarded = print("guarded", load, model(load).run(SEED));
+            if (load <= 0.8) {
+                assertTrue(guarded.p99() <= 2 * ideal.p99(), "p99 at " + load);
+            }
+            if (load > 1) {
+                assertTrue(guarded.goodput() >= 0.9, "goodput at " + load);
+            }
+        }
+    }
+
+    @Test
+    void unevenHostsAndSlowServersKeepTheTailAt80Percent() {
+        LoadModel.Figures ideal = model(0.8).runIdeal(SEED);
+        LoadModel skewed = model(0.8);
+        skewed.skewed = true;
+        assertTrue(print("skewed", 0.8, skewed.run(SEED)).p99() <= 2 * ideal.p99());
+        LoadModel seven = model(0.8);
+        seven.hosts = 7;
+        assertTrue(print("7 hosts", 0.8, seven.run(SEED)).p99() <= 2 * ideal.p99());
+        LoadModel slow = model(0.8);
+        slow.slowServers = 3;
+        assertTrue(print("3 slow", 0.8, slow.run(SEED)).p99() <= 2 * ideal.p99());
+        LoadModel refusing = model(0.8);
+        refusing.refuseBeyond = 0;
+        LoadModel.Figures figures = print("refusing", 0.8, refusing.run(SEED));
+        assertTrue(figures.p99() <= 2 * ideal.p99());
+        assertTrue(figures.extra() <= 0.1);
+    }
+
+    @Test
+    void customerWithinItsWeightKeepsItsShareAgainstAFlood() {
+        // The first of two customers with equal weights asks for 45% of the capacity.
+        LoadModel model = model(3.0);
+        model.mix = new double[] {0.15, 0.85};
+        LoadModel.Figures figures = print("flood", 3.0, model.run(SEED));
+        assertTrue(figures.shares()[0] >= 0.95 * 0.45, "share " + figures.shares()[0]);
+        assertTrue(figures.goodput() >= 0.9);
+    }
+
+    @Test
+    void goodputReturnsAfterAFaultWithoutASecondCollapse() {
+        for (double load : new double[] {0.8, 1.5}) {
+            LoadModel model = model(load);
+            model.seconds = 10;
+            model.faultyServers = 15;
+            LoadModel.Figures figures = print("fault", load, model.run(SEED));
+            double[] perSecond = figures.perSecond();
+            double usual = Math.min(perSecond[1], 0.95);
+            for (int second = 6; second < 10; second++) {
+                assertTrue(perSecond[second] >= 0.9 * usual, "second " + second);
+            }
+        }
+    }
+}
