--- a/core/src/main/java/org/peridotcourse/base/LeaseHolder.java
+++ b/core/src/main/java/org/peridotcourse/base/LeaseHolder.java
@@ -52,6 +52,24 @@
         return commit;
     }
 
+    /**
+     * Returns the lease row of the last confirmed write.
+     *
+     * @return the row
+     */
+    public LeaseRow row() {
+        return row;
+    }
+
+    /**
+     * Returns when the last confirmed write was sent, from which the lease counts.
+     *
+     * @return the time of the first sending
+     */
+    public long confirmedSentMillis() {
+        return confirmedSentMillis;
+    }
+
     /**
      * Tells whether the holder may act. Call it before each action.
      *
--- a/daemon/src/main/java/org/peridotcourse/daemon/control/LeaseKeeper.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/control/LeaseKeeper.java
@@ -95,6 +95,16 @@
         return holder.filter(lease -> lease.isHeld(nowMillis));
     }
 
+    /**
+     * Tells whether this daemon was the last known holder, even if its lease has lapsed because the
+     * store does not confirm renewals.
+     *
+     * @return true until another daemon is seen to hold the lease
+     */
+    public boolean isHolder() {
+        return holder.isPresent();
+    }
+
     /**
      * Returns the view of the row from outside, for the rule about tasks of another data centre.
      *
@@ -240,7 +250,13 @@
                 found.map(Row::commit).orElse(0L));
     }
 
-    private static Optional<LeaseRow> parse(JsonNode json) {
+    /**
+     * Reads a lease row.
+     *
+     * @param json its columns
+     * @return the row
+     */
+    public static Optional<LeaseRow> parse(JsonNode json) {
         return Optional.of(
                 new LeaseRow(
                         json.path("holder").asText(),
--- a/daemon/src/main/java/org/peridotcourse/daemon/control/TableReader.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/control/TableReader.java
@@ -12,7 +12,7 @@
 /**
  * Reads all changes of a table over as many pages as needed. It holds no state and is thread-safe.
  */
-final class TableReader {
+public final class TableReader {
     private static final int PAGE_ROWS = 1000;
 
     /** A transaction with more rows than this cannot be read. */
@@ -31,11 +31,26 @@
      *     which nothing is missing
      */
     static Result<RowPage> changes(TableStore store, String table, long since) {
+        return changes(store, table, "", since);
+    }
+
+    /**
+     * Reads the rows with a key prefix that changed after a commit.
+     *
+     * @param store the table service
+     * @param table the table
+     * @param prefix the beginning of the keys
+     * @param since the commit after which rows are wanted, 0 for all present rows
+     * @return the rows at their latest commit in the order of their commits, and the commit as of
+     *     which nothing is missing
+     */
+    public static Result<RowPage> changes(
+            TableStore store, String table, String prefix, long since) {
         Map<String, Row> rows = new LinkedHashMap<>();
         long from = since;
         int limit = PAGE_ROWS;
         while (true) {
-            Result<RowPage> read = store.rows(table, "", from, limit);
+            Result<RowPage> read = store.rows(table, prefix, from, limit);
             if (!(read instanceof Result.Ok<RowPage> ok)) {
                 return read;
             }
--- /dev/null
+++ b/daemon/src/main/java/org/peridotcourse/daemon/placement/ConfigView.java
@@ -0,0 +1,79 @@
+package org.peridotcourse.daemon.placement;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.peridotcourse.CustomerId;
+import org.peridotcourse.DataCentreId;
+import org.peridotcourse.Resources;
+import org.peridotcourse.WorkloadId;
+import org.peridotcourse.config.ConfigSnapshot;
+import org.peridotcourse.config.CustomerRow;
+import org.peridotcourse.config.DataCentreRow;
+import org.peridotcourse.config.WorkloadRow;
+import org.peridotcourse.placement.PlacementConfig;
+
+/** Reduces a configuration to what placement needs. It holds no state and is thread-safe. */
+final class ConfigView {
+    private static final Resources UNLIMITED =
+            Resources.of(Long.MAX_VALUE, Long.MAX_VALUE, Long.MAX_VALUE);
+
+    /** Stands for no data centre; the table refuses this name. */
+    private static final DataCentreId NONE = DataCentreId.of("0.none");
+
+    private ConfigView() {}
+
+    static PlacementConfig of(ConfigSnapshot snapshot) {
+        Map<DataCentreId, Boolean> dataCentres = new HashMap<>();
+        snapshot.rows(DataCentreRow.class).forEach(row -> dataCentres.put(row.id(), row.isIn()));
+        Map<CustomerId, PlacementConfig.CustomerRule> customers = new HashMap<>();
+        snapshot.rows(CustomerRow.class)
+                .forEach(row -> customers.put(row.id(), customerRule(row)));
+        Map<WorkloadId, PlacementConfig.WorkloadRule> workloads = new HashMap<>();
+        snapshot.rows(WorkloadRow.class)
+                .forEach(row -> workloads.put(row.id(), workloadRule(snapshot, row)));
+        return new PlacementConfig(snapshot.version(), dataCentres, customers, workloads);
+    }
+
+    /** Returns the longest hold of all batch workloads, for the lease row. */
+    static long holdMillis(ConfigSnapshot snapshot) {
+        return snapshot.rows(WorkloadRow.class).stream()
+                .filter(row -> !row.isLatencyCritical())
+                .mapToLong(row -> row.cutOffHoldSeconds() * 1_000L)
+                .max()
+                .orElse(30_000L);
+    }
+
+    private static PlacementConfig.CustomerRule customerRule(CustomerRow row) {
+        Optional<Resources> quota =
+                row.quota().equals(UNLIMITED) ? Optional.empty() : Optional.of(row.quota());
+        return new PlacementConfig.CustomerRule(row.weight(), quota);
+    }
+
+    private static PlacementConfig.WorkloadRule workloadRule(
+            ConfigSnapshot snapshot, WorkloadRow row) {
+        return new PlacementConfig.WorkloadRule(
+                row.isLatencyCritical(),
+                allowed(snapshot, row),
+                row.replicas(),
+                row.size(),
+                row.isUrgent(),
+                row.maxEvictionsPerMinute());
+    }
+
+    /** The rule reads an empty set as all data centres, so "none" needs an entry. */
+    private static Set<DataCentreId> allowed(ConfigSnapshot snapshot, WorkloadRow row) {
+        Optional<CustomerRow> customer = snapshot.customer(row.customer());
+        Set<DataCentreId> allowed = new HashSet<>();
+        for (DataCentreRow dataCentre : snapshot.rows(DataCentreRow.class)) {
+            DataCentreId id = dataCentre.id();
+            boolean byWorkload = row.dataCentres().map(set -> set.contains(id)).orElse(true);
+            if (byWorkload && customer.map(c -> c.isAllowedIn(id)).orElse(false)) {
+                allowed.add(id);
+            }
+        }
+        return allowed.isEmpty() ? Set.of(NONE) : allowed;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/peridotcourse/daemon/placement/PlacementDuty.java
@@ -0,0 +1,264 @@
+package org.peridotcourse.daemon.placement;
+
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import org.peridotcourse.Resources;
+import org.peridotcourse.daemon.control.LeaseKeeper;
+import org.peridotcourse.daemon.control.SnapshotHolder;
+import org.peridotcourse.daemon.http.ChannelFactory;
+import org.peridotcourse.daemon.log.EventLog;
+import org.peridotcourse.daemon.placement.WorkerCalls.Answered;
+import org.peridotcourse.daemon.platform.TableStore;
+import org.peridotcourse.daemon.ring.EventRing;
+import org.peridotcourse.membership.Peer;
+import org.peridotcourse.placement.OwnerSettings;
+import org.peridotcourse.placement.OwnerStatus;
+import org.peridotcourse.placement.PlacementAction;
+import org.peridotcourse.placement.PlacementConfig;
+import org.peridotcourse.placement.PlacementEvent;
+import org.peridotcourse.placement.PlacementOwner;
+import org.peridotcourse.placement.PlacementPolicy;
+
+/**
+ * Places the tasks of one data centre while this daemon holds its placement lease.
+ *
+ * <p>Two threads, joined by bounded rings: the placement thread drives {@link PlacementOwner} and
+ * talks to workers, the store thread talks to the table service. Start it once and close it once;
+ * {@link #status} may be called from any thread.
+ */
+public final class PlacementDuty implements AutoCloseable {
+    /** Room for one answer of each worker and of each store call at the two-year size. */
+    private static final int EVENT_RING = 4096;
+
+    private static final int STORE_RING = 1024;
+
+    /** How long a lease lasts without a confirmed write. */
+    private static final long LEASE_MILLIS = 9_000;
+
+    private static final long CONFIG_MILLIS = 250;
+    private static final long CAPACITY_MILLIS = 5_000;
+    private static final long STORE_STEP_MILLIS = 100;
+
+    private final SnapshotHolder config;
+    private final WorkerDirectory workers;
+    private final Peer self;
+    private final LongSupplier clock;
+    private final EventLog log;
+    private final OwnerSettings settings;
+    private final PlacementOwner owner;
+    private final PlacementStore store;
+    private final WorkerCalls calls;
+    private final EventRing<Object> events = new EventRing<>(EVENT_RING);
+    private final EventRing<StoreWork> storeWork = new EventRing<>(STORE_RING);
+    private final Thread placementThread = new Thread(this::place, "placement");
+    private final Thread storeThread = new Thread(this::serveStore, "placement-store");
+
+    private volatile boolean running = true;
+    private volatile boolean releasing;
+    private volatile OwnerStatus status = new OwnerStatus(0, false, 0, 0, 0, 0, 0, 0, 0, 0);
+    private PlacementConfig view = PlacementConfig.EMPTY;
+    private long viewVersion = -1;
+    private long workersVersion = -1;
+    private long nextConfigMillis;
+    private long nextCapacityMillis;
+    private Resources published;
+
+    /**
+     * Creates the duty without starting it.
+     *
+     * @param self this daemon
+     * @param table the table service, used by the store thread alone
+     * @param channels opens connections to workers
+     * @param config the configuration in force
+     * @param workers the workers of the host list
+     * @param clock monotonic milliseconds
+     * @param log receives {@link PlacementRecord} records
+     */
+    public PlacementDuty(
+            Peer self,
+            TableStore table,
+            ChannelFactory channels,
+            SnapshotHolder config,
+            WorkerDirectory workers,
+            LongSupplier clock,
+            EventLog log) {
+        this.self = self;
+        this.config = config;
+        this.workers = workers;
+        this.clock = clock;
+        this.log = log;
+        String dataCentre = self.dataCentre().value();
+        settings = OwnerSettings.of(self.dataCentre(), self.daemon().value());
+        owner = new PlacementOwner(settings, PlacementPolicy.LEAST_INTERFERENCE);
+        calls = new WorkerCalls(channels, dataCentre, this::report, log);
+        LeaseKeeper.Terms terms =
+                new LeaseKeeper.Terms(
+                        LEASE_MILLIS, () -> ConfigView.holdMillis(config.snapshot()));
+        LeaseKeeper lease =
+                new LeaseKeeper(table, "placement/" + dataCentre, self, terms, clock, log);
+        store =
+                new PlacementStore(
+                        table, lease, config, self.dataCentre(), clock, this::report, log);
+    }
+
+    /** Starts both threads. */
+    public void start() {
+        placementThread.setDaemon(true);
+        storeThread.setDaemon(true);
+        storeThread.start();
+        placementThread.start();
+    }
+
+    /**
+     * Returns the figures of the owner.
+     *
+     * @return the figures, with epoch 0 while this daemon does not hold the lease
+     */
+    public OwnerStatus status() {
+        return status;
+    }
+
+    /** Stops placing, gives the lease back and ends both threads. Running tasks go on. */
+    @Override
+    public void close() {
+        running = false;
+        events.wake();
+        join(placementThread);
+        releasing = true;
+        storeWork.wake();
+        join(storeThread);
+        calls.close();
+    }
+
+    private static void join(Thread thread) {
+        try {
+            thread.join(TimeUnit.SECONDS.toMillis(5));
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private boolean report(Object event) {
+        if (!running || events.tryReport(event)) {
+            return true;
+        }
+        log.event(PlacementRecord.RING_FULL)
+                .with("event", event.getClass().getSimpleName())
+                .write();
+        return false;
+    }
+
+    private void place() {
+        long nextTick = clock.getAsLong();
+        while (running) {
+            Object event = events.poll();
+            while (event != null) {
+                take(event);
+                event = events.poll();
+            }
+            long now = clock.getAsLong();
+            if (now >= nextTick) {
+                nextTick = now + settings.tickMillis();
+                tick(now);
+            }
+            events.await(Math.max(1, nextTick - clock.getAsLong()));
+        }
+    }
+
+    private void take(Object event) {
+        long now = clock.getAsLong();
+        if (event instanceof PlacementEvent known) {
+            handle(now, known);
+        } else if (event instanceof Answered answered) {
+            calls.finish(now, answered).ifPresent(result -> handle(now, result));
+        }
+    }
+
+    private void tick(long now) {
+        calls.expire(now);
+        if (now >= nextConfigMillis) {
+            nextConfigMillis = now + CONFIG_MILLIS;
+            refresh(now);
+        }
+        handle(now, new PlacementEvent.Tick());
+        status = owner.status(now);
+        if (status.epoch() > 0 && now >= nextCapacityMillis) {
+            nextCapacityMillis = now + CAPACITY_MILLIS;
+            publish(owner.freeCapacity(now));
+        }
+    }
+
+    private void refresh(long now) {
+        SnapshotHolder.Standing standing = config.standing(now);
+        if (standing.snapshot().version() != viewVersion) {
+            viewVersion = standing.snapshot().version();
+            view = ConfigView.of(standing.snapshot());
+        }
+        handle(now, new PlacementEvent.ConfigSeen(view, now - standing.ageMillis()));
+        long version = workers.version();
+        if (version != workersVersion) {
+            workersVersion = version;
+            calls.addresses(workers.addresses(self.dataCentre()));
+            handle(now, new PlacementEvent.WorkersSeen(workers.hostsForPlacement()));
+        }
+    }
+
+    private void publish(Resources free) {
+        if (!free.equals(published) && storeWork.offer(new StoreWork.Publish(free))) {
+            published = free;
+        }
+    }
+
+    private void handle(long now, PlacementEvent event) {
+        for (PlacementAction action : owner.handle(now, event)) {
+            perform(action);
+        }
+    }
+
+    private void perform(PlacementAction action) {
+        long now = clock.getAsLong();
+        if (action instanceof PlacementAction.SendCommands send) {
+            calls.send(now, send);
+        } else if (action instanceof PlacementAction.FetchReport fetch) {
+            calls.fetch(now, fetch);
+        } else if (action instanceof PlacementAction.Decided decided) {
+            record(decided);
+        } else if (!storeWork.tryReport(new StoreWork.Perform(action))) {
+            refuse(action);
+        }
+    }
+
+    /** A write that never left is reported as unknown, so the owner returns it again. */
+    private void refuse(PlacementAction action) {
+        if (action instanceof PlacementAction.WriteRows write) {
+            report(new PlacementEvent.WriteUnknown(write.id()));
+        }
+    }
+
+    private void record(PlacementAction.Decided decided) {
+        EventLog.Line line =
+                log.event(PlacementRecord.DECIDED)
+                        .with("subject", decided.subject())
+                        .with("decision", decided.decision());
+        decided.worker().ifPresent(worker -> line.with("worker", worker));
+        line.with("reason", decided.reason())
+                .with("epoch", status.epoch())
+                .about(decided.subject())
+                .write();
+    }
+
+    private void serveStore() {
+        while (!releasing) {
+            Optional<StoreWork> work = Optional.ofNullable(storeWork.poll());
+            while (work.isPresent() && !releasing) {
+                store.perform(work.get());
+                store.step(clock.getAsLong());
+                work = Optional.ofNullable(storeWork.poll());
+            }
+            store.step(clock.getAsLong());
+            storeWork.await(STORE_STEP_MILLIS);
+        }
+        store.release();
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/peridotcourse/daemon/placement/PlacementRecord.java
@@ -0,0 +1,68 @@
+package org.peridotcourse.daemon.placement;
+
+import java.lang.System.Logger.Level;
+import org.peridotcourse.daemon.log.Event;
+
+/** Log records of placement. Constants are immutable and thread-safe. */
+public enum PlacementRecord implements Event {
+    /** The owner decided something about a task, job or worker. */
+    DECIDED(
+            2001,
+            "placement.decided",
+            Level.INFO,
+            "The placement owner decided on a task, job or worker; fields subject, decision,"
+                    + " worker, reason, epoch"),
+    /** A row could not be understood. */
+    ROW_BROKEN(
+            2002,
+            "row.broken",
+            Level.WARNING,
+            "A row of jobs or tasks is malformed and was left out; fields table, row"),
+    /** A worker does not answer. */
+    WORKER_UNREACHABLE(
+            2003,
+            "worker.unreachable",
+            Level.WARNING,
+            "A worker did not answer a call; fields worker, call, failure"),
+    /** A worker answers again. */
+    WORKER_REACHABLE(
+            2004, "worker.reachable", Level.INFO, "A worker answers again; fields worker"),
+    /** The ring of the placement thread is full. */
+    RING_FULL(
+            2005,
+            "placement.ring-full",
+            Level.WARNING,
+            "An event was dropped because the placement thread is behind; fields event");
+
+    private final int number;
+    private final String title;
+    private final Level level;
+    private final String description;
+
+    PlacementRecord(int number, String title, Level level, String description) {
+        this.number = number;
+        this.title = title;
+        this.level = level;
+        this.description = description;
+    }
+
+    @Override
+    public int number() {
+        return number;
+    }
+
+    @Override
+    public String title() {
+        return title;
+    }
+
+    @Override
+    public Level level() {
+        return level;
+    }
+
+    @Override
+    public String description() {
+        return description;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/peridotcourse/daemon/placement/WorkerDirectory.java
@@ -0,0 +1,83 @@
+package org.peridotcourse.daemon.placement;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.peridotcourse.DataCentreId;
+import org.peridotcourse.Result;
+import org.peridotcourse.WorkerId;
+import org.peridotcourse.daemon.platform.HostSource;
+import org.peridotcourse.membership.Host;
+import org.peridotcourse.membership.HostList;
+import org.peridotcourse.placement.WorkerHost;
+
+/**
+ * Remembers the workers of the last host list that passed through it.
+ *
+ * <p>Put it between the host list client and its reader. It is thread-safe.
+ */
+public final class WorkerDirectory implements HostSource {
+    private final HostSource source;
+    private volatile List<Host> workers = List.of();
+    private volatile long version;
+
+    /**
+     * Creates an empty directory.
+     *
+     * @param source the host list
+     */
+    public WorkerDirectory(HostSource source) {
+        this.source = source;
+    }
+
+    @Override
+    public Result<HostList> hosts() {
+        Result<HostList> read = source.hosts();
+        if (read instanceof Result.Ok<HostList> ok) {
+            workers = ok.value().ofRole(Host.Role.WORKER);
+            version++;
+        }
+        return read;
+    }
+
+    long version() {
+        return version;
+    }
+
+    List<WorkerHost> hostsForPlacement() {
+        List<WorkerHost> hosts = new ArrayList<>();
+        for (Host host : workers) {
+            hosts.add(
+                    new WorkerHost(
+                            WorkerId.of(host.name()),
+                            host.dataCentre(),
+                            host.rack(),
+                            host.capacity(),
+                            host.leaving()));
+        }
+        return hosts;
+    }
+
+    Map<WorkerId, InetSocketAddress> addresses(DataCentreId dataCentre) {
+        Map<WorkerId, InetSocketAddress> addresses = new HashMap<>();
+        for (Host host : workers) {
+            if (host.dataCentre().equals(dataCentre)) {
+                address(host).ifPresent(at -> addresses.put(WorkerId.of(host.name()), at));
+            }
+        }
+        return addresses;
+    }
+
+    private static Optional<InetSocketAddress> address(Host host) {
+        int colon = host.address().lastIndexOf(':');
+        try {
+            int port = Integer.parseInt(host.address().substring(colon + 1));
+            return Optional.of(new InetSocketAddress(host.address().substring(0, colon), port));
+        } catch (IllegalArgumentException | StringIndexOutOfBoundsException malformed) {
+            return Optional.empty();
+        }
+    }
+}
