--- a/standins/src/main/java/org/peridotcourse/standins/WorkerHandler.java
+++ b/standins/src/main/java/org/peridotcourse/standins/WorkerHandler.java
@@ -56,6 +56,10 @@
         long epoch = Json.number(body, "epoch");
         ObjectNode answer = Json.object().put("clock", clock.getAsLong()).put("epoch", epoch);
         ArrayNode results = answer.putArray("results");
+        if (body.path("clock").asLong() > clock.getAsLong()) {
+            // The leases were computed for an earlier run of this worker.
+            return Reply.json(412, Json.object().put("error", "restarted"));
+        }
         Optional<Long> higher = state.higherEpoch(group, epoch);
         if (higher.isPresent()) {
             return Reply.json(
@@ -85,11 +89,13 @@
                         clock.getAsLong());
                 return ok();
             case "stop":
-                state.stop(
-                        Json.text(command, "task"),
-                        Json.number(command, "attempt"),
-                        clock.getAsLong());
-                return ok();
+                return state.stop(
+                                Json.text(command, "task"),
+                                Json.number(command, "attempt"),
+                                command.path("release").asBoolean(),
+                                clock.getAsLong())
+                        .map(WorkerHandler::error)
+                        .orElseGet(WorkerHandler::ok);
             case "checkpoint":
             case "throttle":
                 return state.running(
--- a/standins/src/main/java/org/peridotcourse/standins/WorkerState.java
+++ b/standins/src/main/java/org/peridotcourse/standins/WorkerState.java
@@ -99,20 +99,33 @@
      *
      * @param task the task
      * @param attempt the attempt
+     * @param release whether the attempt leaves the report
      * @param nowMillis the present time
+     * @return why nothing was done, empty if the attempt does not run any more
      */
-    synchronized void stop(String task, long attempt, long nowMillis) {
+    synchronized Optional<String> stop(
+            String task, long attempt, boolean release, long nowMillis) {
         advance(nowMillis);
         highestAttempts.merge(task, attempt, Math::max);
         WorkerTask found = tasks.get(task);
-        if (found != null && found.isRunning() && found.attempt() <= attempt) {
+        if (found == null || found.attempt() > attempt) {
+            return Optional.empty();
+        }
+        if (found.isRunning()) {
             found.stop(nowMillis);
             note(found, "stopped", nowMillis);
+        } else if (!release && found.hasOutcome()) {
+            return Optional.of("already-ended");
+        }
+        if (release) {
+            tasks.remove(task);
         }
+        return Optional.empty();
     }
 
     synchronized void stopAll(long nowMillis) {
-        List.copyOf(tasks.values()).forEach(task -> stop(task.id(), task.attempt(), nowMillis));
+        List.copyOf(tasks.values())
+                .forEach(task -> stop(task.id(), task.attempt(), true, nowMillis));
     }
 
     synchronized Optional<WorkerTask> running(String task, long attempt, long nowMillis) {
--- a/standins/src/main/java/org/peridotcourse/standins/WorkerTask.java
+++ b/standins/src/main/java/org/peridotcourse/standins/WorkerTask.java
@@ -101,6 +101,11 @@
         return state == State.RUNNING;
     }
 
+    /** Tells whether the task ended by itself, so that its outcome must not be lost. */
+    boolean hasOutcome() {
+        return state == State.FINISHED || state == State.FAILED;
+    }
+
     boolean isBatch() {
         return workClass.equals(BATCH);
     }
--- a/standins/src/test/java/org/peridotcourse/standins/WorkerStateTest.java
+++ b/standins/src/test/java/org/peridotcourse/standins/WorkerStateTest.java
@@ -50,7 +50,7 @@
     void attemptStartsOnce() {
         start("t", 1, 100_000, 90_000, 0);
         assertEquals(Optional.of("already-running"), start("t", 1, 100_000, 90_000, 1));
-        worker.stop("t", 2, 10);
+        worker.stop("t", 2, false, 10);
         assertEquals(Optional.of("old-attempt"), start("t", 1, 100_000, 90_000, 20));
         assertEquals(Optional.of("old-attempt"), start("t", 2, 100_000, 90_000, 20));
         assertEquals(Optional.empty(), start("t", 3, 100_000, 90_000, 20));
