--- a/daemon/src/main/java/org/peridotcourse/daemon/admin/AdminServer.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/admin/AdminServer.java
@@ -6,7 +6,6 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
-import org.glassfish.grizzly.PortRange;
 import org.glassfish.grizzly.http.server.HttpHandler;
 import org.glassfish.grizzly.http.server.HttpServer;
 import org.glassfish.grizzly.http.server.NetworkListener;
@@ -31,11 +30,7 @@
      * @param source what to show
      */
     public AdminServer(InetSocketAddress address, AdminSource source) {
-        listener =
-                new NetworkListener(
-                        "admin",
-                        address.getHostString(),
-                        new PortRange(address.getPort(), address.getPort()));
+        listener = new NetworkListener("admin", address.getHostString(), address.getPort());
         listener.getTransport().setIOStrategy(SameThreadIOStrategy.getInstance());
         listener.getTransport().setSelectorRunnersCount(1);
         listener.getTransport().setReuseAddress(true);
--- a/daemon/src/main/java/org/peridotcourse/daemon/entry/CallerCodec.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/entry/CallerCodec.java
@@ -8,6 +8,7 @@
 import org.glassfish.grizzly.http.HttpHeader;
 import org.glassfish.grizzly.http.HttpServerFilter;
 import org.glassfish.grizzly.http.KeepAlive;
+import org.glassfish.grizzly.http.util.MimeHeaders;
 import org.glassfish.grizzly.utils.DelayedExecutor;
 import org.peridotcourse.routing.NotRunReason;
 
@@ -37,13 +38,33 @@
             DelayedExecutor executor,
             BiFunction<NotRunReason, String, CallerAnswer> refusals,
             LongSupplier clock) {
-        super(true, maxHead, null, new KeepAlive(), executor, MAX_HEADERS, MAX_HEADERS);
+        super(true, maxHead, null, unlimited(), executor, MAX_HEADERS, MAX_HEADERS);
         this.maxHead = maxHead;
         this.refusals = refusals;
         this.clock = clock;
         setAllowPayloadForUndefinedHttpMethods(true);
     }
 
+    /**
+     * Connections are kept for any number of requests; Grizzly's limit would close a connection
+     * without a response. The guard closes idle connections.
+     */
+    private static KeepAlive unlimited() {
+        KeepAlive keepAlive = new KeepAlive();
+        keepAlive.setMaxRequestsCount(-1);
+        keepAlive.setIdleTimeoutInSeconds(-1);
+        return keepAlive;
+    }
+
+    /** Ignores offers of another protocol; otherwise Grizzly would treat the body as endless. */
+    @Override
+    protected void onHttpHeadersParsed(
+            HttpHeader head, MimeHeaders headers, FilterChainContext context) {
+        headers.removeHeader("Upgrade");
+        head.getUpgradeDC().recycle();
+        super.onHttpHeadersParsed(head, headers, context);
+    }
+
     @Override
     protected void onHttpHeaderError(HttpHeader head, FilterChainContext context, Throwable cause)
             throws IOException {
--- a/daemon/src/main/java/org/peridotcourse/daemon/entry/CallerConnection.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/entry/CallerConnection.java
@@ -17,6 +17,7 @@
     private Phase phase = Phase.IDLE;
     private long since;
     private int headBytes;
+    private int reserved;
     private Runnable gone;
 
     CallerConnection(Connection<?> connection, long now) {
@@ -32,8 +33,6 @@
         RECEIVING,
         /** A complete request waits for its response. */
         WORKING,
-        /** The rest of a refused body is skipped. */
-        SKIPPING,
         /** A refusal was sent and the connection is about to be closed. */
         LINGERING
     }
@@ -77,16 +76,37 @@
     }
 
     /** Notes that a response was sent. */
-    synchronized void endWork(boolean skipping, long now) {
+    synchronized void endWork(BodyBudget budget, long now) {
         gone = null;
+        release(budget);
         if (phase != Phase.LINGERING) {
-            enter(skipping ? Phase.SKIPPING : Phase.IDLE, now);
+            enter(Phase.IDLE, now);
         }
     }
 
-    void onClosed() {
+    /** Tells whether the current request was refused and the rest of it is to be dropped. */
+    synchronized boolean isRefused() {
+        return phase == Phase.LINGERING;
+    }
+
+    /** Accounts for the bytes of the present body; false if there is no room for them. */
+    synchronized boolean reserve(int bytes, BodyBudget budget) {
+        if (bytes > reserved && !budget.take(bytes - reserved)) {
+            return false;
+        }
+        reserved = Math.max(bytes, reserved);
+        return true;
+    }
+
+    private void release(BodyBudget budget) {
+        budget.release(reserved);
+        reserved = 0;
+    }
+
+    void onClosed(BodyBudget budget) {
         Runnable listener;
         synchronized (this) {
+            release(budget);
             listener = gone;
             gone = null;
         }
@@ -116,9 +136,6 @@
             case IDLE:
                 closeAfter(age, idleTimeout);
                 return false;
-            case SKIPPING:
-                closeAfter(age, readTimeout);
-                return false;
             case LINGERING:
                 closeAfter(age, LINGER_MILLIS);
                 return false;
--- a/daemon/src/main/java/org/peridotcourse/daemon/entry/CallerExchange.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/entry/CallerExchange.java
@@ -1,19 +1,17 @@
 package org.peridotcourse.daemon.entry;
 
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.util.Locale;
+import java.util.Optional;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.LongSupplier;
-import org.glassfish.grizzly.ReadHandler;
-import org.glassfish.grizzly.http.io.NIOInputStream;
 import org.glassfish.grizzly.http.server.Request;
 import org.glassfish.grizzly.http.server.Response;
-import org.peridotcourse.routing.NotRunReason;
+import org.glassfish.grizzly.nio.NIOConnection;
 
 /**
- * One request of a caller over Grizzly's suspended response: collects the body, then sends one
- * response. It is thread-safe; the body is collected on a selector thread.
+ * One complete request of a caller over Grizzly's suspended response, which gets one response. It
+ * is thread-safe.
  */
 final class CallerExchange implements Caller {
     private final String id;
@@ -23,10 +21,8 @@
     private final LongSupplier clock;
     private final BodyBudget budget;
     private final AtomicBoolean answered = new AtomicBoolean();
-    private final ByteArrayOutputStream body = new ByteArrayOutputStream(0);
 
     private volatile boolean closing;
-    private long reserved;
 
     CallerExchange(
             String id, Request request, Response response, LongSupplier clock, BodyBudget budget) {
@@ -38,12 +34,6 @@
         this.budget = budget;
     }
 
-    /** What takes a complete body. */
-    @FunctionalInterface
-    interface BodyTaker {
-        void take(byte[] body);
-    }
-
     String id() {
         return id;
     }
@@ -53,37 +43,23 @@
         closing = true;
     }
 
-    /** Suspends the response and collects the body. */
-    void collect(int maxBody, BodyTaker taker) {
-        state.onHead(clock.getAsLong());
+    /**
+     * Suspends the response.
+     *
+     * @return the body, or empty if the request was refused before or its connection is broken
+     */
+    Optional<byte[]> begin() {
         response.suspend();
-        if (request.getContentLengthLong() > maxBody) {
-            refuseBody(NotRunReason.BODY_TOO_LARGE);
-            return;
+        state.onHead(clock.getAsLong());
+        if (!state.beginWork(clock.getAsLong())) {
+            return Optional.empty();
+        }
+        try {
+            return Optional.of(request.getInputStream().readAllBytes());
+        } catch (IOException broken) {
+            state.close();
+            return Optional.empty();
         }
-        NIOInputStream input = request.getNIOInputStream();
-        input.notifyAvailable(
-                new ReadHandler() {
-                    @Override
-                    public void onDataAvailable() throws IOException {
-                        if (append(input, maxBody)) {
-                            input.notifyAvailable(this);
-                        }
-                    }
-
-                    @Override
-                    public void onError(Throwable error) {
-                        answered.set(true);
-                        release();
-                    }
-
-                    @Override
-                    public void onAllDataRead() throws IOException {
-                        if (append(input, maxBody) && state.beginWork(clock.getAsLong())) {
-                            taker.take(body.toByteArray());
-                        }
-                    }
-                });
     }
 
     /** Calls back once if the connection ends before the response. */
@@ -91,15 +67,6 @@
         state.onGone(listener);
     }
 
-    @Override
-    public void answer(CallerAnswer answer) {
-        if (!answered.compareAndSet(false, true)) {
-            return;
-        }
-        release();
-        send(answer, false);
-    }
-
     /** Refuses a request whose end is not known, and closes the connection. */
     void refuseRaw(CallerAnswer answer) {
         answered.set(true);
@@ -107,15 +74,30 @@
         state.refuse(answer, clock.getAsLong());
     }
 
-    private void refuseBody(NotRunReason reason) {
-        if (answered.compareAndSet(false, true)) {
-            release();
-            long retryAfter = reason.isRetryUseful() ? EntryHandler.RETRY_AFTER_MILLIS : 0;
-            send(Answers.notRun(id, reason, retryAfter), true);
+    /**
+     * Sends on the selector thread of the connection. Grizzly loses track of the connection when a
+     * response is resumed on another thread before its handler has returned.
+     */
+    @Override
+    public void answer(CallerAnswer answer) {
+        if (!answered.compareAndSet(false, true)) {
+            return;
         }
+        NIOConnection connection = (NIOConnection) request.getContext().getConnection();
+        connection
+                .getSelectorRunner()
+                .getTransport()
+                .getSelectorHandler()
+                .enque(
+                        connection.getSelectorRunner(),
+                        () -> {
+                            send(answer);
+                            return true;
+                        },
+                        null);
     }
 
-    private void send(CallerAnswer answer, boolean skipping) {
+    private void send(CallerAnswer answer) {
         response.setStatus(answer.status());
         answer.headers()
                 .forEach(
@@ -130,7 +112,7 @@
             response.setHeader("Connection", "close");
         }
         response.setContentLength(answer.body().length);
-        state.endWork(skipping, clock.getAsLong());
+        state.endWork(budget, clock.getAsLong());
         try {
             response.getNIOOutputStream().write(answer.body());
         } catch (IOException gone) {
@@ -138,36 +120,4 @@
         }
         response.resume();
     }
-
-    private boolean append(NIOInputStream input, int maxBody) throws IOException {
-        int available = input.available();
-        if (answered.get()) {
-            return false;
-        }
-        if (available == 0) {
-            return true;
-        }
-        if (body.size() + available > maxBody) {
-            refuseBody(NotRunReason.BODY_TOO_LARGE);
-            return false;
-        }
-        if (!budget.take(available)) {
-            refuseBody(NotRunReason.RING_FULL);
-            return false;
-        }
-        reserve(available);
-        byte[] part = new byte[available];
-        int count = input.read(part);
-        body.write(part, 0, Math.max(0, count));
-        return true;
-    }
-
-    private synchronized void reserve(int bytes) {
-        reserved += bytes;
-    }
-
-    private synchronized void release() {
-        budget.release(reserved);
-        reserved = 0;
-    }
 }
--- a/daemon/src/main/java/org/peridotcourse/daemon/entry/CallerGuard.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/entry/CallerGuard.java
@@ -27,9 +27,11 @@
     private final Set<CallerConnection> connections = ConcurrentHashMap.newKeySet();
     private final int maxConnections;
     private final long readTimeoutMillis;
+    private final BodyBudget budget;
     private final LongSupplier clock;
 
-    CallerGuard(int maxConnections, long readTimeoutMillis, LongSupplier clock) {
+    CallerGuard(int maxConnections, long readTimeoutMillis, BodyBudget budget, LongSupplier clock) {
+        this.budget = budget;
         this.maxConnections = maxConnections;
         this.readTimeoutMillis = readTimeoutMillis;
         this.clock = clock;
@@ -72,7 +74,7 @@
         CallerConnection state = of(context.getConnection());
         if (state != null) {
             connections.remove(state);
-            state.onClosed();
+            state.onClosed(budget);
         }
         return context.getInvokeAction();
     }
--- a/daemon/src/main/java/org/peridotcourse/daemon/entry/EntryHandler.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/entry/EntryHandler.java
@@ -25,7 +25,6 @@
     private final RequestIds ids;
     private final RequestSink requests;
     private final JobSink jobs;
-    private final Limits limits;
     private final LongSupplier clock;
     private final BodyBudget budget;
 
@@ -35,13 +34,11 @@
             RequestIds ids,
             RequestSink requests,
             JobSink jobs,
-            Limits limits,
             BodyBudget budget,
             LongSupplier clock) {
         this.ids = ids;
         this.requests = requests;
         this.jobs = jobs;
-        this.limits = limits;
         this.budget = budget;
         this.clock = clock;
     }
@@ -74,22 +71,20 @@
             exchange.refuseRaw(Answers.malformed(id, framing.get()));
             return;
         }
+        Optional<byte[]> body = exchange.begin();
+        if (body.isEmpty()) {
+            return;
+        }
         String path = request.getRequestURI();
+        String method = request.getMethod().getMethodString();
         if (path.startsWith("/jobs/")) {
-            String method = request.getMethod().getMethodString();
-            exchange.collect(
-                    limits.maxBody(),
-                    body -> submitJob(new JobCall(id, method, path, body), exchange));
-            return;
+            submitJob(new JobCall(id, method, path, body.get()), exchange);
+        } else {
+            submit(
+                    RequestParser.parse(id, method, path, request.getQueryString(), headers),
+                    body.get(),
+                    exchange);
         }
-        Result<CallerRequest> parsed =
-                RequestParser.parse(
-                        id,
-                        request.getMethod().getMethodString(),
-                        path,
-                        request.getQueryString(),
-                        headers);
-        exchange.collect(limits.maxBody(), body -> submit(parsed, body, exchange));
     }
 
     private void submit(Result<CallerRequest> parsed, byte[] body, CallerExchange exchange) {
--- a/daemon/src/main/java/org/peridotcourse/daemon/entry/EntryServer.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/entry/EntryServer.java
@@ -3,7 +3,6 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.function.LongSupplier;
-import org.glassfish.grizzly.PortRange;
 import org.glassfish.grizzly.filterchain.FilterChainBuilder;
 import org.glassfish.grizzly.http.HttpServerFilter;
 import org.glassfish.grizzly.http.server.AddOn;
@@ -32,16 +31,14 @@
             InetSocketAddress address,
             EntryHandler handler,
             EntryHandler.Limits limits,
+            BodyBudget budget,
             RequestIds ids,
             LongSupplier clock) {
         this.handler = handler;
         this.ids = ids;
-        this.guard = new CallerGuard(limits.maxConnections(), limits.readTimeoutMillis(), clock);
-        this.listener =
-                new NetworkListener(
-                        "entry",
-                        address.getHostString(),
-                        new PortRange(address.getPort(), address.getPort()));
+        this.guard =
+                new CallerGuard(limits.maxConnections(), limits.readTimeoutMillis(), budget, clock);
+        this.listener = new NetworkListener("entry", address.getHostString(), address.getPort());
         TCPNIOTransport transport = listener.getTransport();
         transport.setIOStrategy(SameThreadIOStrategy.getInstance());
         transport.setSelectorRunnersCount(SELECTOR_THREADS);
@@ -49,7 +46,7 @@
         transport.setReuseAddress(true);
         listener.setTransport(transport);
         listener.setMaxHttpHeaderSize(limits.maxHead());
-        listener.registerAddOn(new Chain(limits.maxHead(), clock));
+        listener.registerAddOn(new Chain(limits, budget, clock));
         server.addListener(listener);
         server.getServerConfiguration().addHttpHandler(handler, "/");
         server.getServerConfiguration().setJmxEnabled(false);
@@ -121,11 +118,13 @@
 
     /** Puts the guard and the own codec into Grizzly's chain of filters. */
     private final class Chain implements AddOn {
-        private final int maxHead;
+        private final EntryHandler.Limits limits;
+        private final BodyBudget budget;
         private final LongSupplier clock;
 
-        Chain(int maxHead, LongSupplier clock) {
-            this.maxHead = maxHead;
+        Chain(EntryHandler.Limits limits, BodyBudget budget, LongSupplier clock) {
+            this.limits = limits;
+            this.budget = budget;
             this.clock = clock;
         }
 
@@ -135,10 +134,11 @@
             builder.set(
                     codec,
                     new CallerCodec(
-                            maxHead,
+                            limits.maxHead(),
                             null,
                             (reason, detail) -> Answers.notRun(ids.next(), reason, 0),
                             clock));
+            builder.add(codec + 1, new BodyFilter(limits.maxBody(), budget, ids, clock));
             builder.add(codec, guard);
             int cache = builder.indexOfType(FileCacheFilter.class);
             if (cache >= 0) {
--- a/daemon/src/main/java/org/peridotcourse/daemon/entry/EntryService.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/entry/EntryService.java
@@ -101,18 +101,13 @@
                         settings.number(SettingKey.MAX_BODY),
                         settings.number(SettingKey.MAX_CONNECTIONS),
                         settings.millis(SettingKey.READ_TIMEOUT));
-        EntryHandler handler =
-                new EntryHandler(
-                        requestIds,
-                        router,
-                        jobs,
-                        limits,
-                        new BodyBudget(settings.number(SettingKey.MAX_BUFFERED)),
-                        around.clock());
+        BodyBudget budget = new BodyBudget(settings.number(SettingKey.MAX_BUFFERED));
+        EntryHandler handler = new EntryHandler(requestIds, router, jobs, budget, around.clock());
         return new EntryServer(
                 settings.address(SettingKey.ENTRY_ADDRESS),
                 handler,
                 limits,
+                budget,
                 requestIds,
                 around.clock());
     }
