--- /dev/null
+++ b/daemon/src/main/java/org/peridotcourse/daemon/Control.java
@@ -0,0 +1,190 @@
+package org.peridotcourse.daemon;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.LongSupplier;
+import org.apache.thrift.transport.TTransportException;
+import org.peridotcourse.DaemonId;
+import org.peridotcourse.DataCentreId;
+import org.peridotcourse.daemon.control.AcceptorDuty;
+import org.peridotcourse.daemon.control.ConfigDuty;
+import org.peridotcourse.daemon.control.DutyThread;
+import org.peridotcourse.daemon.control.HostDuty;
+import org.peridotcourse.daemon.control.LeaseKeeper;
+import org.peridotcourse.daemon.control.Membership;
+import org.peridotcourse.daemon.control.PeerHandler;
+import org.peridotcourse.daemon.control.SnapshotHolder;
+import org.peridotcourse.daemon.entry.RouterDuty;
+import org.peridotcourse.daemon.http.ChannelFactory;
+import org.peridotcourse.daemon.log.EventLog;
+import org.peridotcourse.daemon.peer.PeerClient;
+import org.peridotcourse.daemon.peer.PeerServer;
+import org.peridotcourse.daemon.platform.HttpHostList;
+import org.peridotcourse.daemon.platform.HttpTableStore;
+import org.peridotcourse.daemon.settings.SettingKey;
+import org.peridotcourse.daemon.settings.Settings;
+import org.peridotcourse.membership.Peer;
+
+/**
+ * Configuration, membership, peers and the acceptor's lease of this daemon. It is thread-safe.
+ *
+ * <p>The thread {@code control} reads configuration and hosts; the thread {@code acceptor} keeps
+ * the lease and judges rows. Each has connections of its own, so neither waits for the other.
+ */
+final class Control implements AutoCloseable {
+    private static final long LEASE_MILLIS = 9_000;
+    private static final int PEER_CONNECT_MILLIS = 300;
+    private static final int PEER_REPLY_MILLIS = 500;
+
+    private final SnapshotHolder config = new SnapshotHolder();
+    private final Membership membership;
+    private final LeaseKeeper lease;
+    private final PeerServer peerServer;
+    private final PeerClient peerClient = new PeerClient(PEER_CONNECT_MILLIS, PEER_REPLY_MILLIS);
+    private final List<AutoCloseable> clients = new ArrayList<>();
+    private final EventLog log;
+    private final LongSupplier clock;
+    private final Settings settings;
+    private final ChannelFactory channels;
+
+    private volatile Optional<Long> leaseEpoch = Optional.empty();
+    private DutyThread controlThread;
+    private DutyThread acceptorThread;
+
+    Control(
+            Settings settings,
+            ChannelFactory channels,
+            long incarnation,
+            LongSupplier clock,
+            EventLog log)
+            throws TTransportException {
+        this.settings = settings;
+        this.channels = channels;
+        this.clock = clock;
+        this.log = log;
+        InetSocketAddress peerAddress = settings.address(SettingKey.PEER_ADDRESS);
+        DaemonId daemon = DaemonId.of(settings.text(SettingKey.DAEMON_NAME));
+        DataCentreId dataCentre = DataCentreId.of(settings.text(SettingKey.DATA_CENTRE));
+        Membership[] holder = new Membership[1];
+        this.peerServer =
+                new PeerServer(
+                        peerAddress,
+                        request -> new PeerHandler(holder[0], clock).exchange(request),
+                        log);
+        Peer self = new Peer(daemon, dataCentre, toText(peerServer.address()), incarnation);
+        this.membership = new Membership(self, config, log);
+        holder[0] = membership;
+        this.lease =
+                new LeaseKeeper(
+                        table(),
+                        AcceptorDuty.LEASE_KEY,
+                        self,
+                        LeaseKeeper.Terms.of(LEASE_MILLIS),
+                        clock,
+                        log);
+    }
+
+    SnapshotHolder config() {
+        return config;
+    }
+
+    Membership membership() {
+        return membership;
+    }
+
+    /** Returns the epoch of the acceptor's lease while this daemon holds it. */
+    Optional<Long> leaseEpoch() {
+        return leaseEpoch;
+    }
+
+    InetSocketAddress peerAddress() {
+        return peerServer.address();
+    }
+
+    void start(RouterDuty router, InetSocketAddress entryAddress) {
+        ConfigDuty configDuty =
+                new ConfigDuty(
+                        table(), peerClient, membership, config, toText(entryAddress), clock, log);
+        configDuty.seed(seeds());
+        HttpHostList hosts =
+                new HttpHostList(
+                        channels,
+                        settings.address(SettingKey.PLATFORM_ADDRESS),
+                        settings.millis(SettingKey.PLATFORM_TIMEOUT),
+                        log);
+        clients.add(hosts);
+        String region = settings.text(SettingKey.REGION);
+        controlThread =
+                new DutyThread(
+                        "control",
+                        List.of(
+                                configDuty,
+                                new HostDuty(hosts, membership, clock),
+                                new RoutingFeed(membership, config, router, region)),
+                        ConfigDuty.PERIOD_MILLIS,
+                        clock,
+                        log);
+        acceptorThread =
+                new DutyThread(
+                        "acceptor",
+                        List.of(
+                                lease,
+                                new AcceptorDuty(table(), lease, membership.self(), clock, log),
+                                now -> leaseEpoch = lease.held(now).map(held -> held.epoch())),
+                        ConfigDuty.PERIOD_MILLIS,
+                        clock,
+                        log);
+    }
+
+    /** Opens a connection of its own to the table service. */
+    HttpTableStore table() {
+        HttpTableStore store =
+                new HttpTableStore(
+                        channels,
+                        settings.address(SettingKey.PLATFORM_ADDRESS),
+                        settings.millis(SettingKey.PLATFORM_TIMEOUT),
+                        log);
+        clients.add(store);
+        return store;
+    }
+
+    /** Tells peers of the stop and gives the lease back. */
+    void release() {
+        membership.leave();
+        acceptorThread.close();
+        lease.release();
+        leaseEpoch = Optional.empty();
+    }
+
+    @Override
+    public void close() {
+        controlThread.close();
+        peerServer.close();
+        peerClient.close();
+        for (AutoCloseable client : clients) {
+            try {
+                client.close();
+            } catch (Exception failed) {
+                log.event(ProcessEvent.STOP_STEP_FAILED)
+                        .with("step", "close " + client.getClass().getSimpleName())
+                        .with("fault", failed)
+                        .write();
+            }
+        }
+    }
+
+    private List<Peer> seeds() {
+        List<Peer> seeds = new ArrayList<>();
+        for (InetSocketAddress address : settings.addresses(SettingKey.PEER_SEEDS)) {
+            DaemonId name = DaemonId.of("seed-" + (seeds.size() + 1));
+            seeds.add(new Peer(name, membership.self().dataCentre(), toText(address), 0));
+        }
+        return seeds;
+    }
+
+    private static String toText(InetSocketAddress address) {
+        return address.getAddress().getHostAddress() + ":" + address.getPort();
+    }
+}
