Detect silent servers before the deadline and stop self-inflating limits

Change: the unloaded latency is kept per service and rises only while the own requests stay within the share; half of an attempt's time is enough for a suspicion if it is three times the usual high latency; silence until the deadline is a failure; a suspected server is a last resort until a new connection to it opens.

--- a/core/src/main/java/org/peridotcourse/routing/BackendServer.java
+++ b/core/src/main/java/org/peridotcourse/routing/BackendServer.java
@@ -13,6 +13,7 @@
      */
     private static final long REFUSAL_PAUSE_MILLIS = 20;
 
+    private static final int SUSPECTED_TIERS = 3;
     private static final long LONGEST_PAUSE_MILLIS = 1_000;
 
     final Health health = new Health();
@@ -39,8 +40,9 @@
         return info;
     }
 
+    /** Returns the distance; a suspected server is farther than any other and a last resort. */
     int tier() {
-        return tier;
+        return health.isSuspected() && health.isHealthy() ? tier + SUSPECTED_TIERS : tier;
     }
 
     int inFlight() {
@@ -136,6 +138,7 @@
     void onConnected(Connection connection) {
         connection.open = true;
         connecting--;
+        health.onConnected();
         idle.addLast(connection);
     }
 
@@ -165,13 +168,15 @@
     }
 
     /** Counts a complete response; to be called before its request is detached. */
-    void onAnswer(long millis, boolean slotted, boolean adaptive) {
+    void onAnswer(long millis, boolean slotted, UnloadedLatency unloaded, boolean adaptive) {
         health.onAnswer();
-        if (slotted) {
-            latency.add(millis);
-            if (adaptive) {
-                limit.onReply(millis, inFlight >= limit.value());
-            }
+        if (!slotted) {
+            return;
+        }
+        latency.add(millis);
+        unloaded.add(millis, inFlight > limit.share());
+        if (adaptive) {
+            limit.onReply(millis, inFlight >= limit.value(), unloaded.value());
         }
     }
 
--- a/core/src/main/java/org/peridotcourse/routing/Dispatcher.java
+++ b/core/src/main/java/org/peridotcourse/routing/Dispatcher.java
@@ -17,6 +17,8 @@
 
     private static final int SILENT_FACTOR = 8;
 
+    private static final int SHORT_FACTOR = 3;
+
     private final RoutingSettings settings;
     private final RandomGenerator random;
     private final BackendChoice choice;
@@ -293,19 +295,42 @@
             if (usual.isEmpty()) {
                 continue;
             }
-            long limit = Math.max(SILENT_FLOOR_MILLIS, SILENT_FACTOR * usual.high());
+            long high = usual.high();
             for (Connection connection : server.connections()) {
                 RoutedRequest request = connection.request;
                 if (request != null
                         && request.isSlotted()
                         && !connection.suspected
-                        && connection.silentMillis(now) > limit) {
+                        && connection.silentMillis(now) > silentLimit(connection, high)) {
                     suspect(now, connection, request, out);
                 }
             }
         }
     }
 
+    /**
+     * Returns how long a connection may be silent. Half of the attempt's time suffices if that is
+     * three times the usual high latency; otherwise a short deadline passes before any suspicion.
+     */
+    private static long silentLimit(Connection connection, long high) {
+        long half = (connection.request.info.deadlineMillis() - connection.sentMillis) / 2;
+        long limit = Math.min(SILENT_FACTOR * high, Math.max(SHORT_FACTOR * high, half));
+        return Math.max(SILENT_FLOOR_MILLIS, limit);
+    }
+
+    /** Counts a connection that was silent until the deadline of its request as a failure. */
+    void failIfSilent(long now, RoutedRequest request, List<RoutingAction> out) {
+        Connection connection = request.connection;
+        long high = connection.server.latency.high();
+        if (request.isSlotted()
+                && !connection.suspected
+                && high > 0
+                && connection.silentMillis(now) > SHORT_FACTOR * high) {
+            connection.suspected = true;
+            fail(now, request.pool, connection, out);
+        }
+    }
+
     private void suspect(
             long now, Connection connection, RoutedRequest request, List<RoutingAction> out) {
         connection.suspected = true;
@@ -352,4 +377,16 @@
             }
         }
     }
+
+    /** Opens connections that show whether suspected and ejected servers work again. */
+    void probe(long now, ServicePool pool, List<RoutingAction> out) {
+        for (BackendServer server : pool.servers()) {
+            if (server.isAccepting()
+                    && server.mayConnect()
+                    && (server.health.startProbe(now)
+                            || (server.connecting() == 0 && server.health.startTry(now)))) {
+                connect(now, server, out);
+            }
+        }
+    }
 }
--- a/core/src/main/java/org/peridotcourse/routing/Health.java
+++ b/core/src/main/java/org/peridotcourse/routing/Health.java
@@ -9,6 +9,10 @@
 final class Health {
     private static final int FAILURES = 3;
     private static final long FIRST_MILLIS = 1_000;
+
+    /** Pause between connection attempts to a suspected server that may not be ejected. */
+    private static final long TRY_MILLIS = 100;
+
     private static final long LONGEST_MILLIS = 30_000;
 
     private boolean ejected;
@@ -16,6 +20,8 @@
     private long untilMillis;
     private long nextMillis = FIRST_MILLIS;
     private int failures;
+    private boolean suspected;
+    private long nextTryMillis;
     private long lastFailed;
 
     boolean isHealthy() {
@@ -26,6 +32,25 @@
         return probing;
     }
 
+    /** Tells whether its last connection failed and no new one is proved yet. */
+    boolean isSuspected() {
+        return suspected;
+    }
+
+    /** Takes the news that a new connection is open. */
+    void onConnected() {
+        suspected = false;
+    }
+
+    /** Tells whether a suspected server is to be tried by a new connection now. */
+    boolean startTry(long now) {
+        if (ejected || !suspected || now < nextTryMillis) {
+            return false;
+        }
+        nextTryMillis = now + TRY_MILLIS;
+        return true;
+    }
+
     boolean hasFailed() {
         return failures > 0 || ejected;
     }
@@ -36,6 +61,7 @@
             failures++;
             lastFailed = connection;
         }
+        suspected = true;
         boolean again = ejected && probing;
         if (again || (!ejected && failures >= FAILURES && mayEject)) {
             ejected = true;
@@ -47,6 +73,7 @@
 
     void onAnswer() {
         failures = 0;
+        suspected = false;
         if (ejected && !probing) {
             return; // A late answer of an old request proves nothing about new ones.
         }
--- a/core/src/main/java/org/peridotcourse/routing/InFlightLimit.java
+++ b/core/src/main/java/org/peridotcourse/routing/InFlightLimit.java
@@ -16,12 +16,11 @@
 
     private static final int LAST_GROWTH = 512;
     private static final double HIGH_LATENCY = 1.5;
-    private static final double BASE_DRIFT = 1.02;
+    private static final double CUT = 0.8;
 
     private int share = 1;
     private int slots = 1;
     private double limit = 1;
-    private double base = Double.MAX_VALUE;
     private double sum;
     private int count;
     private boolean high;
@@ -38,27 +37,29 @@
         }
     }
 
+    int share() {
+        return share;
+    }
+
     int value() {
         return (int) limit;
     }
 
-    /** Takes the latency of a complete response and whether the limit was reached meanwhile. */
-    void onReply(long millis, boolean wasFull) {
+    /** Takes the latency of a response, whether the limit was reached, and the unloaded latency. */
+    void onReply(long millis, boolean wasFull, double unloaded) {
         sum += millis;
         count++;
         fullReplies += wasFull ? 1 : 0;
-        if (fullReplies >= growAfter && !high) {
+        if (fullReplies >= growAfter && !high && unloaded > 0) {
             limit = Math.min(slots, limit + 1);
             fullReplies = 0;
         }
         if (count < WINDOW) {
             return;
         }
-        double mean = sum / count;
-        base = Math.min(base * BASE_DRIFT, mean);
-        high = mean > base * HIGH_LATENCY;
+        high = unloaded > 0 && sum / count > unloaded * HIGH_LATENCY;
         if (high) {
-            limit = Math.max(share, limit * 0.8);
+            limit = Math.max(share, limit * CUT);
             fullReplies = 0;
         }
         sum = 0;
--- a/core/src/main/java/org/peridotcourse/routing/RequestRouter.java
+++ b/core/src/main/java/org/peridotcourse/routing/RequestRouter.java
@@ -312,7 +312,8 @@
         } else {
             long millis = now - connection.sentMillis;
             request.pool.laneOf(request).latency.add(millis);
-            server.onAnswer(millis, request.isSlotted(), settings.adaptive());
+            server.onAnswer(
+                    millis, request.isSlotted(), request.pool.unloaded, settings.adaptive());
         }
         dispatcher.release(now, request, reply.reusable(), Optional.empty(), out);
         if (!server.isAccepting()) {
@@ -432,13 +433,7 @@
         for (ServicePool pool : pools.all()) {
             if (settings.policy().isLimited()) {
                 dispatcher.suspectSilent(now, pool, out);
-                for (BackendServer server : pool.servers()) {
-                    if (server.isAccepting()
-                            && server.health.startProbe(now)
-                            && server.mayConnect()) {
-                        dispatcher.connect(now, server, out);
-                    }
-                }
+                dispatcher.probe(now, pool, out);
             }
             dispatcher.dispatch(now, pool, out);
         }
@@ -447,6 +442,7 @@
 
     private void onDeadline(long now, RoutedRequest request, List<RoutingAction> out) {
         if (request.phase == RoutedRequest.Phase.FORWARDED) {
+            dispatcher.failIfSilent(now, request, out);
             abandon(now, request, UnknownReason.DEADLINE, out);
         } else {
             boolean unsettled = request.claim.state() == KeyClaim.State.UNSETTLED;
--- a/core/src/main/java/org/peridotcourse/routing/RetryBudget.java
+++ b/core/src/main/java/org/peridotcourse/routing/RetryBudget.java
@@ -5,7 +5,7 @@
     private static final int TOKEN = 100;
 
     /** Retries that may follow at once after a calm period; larger bursts only feed an outage. */
-    private static final int MAX_TOKENS = 20 * TOKEN;
+    private static final int MAX_TOKENS = 50 * TOKEN;
 
     private final int percent;
     private int tokens;
--- a/core/src/main/java/org/peridotcourse/routing/ServicePool.java
+++ b/core/src/main/java/org/peridotcourse/routing/ServicePool.java
@@ -16,6 +16,7 @@
     final ServiceId service;
     final Lane slots = new Lane(true);
     final Lane watches = new Lane(false);
+    final UnloadedLatency unloaded = new UnloadedLatency();
     private final List<BackendServer> servers = new ArrayList<>();
 
     ServicePool(ServiceId service) {
