--- a/core/src/main/java/org/peridotcourse/routing/InFlightLimit.java
+++ b/core/src/main/java/org/peridotcourse/routing/InFlightLimit.java
@@ -11,16 +11,21 @@
     /** Means of fewer replies vary too much to tell load from chance. */
     private static final int WINDOW = 32;
 
+    /** Replies at the full limit after which it grows; doubles with each refusal. */
+    private static final int FIRST_GROWTH = 8;
+
+    private static final int LAST_GROWTH = 512;
     private static final double HIGH_LATENCY = 1.5;
-    private static final double BASE_DRIFT = 1.02;
+    private static final double CUT = 0.8;
 
     private int share = 1;
     private int slots = 1;
     private double limit = 1;
-    private double base = Double.MAX_VALUE;
     private double sum;
     private int count;
-    private boolean full;
+    private boolean high;
+    private int fullReplies;
+    private int growAfter = FIRST_GROWTH;
 
     /** Changes the bounds; a changed share is in force at once. */
     void update(int newShare, int newSlots) {
@@ -32,32 +37,39 @@
         }
     }
 
+    int share() {
+        return share;
+    }
+
     int value() {
         return (int) limit;
     }
 
-    /** Takes the latency of a complete response and whether the limit was reached meanwhile. */
-    void onReply(long millis, boolean wasFull) {
+    /** Takes the latency of a response, whether the limit was reached, and the unloaded latency. */
+    void onReply(long millis, boolean wasFull, double unloaded) {
         sum += millis;
         count++;
-        full |= wasFull;
+        fullReplies += wasFull ? 1 : 0;
+        if (fullReplies >= growAfter && !high && unloaded > 0) {
+            limit = Math.min(slots, limit + 1);
+            fullReplies = 0;
+        }
         if (count < WINDOW) {
             return;
         }
-        double mean = sum / count;
-        base = Math.min(base * BASE_DRIFT, mean);
-        if (mean > base * HIGH_LATENCY) {
-            limit = Math.max(share, limit * 0.8);
-        } else if (full) {
-            limit = Math.min(slots, limit + 1);
+        high = unloaded > 0 && sum / count > unloaded * HIGH_LATENCY;
+        if (high) {
+            limit = Math.max(share, limit * CUT);
+            fullReplies = 0;
         }
         sum = 0;
         count = 0;
-        full = false;
     }
 
     /** Takes the news that the backend server refused a request. */
     void onRefused() {
-        limit = Math.max(Math.min(1, share), limit * 0.7);
+        limit = Math.max(Math.min(1, share), Math.min(share, limit - 1));
+        growAfter = Math.min(LAST_GROWTH, growAfter * 2);
+        fullReplies = 0;
     }
 }
--- a/core/src/main/java/org/peridotcourse/routing/RequestRouter.java
+++ b/core/src/main/java/org/peridotcourse/routing/RequestRouter.java
@@ -138,7 +138,7 @@
         if (pool.acceptingFor(customer.info()).isEmpty()) {
             return refuse(info, NotRunReason.NO_BACKEND, dispatcher.retryAfter(1_000));
         }
-        RoutedRequest request = new RoutedRequest(info, customer, pool);
+        RoutedRequest request = new RoutedRequest(info, customer, pool, now);
         if (settings.policy().isLimited()) {
             Optional<Outcome.NotRun> refusal = admission.check(now, request, pools.hosts());
             if (refusal.isPresent()) {
@@ -312,7 +312,8 @@
         } else {
             long millis = now - connection.sentMillis;
             request.pool.laneOf(request).latency.add(millis);
-            server.onAnswer(millis, request.isSlotted(), settings.adaptive());
+            server.onAnswer(
+                    millis, request.isSlotted(), request.pool.unloaded, settings.adaptive());
         }
         dispatcher.release(now, request, reply.reusable(), Optional.empty(), out);
         if (!server.isAccepting()) {
@@ -432,13 +433,7 @@
         for (ServicePool pool : pools.all()) {
             if (settings.policy().isLimited()) {
                 dispatcher.suspectSilent(now, pool, out);
-                for (BackendServer server : pool.servers()) {
-                    if (server.isAccepting()
-                            && server.health.startProbe(now)
-                            && server.mayConnect()) {
-                        dispatcher.connect(now, server, out);
-                    }
-                }
+                dispatcher.probe(now, pool, out);
             }
             dispatcher.dispatch(now, pool, out);
         }
@@ -447,6 +442,7 @@
 
     private void onDeadline(long now, RoutedRequest request, List<RoutingAction> out) {
         if (request.phase == RoutedRequest.Phase.FORWARDED) {
+            dispatcher.failIfSilent(now, request, out);
             abandon(now, request, UnknownReason.DEADLINE, out);
         } else {
             boolean unsettled = request.claim.state() == KeyClaim.State.UNSETTLED;
