Test placement against generated fault sequences and fix what they show

Faults that the sequences found, each fixed here: - A report that arrived late replaced a newer checkpoint. Report requests are numbered now and only the newest one counts. This changes FetchReport, ReportReceived and ReportFailed. - After a worker's restart its clock is lower, and a task that it had lost was never fenced. - A refusal for a stale epoch that answered a command of an earlier epoch made the owner give up its present lease for ever. - Reading back a refused creation replaced tasks that had been placed since. - A replica number could be used twice within one epoch after a reload.

--- /dev/null
+++ b/core/src/main/java/org/peridotcourse/base/StateChart.java
@@ -0,0 +1,236 @@
+package org.peridotcourse.base;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Deque;
+import java.util.EnumMap;
+import java.util.EnumSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * Interprets a state chart that is kept as INI text.
+ *
+ * <p>Each state is a section {@code [state NAME]} with lines {@code EVENT = NEXT_STATE} and at most
+ * one line {@code ignored = EVENT EVENT ...} for events that leave the state unchanged. The first
+ * section is the initial state. Names are those of the enum constants in lower case with hyphens.
+ * Every state must handle or ignore every event, so {@link #next} is defined for all pairs. Lines
+ * that start with {@code #} or {@code ;} are comments. Instances are immutable and thread-safe.
+ *
+ * @param <S> the states
+ * @param <E> the events
+ */
+public final class StateChart<S extends Enum<S>, E extends Enum<E>> {
+    private static final String IGNORED = "ignored";
+
+    private final S initial;
+    private final Map<S, Map<E, S>> transitions;
+
+    private StateChart(S initial, Map<S, Map<E, S>> transitions) {
+        this.initial = initial;
+        this.transitions = transitions;
+    }
+
+    /**
+     * Reads a chart.
+     *
+     * @param name name of the chart, for messages
+     * @param text the INI text
+     * @param states type of the states
+     * @param events type of the events
+     * @param <S> the states
+     * @param <E> the events
+     * @return the chart
+     * @throws InvalidChartException if the chart has faults; it names all of them
+     */
+    public static <S extends Enum<S>, E extends Enum<E>> StateChart<S, E> parse(
+            String name, String text, Class<S> states, Class<E> events) {
+        Reader<S, E> reader = new Reader<>(states, events);
+        reader.read(text);
+        reader.check();
+        if (!reader.faults.isEmpty()) {
+            throw new InvalidChartException(name, reader.faults);
+        }
+        return new StateChart<>(reader.initial, reader.transitions);
+    }
+
+    /**
+     * Reads a chart from the directory {@code charts} of the class path.
+     *
+     * @param name file name without {@code .ini}
+     * @param states type of the states
+     * @param events type of the events
+     * @param <S> the states
+     * @param <E> the events
+     * @return the chart
+     * @throws InvalidChartException if the chart is missing or has faults
+     */
+    public static <S extends Enum<S>, E extends Enum<E>> StateChart<S, E> load(
+            String name, Class<S> states, Class<E> events) {
+        String path = "/charts/" + name + ".ini";
+        try (InputStream in = StateChart.class.getResourceAsStream(path)) {
+            if (in == null) {
+                throw new InvalidChartException(name, List.of("no resource " + path));
+            }
+            String text = new String(in.readAllBytes(), StandardCharsets.UTF_8);
+            return parse(name, text, states, events);
+        } catch (IOException e) {
+            throw new InvalidChartException(name, List.of("cannot read " + path + ": " + e));
+        }
+    }
+
+    /**
+     * Returns the initial state.
+     *
+     * @return the state of the first section
+     */
+    public S initial() {
+        return initial;
+    }
+
+    /**
+     * Returns the state after an event.
+     *
+     * @param state the present state
+     * @param event the event
+     * @return the next state, the present one if it ignores the event
+     */
+    public S next(S state, E event) {
+        return transitions.get(state).get(event);
+    }
+
+    /** Collects transitions and faults of one text. */
+    private static final class Reader<S extends Enum<S>, E extends Enum<E>> {
+        private final Class<S> states;
+        private final Class<E> events;
+        private final Map<S, Map<E, S>> transitions;
+        private final List<String> faults = new ArrayList<>();
+        private S initial;
+        private S current;
+
+        Reader(Class<S> states, Class<E> events) {
+            this.states = states;
+            this.events = events;
+            this.transitions = new EnumMap<>(states);
+        }
+
+        void read(String text) {
+            int number = 0;
+            for (String raw : text.split("\n", -1)) {
+                number++;
+                String line = raw.strip();
+                if (line.isEmpty() || line.startsWith("#") || line.startsWith(";")) {
+                    continue;
+                }
+                if (line.startsWith("[")) {
+                    section(number, line);
+                } else if (line.indexOf('=') > 0) {
+                    int equals = line.indexOf('=');
+                    entry(
+                            number,
+                            line.substring(0, equals).strip(),
+                            line.substring(equals + 1).strip());
+                } else {
+                    faults.add("line " + number + ": neither a section nor an entry: " + line);
+                }
+            }
+        }
+
+        private void section(int number, String line) {
+            current = null;
+            if (!line.startsWith("[state ") || !line.endsWith("]")) {
+                faults.add("line " + number + ": expected [state NAME]: " + line);
+                return;
+            }
+            String name = line.substring("[state ".length(), line.length() - 1).strip();
+            Optional<S> state = constant(states, name);
+            if (state.isEmpty()) {
+                faults.add("line " + number + ": unknown state " + name);
+            } else if (transitions.containsKey(state.get())) {
+                faults.add("line " + number + ": second section of state " + name);
+            } else {
+                current = state.get();
+                initial = initial == null ? current : initial;
+                transitions.put(current, new EnumMap<>(events));
+            }
+        }
+
+        private void entry(int number, String key, String value) {
+            if (current == null) {
+                faults.add("line " + number + ": entry outside of a valid section");
+                return;
+            }
+            if (key.equals(IGNORED)) {
+                Arrays.stream(value.split("\\s+"))
+                        .forEach(event -> transition(number, event, Optional.of(current)));
+                return;
+            }
+            Optional<S> target = constant(states, value);
+            if (target.isEmpty()) {
+                faults.add("line " + number + ": unknown state " + value);
+            }
+            transition(number, key, target);
+        }
+
+        private void transition(int number, String eventName, Optional<S> target) {
+            Optional<E> event = constant(events, eventName);
+            if (event.isEmpty()) {
+                faults.add("line " + number + ": unknown event " + eventName);
+            } else if (target.isPresent()
+                    && transitions.get(current).put(event.get(), target.get()) != null) {
+                faults.add("line " + number + ": second entry of event " + eventName);
+            }
+        }
+
+        void check() {
+            for (S state : states.getEnumConstants()) {
+                Map<E, S> row = transitions.get(state);
+                if (row == null) {
+                    faults.add("no section of state " + code(state));
+                    continue;
+                }
+                for (E event : events.getEnumConstants()) {
+                    if (!row.containsKey(event)) {
+                        faults.add("state " + code(state) + ": unhandled event " + code(event));
+                    }
+                }
+            }
+            Set<S> reached = reachable();
+            transitions.keySet().stream()
+                    .filter(state -> !reached.contains(state))
+                    .forEach(state -> faults.add("unreachable state " + code(state)));
+        }
+
+        private Set<S> reachable() {
+            Set<S> reached = EnumSet.noneOf(states);
+            Deque<S> open = new ArrayDeque<>();
+            if (initial != null) {
+                open.add(initial);
+            }
+            while (!open.isEmpty()) {
+                S state = open.remove();
+                if (reached.add(state) && transitions.containsKey(state)) {
+                    open.addAll(transitions.get(state).values());
+                }
+            }
+            return reached;
+        }
+
+        private static <T extends Enum<T>> Optional<T> constant(Class<T> type, String name) {
+            return Arrays.stream(type.getEnumConstants())
+                    .filter(constant -> code(constant).equals(name))
+                    .findFirst();
+        }
+
+        private static String code(Enum<?> constant) {
+            return constant.name().toLowerCase(Locale.ROOT).replace('_', '-');
+        }
+    }
+}
--- a/core/src/main/java/org/peridotcourse/placement/Book.java
+++ b/core/src/main/java/org/peridotcourse/placement/Book.java
@@ -181,6 +181,18 @@
         }
     }
 
+    /** Adopts a row that a poll found, unless more is known already. */
+    void adoptNewer(long nowMillis, TaskRow row) {
+        Task known = find(row.task());
+        boolean newer =
+                known == null
+                        ? row.commit() > removed.getOrDefault(row.task().value(), 0L)
+                        : !known.busy && row.commit() > known.commit;
+        if (newer) {
+            adopt(nowMillis, row);
+        }
+    }
+
     /** Forgets a task that is no longer in this data centre. */
     void forget(long nowMillis, Task task, long commit) {
         unlink(nowMillis, task);
--- a/core/src/main/java/org/peridotcourse/placement/Commits.java
+++ b/core/src/main/java/org/peridotcourse/placement/Commits.java
@@ -134,6 +134,17 @@
                 book.forget(nowMillis, change.task, change.task.commit);
             }
         }
-        rows.values().forEach(row -> book.adopt(nowMillis, row));
+        // Tasks of the write itself wait for this answer. Created ones may have been seen by a poll
+        // since, and then follow the same rule as in a poll.
+        Set<Task> own = new HashSet<>();
+        flight.changes.forEach(change -> own.add(change.task));
+        for (TaskRow row : rows.values()) {
+            Task task = book.find(row.task());
+            if (task != null && own.contains(task)) {
+                book.adopt(nowMillis, row);
+            } else {
+                book.adoptNewer(nowMillis, row);
+            }
+        }
     }
 }
--- a/core/src/main/java/org/peridotcourse/placement/PlacementAction.java
+++ b/core/src/main/java/org/peridotcourse/placement/PlacementAction.java
@@ -86,11 +86,13 @@
 
     /**
      * Fetches a worker's report; the answer is {@link PlacementEvent.ReportReceived} or {@link
-     * PlacementEvent.ReportFailed}.
+     * PlacementEvent.ReportFailed} with the same number. Every request needs one of them, at the
+     * latest after a time-out.
      *
      * @param worker the worker
+     * @param number number of the request
      */
-    record FetchReport(WorkerId worker) implements PlacementAction {}
+    record FetchReport(WorkerId worker, long number) implements PlacementAction {}
 
     /**
      * Records a decision in the log and in the ring for {@code explain}.
--- a/core/src/main/java/org/peridotcourse/placement/PlacementConfig.java
+++ b/core/src/main/java/org/peridotcourse/placement/PlacementConfig.java
@@ -1,8 +1,10 @@
 package org.peridotcourse.placement;
 
+import java.util.Collections;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeMap;
 import org.peridotcourse.CustomerId;
 import org.peridotcourse.DataCentreId;
 import org.peridotcourse.Resources;
@@ -28,7 +30,7 @@
             new PlacementConfig(0, Map.of(), Map.of(), Map.of());
 
     /**
-     * Copies the maps.
+     * Copies the maps in the order of their keys, so that equal input gives equal decisions.
      *
      * @param version version of the configuration
      * @param dataCentres state of the data centres
@@ -36,9 +38,9 @@
      * @param workloads the workloads
      */
     public PlacementConfig {
-        dataCentres = Map.copyOf(dataCentres);
-        customers = Map.copyOf(customers);
-        workloads = Map.copyOf(workloads);
+        dataCentres = Collections.unmodifiableMap(new TreeMap<>(dataCentres));
+        customers = Collections.unmodifiableMap(new TreeMap<>(customers));
+        workloads = Collections.unmodifiableMap(new TreeMap<>(workloads));
     }
 
     /**
--- a/core/src/main/java/org/peridotcourse/placement/PlacementEvent.java
+++ b/core/src/main/java/org/peridotcourse/placement/PlacementEvent.java
@@ -100,16 +100,18 @@
     /**
      * A worker's report arrived.
      *
+     * @param number number of the request
      * @param report the report
      */
-    record ReportReceived(WorkerReport report) implements PlacementEvent {}
+    record ReportReceived(long number, WorkerReport report) implements PlacementEvent {}
 
     /**
      * A worker did not answer a request for its report.
      *
      * @param worker the worker
+     * @param number number of the request
      */
-    record ReportFailed(WorkerId worker) implements PlacementEvent {}
+    record ReportFailed(WorkerId worker, long number) implements PlacementEvent {}
 
     /**
      * A worker answered commands.
--- a/core/src/main/java/org/peridotcourse/placement/PlacementOwner.java
+++ b/core/src/main/java/org/peridotcourse/placement/PlacementOwner.java
@@ -175,14 +175,13 @@
 
     private boolean worker(long nowMillis, PlacementEvent event) {
         if (event instanceof PlacementEvent.ReportReceived received) {
-            reconciler.report(nowMillis, received.report());
+            reconciler.report(nowMillis, received.number(), received.report());
         } else if (event instanceof PlacementEvent.ReportFailed failed) {
-            upkeep.reportFailed(book.worker(failed.worker()));
+            upkeep.reportFailed(book.worker(failed.worker()), failed.number());
         } else if (event instanceof PlacementEvent.CommandsAnswered answered) {
             reconciler.answered(nowMillis, answered);
         } else if (event instanceof PlacementEvent.CommandsFailed failed) {
-            reconciler.failed(nowMillis, failed);
-            if (failed.staleEpoch()) {
+            if (reconciler.failed(nowMillis, failed)) {
                 leaseLost();
             }
         } else if (event instanceof PlacementEvent.WorkersSeen seen) {
@@ -268,7 +267,6 @@
         loadCommit = confirmed.commit();
         writes.clear();
         outbox.clear();
-        replicas.clear();
         book.clear(bound);
         load(nowMillis);
     }
@@ -313,19 +311,8 @@
             choice.refresh();
             intake.noteAll();
         } else if (book.loaded) {
-            seen.rows().forEach(row -> adoptNewer(nowMillis, row));
+            seen.rows().forEach(row -> book.adoptNewer(nowMillis, row));
             book.removed.values().removeIf(commit -> commit <= seen.asOf());
         }
     }
-
-    private void adoptNewer(long nowMillis, TaskRow row) {
-        Task known = book.find(row.task());
-        boolean newer =
-                known == null
-                        ? row.commit() > book.removed.getOrDefault(row.task().value(), 0L)
-                        : !known.busy && row.commit() > known.commit;
-        if (newer) {
-            book.adopt(nowMillis, row);
-        }
-    }
 }
--- a/core/src/main/java/org/peridotcourse/placement/Reconciler.java
+++ b/core/src/main/java/org/peridotcourse/placement/Reconciler.java
@@ -27,9 +27,13 @@
         this.guards = guards;
     }
 
-    void report(long nowMillis, WorkerReport report) {
+    /** Handles a report, if no newer one was requested since its request. */
+    void report(long nowMillis, long number, WorkerReport report) {
         Worker worker = book.worker(report.worker());
-        worker.reportOutstanding = false;
+        if (worker.reportRequest != number) {
+            return;
+        }
+        worker.reportRequest = 0;
         worker.clock = new LeaseClock(report.clockMillis(), nowMillis);
         worker.contactMillis = nowMillis;
         worker.renewFailed = false;
@@ -37,7 +41,11 @@
             return;
         }
         if (report.epoch() < book.lease.epoch()) {
+            // The worker has restarted, or this owner has not reached it yet. Clock readings of a
+            // time before the restart cannot be compared with its reports.
+            worker.tasks.forEach(task -> task.startClock = Task.NOT_ACKNOWLEDGED);
             worker.fenced = false;
+            worker.reconciled = false;
             worker.nextRenewMillis = nowMillis;
             return;
         }
@@ -67,7 +75,7 @@
             return;
         }
         task.reportNumber = reports;
-        task.progress = each.progress();
+        task.progress = Math.max(task.progress, each.progress());
         if (task.busy) {
             return;
         }
@@ -205,11 +213,15 @@
         }
     }
 
-    /** Handles commands without an answer; the next report shows what became of them. */
-    void failed(long nowMillis, PlacementEvent.CommandsFailed failure) {
+    /**
+     * Handles commands without an answer; the next report shows what became of them.
+     *
+     * @return true if a worker refused commands of the present epoch, so that a later one exists
+     */
+    boolean failed(long nowMillis, PlacementEvent.CommandsFailed failure) {
         Outbox.Sent sent = outbox.settled(failure.number()).orElse(null);
         if (sent == null) {
-            return;
+            return false;
         }
         Worker worker = sent.worker();
         worker.nextReportMillis = nowMillis;
@@ -229,5 +241,6 @@
                 task.controlRequest = 0;
             }
         }
+        return failure.staleEpoch();
     }
 }
--- a/core/src/main/java/org/peridotcourse/placement/Replicas.java
+++ b/core/src/main/java/org/peridotcourse/placement/Replicas.java
@@ -19,6 +19,8 @@
     private final Book book;
     private final WriteBuffer writes;
     private final Outbox outbox;
+
+    /** Kept over reloads, because one epoch can read its rows several times. */
     private final Map<String, Integer> lastNumber = new HashMap<>();
 
     Replicas(Book book, WriteBuffer writes, Outbox outbox) {
@@ -27,10 +29,6 @@
         this.outbox = outbox;
     }
 
-    void clear() {
-        lastNumber.clear();
-    }
-
     /** Creates missing replicas and stops surplus ones. */
     void run(long nowMillis) {
         if (!book.isReady(nowMillis)) {
--- a/core/src/main/java/org/peridotcourse/placement/Task.java
+++ b/core/src/main/java/org/peridotcourse/placement/Task.java
@@ -62,6 +62,8 @@
     void forgetAttempt() {
         startRequest = 0;
         controlRequest = 0;
+        progress = 0;
+        savedProgress = 0;
         startClock = NOT_ACKNOWLEDGED;
         throttlePercent = 100;
         target = null;
--- a/core/src/main/java/org/peridotcourse/placement/TaskEnds.java
+++ b/core/src/main/java/org/peridotcourse/placement/TaskEnds.java
@@ -21,15 +21,16 @@
 
     /** Records that an attempt neither runs nor can start any more. */
     void stopped(Task task, TaskEvent event, Optional<String> checkpoint) {
+        TaskState next = TaskChart.next(task.state, event);
         Change change;
-        if (task.job.replicas && task.state != TaskState.STARTING) {
-            change = Change.removal(task, 0, 0);
-        } else if (task.job.row.cancel()) {
+        if (task.job.row.cancel()) {
             change = Change.removal(task, 0, 1);
+        } else if (task.job.replicas && task.state != TaskState.STARTING) {
+            change = Change.removal(task, 0, 0);
         } else if (task.target != null && !book.config.isIn(book.dataCentre())) {
             change = Change.move(task, task.target);
         } else {
-            change = Change.of(task, TaskChart.next(task.state, event));
+            change = Change.of(task, next);
         }
         checkpoint.ifPresent(change::withCheckpoint);
         writes.add(change);
@@ -61,22 +62,25 @@
                         worker.id.value(), "worker-quarantined", worker, "failed job " + blamed);
             }
         }
+        TaskState failed = TaskChart.next(task.state, TaskEvent.FAILED);
         Change change;
         if (job.row.cancel()) {
             change = Change.removal(task, 0, 1);
+        } else if (job.replicas) {
+            change = Change.removal(task, 0, 0);
         } else if (job.failedOn.size() >= FAILED_WORKERS) {
             String reason = "failed on " + FAILED_WORKERS + " workers";
             change =
                     job.state() == JobState.HELD
-                            ? Change.of(task, TaskChart.next(TaskState.FAILED, TaskEvent.HELD))
+                            ? Change.of(task, TaskChart.next(failed, TaskEvent.HELD))
                             : Change.of(
                                     task,
-                                    TaskChart.next(TaskState.FAILED, TaskEvent.HELD),
+                                    TaskChart.next(failed, TaskEvent.HELD),
                                     JobState.HELD,
                                     reason);
             book.decide(job.key, "job-held", worker, reason);
         } else {
-            change = Change.of(task, TaskChart.next(TaskState.FAILED, TaskEvent.RETRIED));
+            change = Change.of(task, TaskChart.next(failed, TaskEvent.RETRIED));
         }
         checkpoint.ifPresent(change::withCheckpoint);
         writes.add(change.withRelease());
--- a/core/src/main/java/org/peridotcourse/placement/Upkeep.java
+++ b/core/src/main/java/org/peridotcourse/placement/Upkeep.java
@@ -17,6 +17,7 @@
     private final WriteBuffer writes;
     private final Outbox outbox;
     private final TaskEnds ends;
+    private long reports;
 
     Upkeep(Book book, WriteBuffer writes, Outbox outbox, TaskEnds ends) {
         this.book = book;
@@ -60,10 +61,10 @@
             if (left == 0) {
                 break;
             }
-            if (!worker.reportOutstanding && nowMillis >= worker.nextReportMillis) {
-                worker.reportOutstanding = true;
+            if (worker.reportRequest == 0 && nowMillis >= worker.nextReportMillis) {
+                worker.reportRequest = ++reports;
                 worker.nextReportMillis = nowMillis + book.settings.reportMillis();
-                book.actions.add(new PlacementAction.FetchReport(worker.id));
+                book.actions.add(new PlacementAction.FetchReport(worker.id, reports));
                 left--;
             }
             if (worker.clock != null
@@ -78,8 +79,10 @@
     }
 
     /** Records that a worker did not answer a request for its report. */
-    void reportFailed(Worker worker) {
-        worker.reportOutstanding = false;
+    void reportFailed(Worker worker, long number) {
+        if (worker.reportRequest == number) {
+            worker.reportRequest = 0;
+        }
     }
 
     /** Gives up attempts whose leases have certainly ended. */
--- a/core/src/main/java/org/peridotcourse/placement/Worker.java
+++ b/core/src/main/java/org/peridotcourse/placement/Worker.java
@@ -47,7 +47,9 @@
     /** The last renewal failed; none is granted until the worker answers a report. */
     boolean renewFailed;
 
-    boolean reportOutstanding;
+    /** Number of the report that was requested last and has not arrived, 0 for none. */
+    long reportRequest;
+
     long nextReportMillis;
     long nextRenewMillis;
 
@@ -75,7 +77,7 @@
         reconciled = false;
         renewRequest = 0;
         renewFailed = false;
-        reportOutstanding = false;
+        reportRequest = 0;
         nextReportMillis = 0;
         nextRenewMillis = 0;
         batchBoundMillis = Math.max(batchBoundMillis, earlierBoundMillis);
--- a/core/src/main/java/org/peridotcourse/placement/WorkerHealth.java
+++ b/core/src/main/java/org/peridotcourse/placement/WorkerHealth.java
@@ -1,6 +1,7 @@
 package org.peridotcourse.placement;
 
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Set;
 
 /**
@@ -51,20 +52,20 @@
      *
      * @return the jobs whose failures are the worker's, if it is quarantined now; otherwise none
      */
-    Set<String> failed(String job, long nowMillis) {
+    List<String> failed(String job, long nowMillis) {
         failedJobs.add(job);
         if (pauseMillis > 0) {
             probing = false;
             pauseMillis = Math.min(2 * pauseMillis, LONGEST_MILLIS);
             untilMillis = nowMillis + pauseMillis;
-            return Set.of(job);
+            return List.of(job);
         }
         if (failedJobs.size() < JOBS) {
-            return Set.of();
+            return List.of();
         }
         pauseMillis = FIRST_MILLIS;
         untilMillis = nowMillis + pauseMillis;
-        Set<String> blamed = Set.copyOf(failedJobs);
+        List<String> blamed = List.copyOf(failedJobs);
         failedJobs.clear();
         return blamed;
     }
--- /dev/null
+++ b/core/src/test/java/org/peridotcourse/placement/FakeDaemon.java
@@ -0,0 +1,381 @@
+package org.peridotcourse.placement;
+
+import java.util.ArrayList;
+import java.util.EnumSet;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Function;
+import org.peridotcourse.DataCentreId;
+import org.peridotcourse.Resources;
+import org.peridotcourse.WorkerId;
+import org.peridotcourse.base.LeaseChallenger;
+import org.peridotcourse.base.LeaseHolder;
+import org.peridotcourse.base.LeaseRow;
+
+/** Drives one placement owner as the daemon does, over messages that can be late or lost. */
+final class FakeDaemon {
+    static final long LEASE_MILLIS = 9_000;
+    private static final long POLL_MILLIS = 1_000;
+    private static final long TIMEOUT_MILLIS = 500;
+
+    final DataCentreId dataCentre;
+    final PlacementOwner owner;
+    boolean alive = true;
+    long pausedUntil;
+    long storeCutUntil;
+    final Map<WorkerId, Long> cutOff = new HashMap<>();
+    private final FaultWorld world;
+    private final String name;
+    private final Set<Mechanism> off;
+    private final LeaseChallenger challenger;
+    private final long clockOffset;
+    private final List<Runnable> frozen = new ArrayList<>();
+    private Optional<LeaseHolder> holder = Optional.empty();
+    private boolean leasePending;
+    private long nextPoll;
+    private PlacementConfig lastConfig = PlacementConfig.EMPTY;
+
+    FakeDaemon(FaultWorld world, DataCentreId dataCentre, String name, Set<Mechanism> off) {
+        this.world = world;
+        this.dataCentre = dataCentre;
+        this.name = name;
+        this.off = off;
+        this.clockOffset = world.random.nextInt(1_000_000);
+        long margin = off.contains(Mechanism.MARGIN) ? 0 : LeaseChallenger.MARGIN_MILLIS;
+        this.challenger = new LeaseChallenger(name, margin);
+        OwnerSettings settings =
+                new OwnerSettings(
+                        dataCentre, name, FaultWorld.TICK_MILLIS, 2_000, 8_000, margin, true);
+        this.owner = new PlacementOwner(settings, PlacementPolicy.LEAST_INTERFERENCE);
+    }
+
+    long clock() {
+        return world.now + clockOffset;
+    }
+
+    boolean isHolder() {
+        return alive && holder.isPresent() && holder.get().isHeld(clock());
+    }
+
+    private boolean isPaused() {
+        return world.now < pausedUntil;
+    }
+
+    /** Runs a step of this process now, or when it wakes up; never after its death. */
+    private void run(Runnable step) {
+        if (!alive) {
+            return;
+        }
+        if (isPaused()) {
+            frozen.add(step);
+        } else {
+            step.run();
+        }
+    }
+
+    void step() {
+        if (!alive || isPaused()) {
+            return;
+        }
+        List<Runnable> woken = List.copyOf(frozen);
+        frozen.clear();
+        woken.forEach(Runnable::run);
+        if (world.now >= nextPoll) {
+            nextPoll = world.now + POLL_MILLIS;
+            poll();
+        }
+        lease();
+        feed(new PlacementEvent.Tick());
+    }
+
+    private void feed(PlacementEvent event) {
+        for (PlacementAction action : owner.handle(clock(), event)) {
+            // The process may be paused between a decision and its execution.
+            world.after(world.random.nextInt(5), () -> run(() -> perform(action)));
+        }
+    }
+
+    private void perform(PlacementAction action) {
+        if (action instanceof PlacementAction.WriteRows write) {
+            write(write);
+        } else if (action instanceof PlacementAction.ReadRows read) {
+            read(
+                    table -> {
+                        List<TaskRow> tasks = new ArrayList<>();
+                        for (String key : read.taskKeys()) {
+                            tasks.addAll(
+                                    table.tasks(key).stream()
+                                            .filter(row -> row.key().equals(key))
+                                            .toList());
+                        }
+                        List<JobRow> jobs = new ArrayList<>(table.jobs());
+                        jobs.removeIf(row -> !read.jobKeys().contains(row.spec().id().value()));
+                        return new PlacementEvent.RowsRead(
+                                read.number(), read.taskKeys(), read.jobKeys(), tasks, jobs);
+                    });
+        } else if (action instanceof PlacementAction.ReadTasks read) {
+            read(table -> rows(table, read.dataCentre(), true));
+        } else if (action instanceof PlacementAction.SendCommands send) {
+            send(send);
+        } else if (action instanceof PlacementAction.FetchReport fetch) {
+            fetch(fetch.worker(), fetch.number());
+        }
+    }
+
+    private static PlacementEvent rows(FakeTable table, DataCentreId of, boolean complete) {
+        return new PlacementEvent.TaskRowsSeen(
+                of, table.tasks(of.value() + "/"), complete, table.commit());
+    }
+
+    private void read(Function<FakeTable, PlacementEvent> query) {
+        world.toStore(
+                this,
+                table -> {
+                    PlacementEvent answer = query.apply(table);
+                    world.after(world.delay(), () -> run(() -> feed(answer)));
+                });
+    }
+
+    private void write(PlacementAction.WriteRows write) {
+        boolean[] answered = new boolean[1];
+        world.toStore(
+                this,
+                table -> {
+                    long commit = table.write(write);
+                    if (world.losesAnswer()) {
+                        return;
+                    }
+                    PlacementEvent answer =
+                            commit > 0
+                                    ? new PlacementEvent.WriteCommitted(write.id(), commit)
+                                    : new PlacementEvent.WriteConflict(write.id());
+                    world.after(
+                            world.delay(),
+                            () ->
+                                    run(
+                                            () -> {
+                                                if (!answered[0]) {
+                                                    answered[0] = true;
+                                                    feed(answer);
+                                                }
+                                            }));
+                });
+        PlacementEvent unknown = new PlacementEvent.WriteUnknown(write.id());
+        world.after(
+                TIMEOUT_MILLIS,
+                () ->
+                        run(
+                                () -> {
+                                    if (!answered[0]) {
+                                        answered[0] = true;
+                                        feed(unknown);
+                                    }
+                                }));
+    }
+
+    private void send(PlacementAction.SendCommands send) {
+        boolean[] done = new boolean[1];
+        world.toWorker(
+                this,
+                send.worker(),
+                worker -> {
+                    if (worker.hasRestartedSince(world.now, send.clockMillis())) {
+                        return;
+                    }
+                    PlacementEvent answer =
+                            worker.execute(world.now, send)
+                                    .map(found -> (PlacementEvent) found)
+                                    .orElse(
+                                            new PlacementEvent.CommandsFailed(
+                                                    send.worker(), send.number(), true));
+                    world.fromWorker(this, worker, () -> once(done, answer));
+                });
+        world.after(
+                TIMEOUT_MILLIS * 2,
+                () ->
+                        run(
+                                () ->
+                                        once(
+                                                done,
+                                                new PlacementEvent.CommandsFailed(
+                                                        send.worker(), send.number(), false))));
+    }
+
+    private void once(boolean[] done, PlacementEvent event) {
+        run(
+                () -> {
+                    if (!done[0]) {
+                        done[0] = true;
+                        feed(event);
+                    }
+                });
+    }
+
+    private void fetch(WorkerId id, long number) {
+        boolean[] done = new boolean[1];
+        world.toWorker(
+                this,
+                id,
+                worker -> {
+                    WorkerReport report = worker.report(world.now);
+                    long late = world.now < worker.reportsLateUntil ? 3_000 : 0;
+                    world.after(
+                            late,
+                            () ->
+                                    world.fromWorker(
+                                            this,
+                                            worker,
+                                            () ->
+                                                    once(
+                                                            done,
+                                                            new PlacementEvent.ReportReceived(
+                                                                    number, report))));
+                });
+        world.after(
+                TIMEOUT_MILLIS * 8,
+                () -> run(() -> once(done, new PlacementEvent.ReportFailed(id, number))));
+    }
+
+    private void poll() {
+        long sent = clock();
+        read(table -> new PlacementEvent.JobsSeen(table.jobs()));
+        read(table -> rows(table, dataCentre, false));
+        if (off.contains(Mechanism.FRESHNESS)) {
+            feed(new PlacementEvent.ConfigSeen(lastConfig, clock()));
+        }
+        world.toStore(
+                this,
+                table -> {
+                    if (!world.readsConfig(dataCentre)) {
+                        return;
+                    }
+                    PlacementConfig config = world.config;
+                    lastConfig = config;
+                    world.after(
+                            world.delay(),
+                            () -> run(() -> feed(new PlacementEvent.ConfigSeen(config, sent))));
+                });
+        feed(new PlacementEvent.WorkersSeen(world.hosts(off.contains(Mechanism.LEDGER))));
+        for (DataCentreId other : world.dataCentres) {
+            world.toStore(this, table -> leaseSeen(other, table.row("leases", key(other))));
+        }
+    }
+
+    private void leaseSeen(DataCentreId other, FakeTable.Stored stored) {
+        world.after(
+                world.delay(),
+                () ->
+                        run(
+                                () -> {
+                                    if (other.equals(dataCentre)) {
+                                        ownLease(stored);
+                                    } else if (stored != null) {
+                                        FakeTable.Lease lease = (FakeTable.Lease) stored.value();
+                                        feed(
+                                                new PlacementEvent.PeerLeaseSeen(
+                                                        other,
+                                                        seenBy(lease.row()),
+                                                        stored.commit(),
+                                                        lease.free()));
+                                    }
+                                }));
+    }
+
+    private LeaseRow seenBy(LeaseRow row) {
+        return off.contains(Mechanism.HOLD)
+                ? new LeaseRow(row.holder(), row.epoch(), row.leaseMillis(), 4_000, row.beat())
+                : row;
+    }
+
+    private void ownLease(FakeTable.Stored stored) {
+        Optional<LeaseRow> row =
+                Optional.ofNullable(stored).map(found -> ((FakeTable.Lease) found.value()).row());
+        challenger.observe(clock(), row, stored == null ? 0 : stored.commit());
+        if (holder.isPresent() && row.isPresent() && row.get().epoch() > holder.get().epoch()) {
+            lost();
+        }
+    }
+
+    private void lost() {
+        holder.ifPresent(LeaseHolder::superseded);
+        holder = Optional.empty();
+        feed(new PlacementEvent.LeaseLost());
+    }
+
+    private static String key(DataCentreId of) {
+        return "placement/" + of.value();
+    }
+
+    private void lease() {
+        if (leasePending) {
+            return;
+        }
+        if (holder.isPresent()) {
+            holder.get()
+                    .renewal(clock(), world.holdMillis)
+                    .ifPresent(row -> writeLease(row, holder.get().commit(), clock(), 0));
+        } else {
+            long earlier = challenger.row().map(LeaseRow::holdMillis).orElse(0L);
+            challenger
+                    .takeover(clock(), LEASE_MILLIS, world.holdMillis)
+                    .ifPresent(row -> writeLease(row, challenger.commit(), clock(), earlier));
+        }
+    }
+
+    private void writeLease(LeaseRow row, long expected, long sent, long earlierHold) {
+        leasePending = true;
+        Resources free = owner.freeCapacity(clock());
+        String id = name + "." + row.epoch() + "." + row.beat();
+        boolean[] answered = new boolean[1];
+        world.toStore(
+                this,
+                table -> {
+                    long commit =
+                            table.writeLease(
+                                    key(dataCentre), expected, new FakeTable.Lease(row, free), id);
+                    if (!world.losesAnswer()) {
+                        world.after(
+                                world.delay(),
+                                () ->
+                                        run(
+                                                () -> {
+                                                    if (!answered[0]) {
+                                                        answered[0] = true;
+                                                        settled(row, commit, sent, earlierHold);
+                                                    }
+                                                }));
+                    }
+                });
+        world.after(
+                TIMEOUT_MILLIS,
+                () ->
+                        run(
+                                () -> {
+                                    if (!answered[0]) {
+                                        answered[0] = true;
+                                        writeLease(row, expected, sent, earlierHold);
+                                    }
+                                }));
+    }
+
+    private void settled(LeaseRow row, long commit, long sent, long earlierHold) {
+        leasePending = false;
+        if (commit == 0) {
+            lost();
+            return;
+        }
+        if (holder.isPresent() && holder.get().epoch() == row.epoch()) {
+            holder.get().confirmed(row, commit, sent);
+        } else {
+            holder = Optional.of(new LeaseHolder(row, commit, sent));
+        }
+        feed(new PlacementEvent.LeaseConfirmed(row, commit, sent, earlierHold));
+    }
+
+    static Set<Mechanism> none() {
+        return EnumSet.noneOf(Mechanism.class);
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/peridotcourse/placement/FakeWorker.java
@@ -0,0 +1,249 @@
+package org.peridotcourse.placement;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import org.peridotcourse.DataCentreId;
+import org.peridotcourse.Resources;
+import org.peridotcourse.WorkerId;
+
+/** A worker that follows the protocol and keeps its own record of what runs. */
+final class FakeWorker {
+    /** One attempt on this worker. */
+    static final class Attempt {
+        final WorkerCommand.Start start;
+        final long startedMillis;
+        final long resumed;
+        long leaseUntil;
+        WorkerReport.AttemptState state = WorkerReport.AttemptState.RUNNING;
+        Optional<String> checkpoint = Optional.empty();
+        long progress;
+        int percent = 100;
+
+        Attempt(WorkerCommand.Start start, long nowMillis) {
+            this.start = start;
+            this.startedMillis = nowMillis;
+            this.leaseUntil = start.leaseUntilMillis();
+            this.resumed = start.checkpoint().map(FakeWorker::progressOf).orElse(0L);
+            this.progress = resumed;
+        }
+    }
+
+    final WorkerId id;
+    final DataCentreId dataCentre;
+    final Resources capacity;
+    long cutOffUntil;
+
+    /** Until when requests arrive but answers are lost. */
+    long muteUntil;
+
+    long reportsLateUntil;
+    int incarnation;
+    boolean alive = true;
+    private final Set<Mechanism> off;
+    private final Judge judge;
+    private final Map<String, Attempt> attempts = new TreeMap<>();
+    private final Map<String, Integer> highest = new HashMap<>();
+    private long epoch;
+    private long bootMillis;
+    private long origin;
+    private double rate;
+
+    FakeWorker(WorkerHost host, Set<Mechanism> off, Judge judge, double rate) {
+        this.id = host.id();
+        this.dataCentre = host.dataCentre();
+        this.capacity = host.capacity();
+        this.off = off;
+        this.judge = judge;
+        this.rate = rate;
+        this.origin = 1_000_000;
+    }
+
+    static int attemptOf(String checkpoint) {
+        return Integer.parseInt(
+                checkpoint.substring(checkpoint.indexOf('@') + 1, checkpoint.indexOf('#')));
+    }
+
+    static long progressOf(String checkpoint) {
+        return Long.parseLong(checkpoint.substring(checkpoint.indexOf('#') + 1));
+    }
+
+    private long clock(long now) {
+        return origin + (long) ((now - bootMillis) * rate);
+    }
+
+    boolean hasRestartedSince(long now, long reading) {
+        return clock(now) < reading;
+    }
+
+    void kill() {
+        alive = false;
+        incarnation++;
+        attempts.clear();
+        highest.clear();
+        epoch = 0;
+    }
+
+    void boot(long now, long newOrigin) {
+        alive = true;
+        bootMillis = now;
+        origin = newOrigin;
+    }
+
+    /** Ends what has expired or is done. */
+    void advance(long now) {
+        for (Attempt attempt : attempts.values()) {
+            if (attempt.state != WorkerReport.AttemptState.RUNNING) {
+                continue;
+            }
+            String[] plan = attempt.start.payload().split(",");
+            long duration = plan[0].isEmpty() ? Long.MAX_VALUE / 4 : Long.parseLong(plan[0]);
+            long end = attempt.startedMillis + duration - attempt.resumed;
+            boolean expired = clock(now) >= attempt.leaseUntil;
+            if (expired && !off.contains(Mechanism.WORKER_LEASE)) {
+                attempt.state = WorkerReport.AttemptState.STOPPED;
+            } else if (now >= end) {
+                attempt.progress = duration;
+                attempt.state =
+                        plan.length > 1 && plan[1].equals("fails")
+                                ? WorkerReport.AttemptState.FAILED
+                                : WorkerReport.AttemptState.FINISHED;
+            } else {
+                attempt.progress = attempt.resumed + now - attempt.startedMillis;
+                if (attempt.progress % 4_000 < 1_000) {
+                    save(attempt);
+                }
+            }
+        }
+    }
+
+    private void save(Attempt attempt) {
+        attempt.checkpoint =
+                Optional.of(
+                        attempt.start.task()
+                                + "@"
+                                + attempt.start.attempt()
+                                + "#"
+                                + attempt.progress);
+    }
+
+    List<Attempt> running(long now) {
+        advance(now);
+        List<Attempt> found = new ArrayList<>();
+        for (Attempt attempt : attempts.values()) {
+            if (attempt.state == WorkerReport.AttemptState.RUNNING) {
+                found.add(attempt);
+            }
+        }
+        return found;
+    }
+
+    WorkerReport report(long now) {
+        advance(now);
+        List<WorkerReport.TaskReport> tasks = new ArrayList<>();
+        List<WorkerReport.ServiceReport> services = new ArrayList<>();
+        for (Attempt attempt : attempts.values()) {
+            tasks.add(
+                    new WorkerReport.TaskReport(
+                            attempt.start.task(),
+                            attempt.start.attempt(),
+                            attempt.state,
+                            attempt.checkpoint,
+                            attempt.progress,
+                            attempt.start.size().milliCores() * attempt.percent / 100,
+                            attempt.start.size().memoryMib()));
+        }
+        return new WorkerReport(id, clock(now), epoch, 0, tasks, services);
+    }
+
+    /** Executes commands; an empty answer means that the epoch is stale. */
+    Optional<PlacementEvent.CommandsAnswered> execute(
+            long now, PlacementAction.SendCommands request) {
+        advance(now);
+        if (request.epoch() < epoch && !off.contains(Mechanism.WORKER_EPOCH)) {
+            return Optional.empty();
+        }
+        epoch = Math.max(epoch, request.epoch());
+        List<PlacementEvent.CommandResult> results = new ArrayList<>();
+        for (WorkerCommand command : request.commands()) {
+            results.add(execute(now, command));
+        }
+        return Optional.of(
+                new PlacementEvent.CommandsAnswered(id, request.number(), clock(now), results));
+    }
+
+    private PlacementEvent.CommandResult execute(long now, WorkerCommand command) {
+        if (command instanceof WorkerCommand.Start start) {
+            return start(now, start);
+        } else if (command instanceof WorkerCommand.Renew renew) {
+            for (Attempt attempt : attempts.values()) {
+                long until =
+                        attempt.start.latencyCritical()
+                                ? renew.serviceUntilMillis()
+                                : renew.batchUntilMillis();
+                attempt.leaseUntil = Math.max(attempt.leaseUntil, until);
+            }
+        } else if (command instanceof WorkerCommand.Stop stop) {
+            return stop(stop);
+        } else if (command instanceof WorkerCommand.Checkpoint wanted) {
+            Attempt attempt = find(wanted.task().value(), wanted.attempt());
+            if (attempt == null || attempt.state != WorkerReport.AttemptState.RUNNING) {
+                return error("not-running");
+            }
+            save(attempt);
+            return new PlacementEvent.CommandResult(Optional.empty(), attempt.checkpoint);
+        } else if (command instanceof WorkerCommand.Throttle throttle) {
+            Attempt attempt = find(throttle.task().value(), throttle.attempt());
+            if (attempt != null) {
+                attempt.percent = throttle.percent();
+            }
+        }
+        return PlacementEvent.CommandResult.OK;
+    }
+
+    private Attempt find(String task, int number) {
+        Attempt attempt = attempts.get(task);
+        return attempt != null && attempt.start.attempt() == number ? attempt : null;
+    }
+
+    private PlacementEvent.CommandResult start(long now, WorkerCommand.Start start) {
+        String task = start.task().value();
+        if (clock(now) >= start.leaseUntilMillis()) {
+            return error("lease-expired");
+        }
+        if (highest.getOrDefault(task, 0) >= start.attempt()
+                && !off.contains(Mechanism.WORKER_ATTEMPT)) {
+            return error("old-attempt");
+        }
+        judge.starting(this, start);
+        highest.merge(task, start.attempt(), Math::max);
+        attempts.put(task, new Attempt(start, now));
+        judge.running();
+        return PlacementEvent.CommandResult.OK;
+    }
+
+    private PlacementEvent.CommandResult stop(WorkerCommand.Stop stop) {
+        String task = stop.task().value();
+        highest.merge(task, stop.attempt(), Math::max);
+        Attempt attempt = attempts.get(task);
+        if (attempt == null || attempt.start.attempt() > stop.attempt()) {
+            return PlacementEvent.CommandResult.OK;
+        }
+        boolean ended =
+                attempt.state == WorkerReport.AttemptState.FINISHED
+                        || attempt.state == WorkerReport.AttemptState.FAILED;
+        if (ended && !stop.release() && attempt.start.attempt() == stop.attempt()) {
+            return error("already-ended");
+        }
+        attempts.remove(task);
+        return PlacementEvent.CommandResult.OK;
+    }
+
+    private static PlacementEvent.CommandResult error(String code) {
+        return new PlacementEvent.CommandResult(Optional.of(code), Optional.empty());
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/peridotcourse/placement/Judge.java
@@ -0,0 +1,130 @@
+package org.peridotcourse.placement;
+
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import org.peridotcourse.Resources;
+import org.peridotcourse.WorkerId;
+
+/** Checks the promises on the workers' own records and on every write. */
+final class Judge {
+    /** A promise was broken. */
+    static final class Violation extends AssertionError {
+        private static final long serialVersionUID = 1L;
+
+        Violation(String message) {
+            super(message);
+        }
+    }
+
+    /** Age of the configuration, lease of a start command, and delays of messages. */
+    private static final long OUT_MILLIS = 8_500;
+
+    private final FaultWorld world;
+
+    /** Tasks whose end is recorded. */
+    private final Set<String> ended = new HashSet<>();
+
+    Judge(FaultWorld world) {
+        this.world = world;
+    }
+
+    private void fail(String promise, String what) {
+        throw new Violation(promise + " at " + world.now + " ms: " + what);
+    }
+
+    /** Checks a start that a worker is about to carry out. */
+    void starting(FakeWorker worker, WorkerCommand.Start start) {
+        String task = start.task().value();
+        long outSince = world.outSince(worker.dataCentre);
+        if (outSince >= 0 && world.now - outSince > OUT_MILLIS) {
+            fail("no start where out", task + " started after " + (world.now - outSince) + " ms");
+        }
+        if (ended.contains(task)) {
+            fail("no job done twice", task + " started after its recorded end");
+        }
+        FakeTable.Stored stored = world.table.row("tasks", worker.dataCentre.value() + "/" + task);
+        if (stored == null) {
+            fail("resumes once", task + " started without a row");
+            return;
+        }
+        TaskRow row = (TaskRow) stored.value();
+        if (row.attempt() != start.attempt() || !row.worker().equals(Optional.of(worker.id))) {
+            fail("resumes once", task + " attempt " + start.attempt() + " but the row is " + row);
+        }
+        if (!row.checkpoint().equals(start.checkpoint())) {
+            fail("newest checkpoint", task + " from " + start.checkpoint() + ", row " + row);
+        }
+    }
+
+    /** Checks the workers' records as they are now. */
+    void running() {
+        Set<String> seen = new HashSet<>();
+        for (FakeWorker worker : world.workers.values()) {
+            Resources sum = Resources.ZERO;
+            for (FakeWorker.Attempt attempt : worker.running(world.now)) {
+                sum = sum.plus(attempt.start.size());
+                if (!seen.add(attempt.start.task().value())) {
+                    fail("no task in two places", attempt.start.task() + ", also on " + worker.id);
+                }
+            }
+            if (!sum.isWithin(worker.capacity)) {
+                fail("no host over capacity", worker.id + " runs " + sum);
+            }
+        }
+    }
+
+    /** Checks a write against the rows before it. */
+    void written(FakeTable table, PlacementAction.WriteRows write) {
+        Set<String> kept = new HashSet<>();
+        for (TaskRow row : write.taskPuts()) {
+            String task = row.task().value();
+            kept.add(task);
+            if (ended.contains(task)) {
+                fail("no job done twice", task + " has a row again after its recorded end");
+            }
+            FakeTable.Stored stored = table.row("tasks", row.key());
+            if (stored != null) {
+                published((TaskRow) stored.value(), row);
+            }
+        }
+        for (String key : write.taskDeletes()) {
+            String task = key.substring(key.indexOf('/') + 1);
+            if (!kept.contains(task) && !ended.add(task)) {
+                fail("no job done twice", task + " ended twice");
+            }
+        }
+        for (JobRow row : write.jobPuts()) {
+            if (row.progress().finished() + row.progress().cancelled() > row.spec().tasks()) {
+                fail("no job done twice", row.toString());
+            }
+        }
+    }
+
+    private void published(TaskRow old, TaskRow next) {
+        if (next.checkpoint().equals(old.checkpoint()) || next.checkpoint().isEmpty()) {
+            if (next.checkpoint().isEmpty() && old.checkpoint().isPresent()) {
+                fail("newest checkpoint", "lost from " + old);
+            }
+            return;
+        }
+        int attempt = FakeWorker.attemptOf(next.checkpoint().get());
+        if (attempt != old.attempt()) {
+            fail("a superseded attempt publishes nothing", next + " over " + old);
+        }
+        long before = old.checkpoint().map(FakeWorker::progressOf).orElse(0L);
+        if (FakeWorker.progressOf(next.checkpoint().get()) < before) {
+            fail("newest checkpoint", next + " is older than " + old);
+        }
+    }
+
+    /** Returns whether the end of a task is recorded. */
+    boolean isEnded(String task) {
+        return ended.contains(task);
+    }
+
+    /** Returns the place of a worker in messages. */
+    static String place(WorkerId worker) {
+        return worker.value();
+    }
+}
