Drive placement in the daemon: lease, rows, workers, and the thread of the owner

Cause: the placement decisions existed only as a library; jobs stayed submitted for ever. Conclusion: the batch half of the thin path stands in the code; its proofs are open.

--- a/daemon/src/main/java/org/peridotcourse/daemon/Control.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/Control.java
@@ -21,17 +21,22 @@
 import org.peridotcourse.daemon.log.EventLog;
 import org.peridotcourse.daemon.peer.PeerClient;
 import org.peridotcourse.daemon.peer.PeerServer;
+import org.peridotcourse.daemon.placement.PlacementDuty;
+import org.peridotcourse.daemon.placement.WorkerDirectory;
 import org.peridotcourse.daemon.platform.HttpHostList;
 import org.peridotcourse.daemon.platform.HttpTableStore;
 import org.peridotcourse.daemon.settings.SettingKey;
 import org.peridotcourse.daemon.settings.Settings;
 import org.peridotcourse.membership.Peer;
+import org.peridotcourse.placement.OwnerStatus;
 
 /**
- * Configuration, membership, peers and the acceptor's lease of this daemon. It is thread-safe.
+ * Configuration, membership, peers, the acceptor's lease and placement of this daemon. It is
+ * thread-safe.
  *
  * <p>The thread {@code control} reads configuration and hosts; the thread {@code acceptor} keeps
- * the lease and judges rows. Each has connections of its own, so neither waits for the other.
+ * the lease and judges rows; {@link PlacementDuty} has two threads for placement. Each has
+ * connections of its own, so neither waits for the other.
  */
 final class Control implements AutoCloseable {
     private static final long LEASE_MILLIS = 9_000;
@@ -52,6 +57,7 @@
     private volatile Optional<Long> leaseEpoch = Optional.empty();
     private DutyThread controlThread;
     private DutyThread acceptorThread;
+    private PlacementDuty placement;
 
     Control(
             Settings settings,
@@ -115,13 +121,14 @@
                         settings.millis(SettingKey.PLATFORM_TIMEOUT),
                         log);
         clients.add(hosts);
+        WorkerDirectory workers = new WorkerDirectory(hosts);
         String region = settings.text(SettingKey.REGION);
         controlThread =
                 new DutyThread(
                         "control",
                         List.of(
                                 configDuty,
-                                new HostDuty(hosts, membership, clock),
+                                new HostDuty(workers, membership, clock),
                                 new RoutingFeed(membership, config, router, region)),
                         ConfigDuty.PERIOD_MILLIS,
                         clock,
@@ -136,6 +143,15 @@
                         ConfigDuty.PERIOD_MILLIS,
                         clock,
                         log);
+        placement =
+                new PlacementDuty(
+                        membership.self(), table(), channels, config, workers, clock, log);
+        placement.start();
+    }
+
+    /** Returns the figures of the placement owner, with epoch 0 unless this daemon is the owner. */
+    OwnerStatus placement() {
+        return placement.status();
     }
 
     /** Opens a connection of its own to the table service. */
@@ -153,6 +169,7 @@
     /** Tells peers of the stop and gives the lease back. */
     void release() {
         membership.leave();
+        placement.close();
         acceptorThread.close();
         lease.release();
         leaseEpoch = Optional.empty();
--- a/daemon/src/main/java/org/peridotcourse/daemon/StatusPage.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/StatusPage.java
@@ -10,6 +10,7 @@
 import org.peridotcourse.daemon.settings.SettingKey;
 import org.peridotcourse.daemon.settings.Settings;
 import org.peridotcourse.membership.Host;
+import org.peridotcourse.placement.OwnerStatus;
 
 /** Makes the page {@code /status}. It holds no state and is thread-safe. */
 final class StatusPage {
@@ -31,6 +32,22 @@
                                 duties.addObject()
                                         .put("lease", AcceptorDuty.LEASE_KEY)
                                         .put("epoch", epoch));
+        OwnerStatus owner = control.placement();
+        if (owner.epoch() > 0) {
+            duties.addObject()
+                    .put("lease", "placement/" + settings.text(SettingKey.DATA_CENTRE))
+                    .put("epoch", owner.epoch());
+        }
+        page.putObject("placement")
+                .put("loaded", owner.loaded())
+                .put("workers", owner.workers())
+                .put("reachable", owner.reachable())
+                .put("quarantined", owner.quarantined())
+                .put("queued", owner.queued())
+                .put("placed", owner.placed())
+                .put("evictions", owner.evictions())
+                .put("writes", owner.writes())
+                .put("starts", owner.starts());
         SnapshotHolder.Standing standing = control.config().standing(now);
         page.putObject("configuration")
                 .put("version", standing.snapshot().version())
--- a/daemon/src/main/java/org/peridotcourse/daemon/placement/ConfigView.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/placement/ConfigView.java
@@ -29,8 +29,7 @@
         Map<DataCentreId, Boolean> dataCentres = new HashMap<>();
         snapshot.rows(DataCentreRow.class).forEach(row -> dataCentres.put(row.id(), row.isIn()));
         Map<CustomerId, PlacementConfig.CustomerRule> customers = new HashMap<>();
-        snapshot.rows(CustomerRow.class)
-                .forEach(row -> customers.put(row.id(), customerRule(row)));
+        snapshot.rows(CustomerRow.class).forEach(row -> customers.put(row.id(), customerRule(row)));
         Map<WorkloadId, PlacementConfig.WorkloadRule> workloads = new HashMap<>();
         snapshot.rows(WorkloadRow.class)
                 .forEach(row -> workloads.put(row.id(), workloadRule(snapshot, row)));
--- a/daemon/src/main/java/org/peridotcourse/daemon/placement/PlacementDuty.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/placement/PlacementDuty.java
@@ -93,8 +93,7 @@
         owner = new PlacementOwner(settings, PlacementPolicy.LEAST_INTERFERENCE);
         calls = new WorkerCalls(channels, dataCentre, this::report, log);
         LeaseKeeper.Terms terms =
-                new LeaseKeeper.Terms(
-                        LEASE_MILLIS, () -> ConfigView.holdMillis(config.snapshot()));
+                new LeaseKeeper.Terms(LEASE_MILLIS, () -> ConfigView.holdMillis(config.snapshot()));
         LeaseKeeper lease =
                 new LeaseKeeper(table, "placement/" + dataCentre, self, terms, clock, log);
         store =
--- a/daemon/src/main/java/org/peridotcourse/daemon/placement/PlacementRecord.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/placement/PlacementRecord.java
@@ -25,8 +25,7 @@
             Level.WARNING,
             "A worker did not answer a call; fields worker, call, failure"),
     /** A worker answers again. */
-    WORKER_REACHABLE(
-            2004, "worker.reachable", Level.INFO, "A worker answers again; fields worker"),
+    WORKER_REACHABLE(2004, "worker.reachable", Level.INFO, "A worker answers again; fields worker"),
     /** The ring of the placement thread is full. */
     RING_FULL(
             2005,
--- a/daemon/src/main/java/org/peridotcourse/daemon/placement/WorkerCalls.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/placement/WorkerCalls.java
@@ -41,8 +41,7 @@
     private final Map<WorkerId, Link> links = new HashMap<>();
     private final Set<WorkerId> unreachable = new HashSet<>();
 
-    WorkerCalls(
-            ChannelFactory channels, String group, Consumer<Answered> answers, EventLog log) {
+    WorkerCalls(ChannelFactory channels, String group, Consumer<Answered> answers, EventLog log) {
         this.channels = channels;
         this.group = group;
         this.answers = answers;
@@ -93,8 +92,7 @@
                         link.address = address;
                     }
                 });
-        for (Iterator<Map.Entry<WorkerId, Link>> it = links.entrySet().iterator();
-                it.hasNext(); ) {
+        for (Iterator<Map.Entry<WorkerId, Link>> it = links.entrySet().iterator(); it.hasNext(); ) {
             Map.Entry<WorkerId, Link> entry = it.next();
             Link link = entry.getValue();
             if (!addresses.containsKey(entry.getKey())
@@ -127,7 +125,9 @@
         }
     }
 
-    /** Takes a result on the placement thread; returns the event for the owner, if it is current. */
+    /**
+     * Takes a result on the placement thread; returns the event for the owner, if it is current.
+     */
     Optional<PlacementEvent> finish(long nowMillis, Answered answered) {
         Call call = answered.call();
         Link link = links.get(call.worker);
--- a/standins/src/main/java/org/peridotcourse/standins/WorkerState.java
+++ b/standins/src/main/java/org/peridotcourse/standins/WorkerState.java
@@ -103,8 +103,7 @@
      * @param nowMillis the present time
      * @return why nothing was done, empty if the attempt does not run any more
      */
-    synchronized Optional<String> stop(
-            String task, long attempt, boolean release, long nowMillis) {
+    synchronized Optional<String> stop(String task, long attempt, boolean release, long nowMillis) {
         advance(nowMillis);
         highestAttempts.merge(task, attempt, Math::max);
         WorkerTask found = tasks.get(task);
