Let a repeated acceptance fail instead of giving a second version

Cause: the acceptor's transaction checked only the lease row and the judged rows, which it does not write. A repeat after a lost answer took effect a second time and gave the same rows a second version. The test that should have shown it put the fault on another daemon's write.

Change: the transaction also checks the commit of its first acceptance note, and an unexpected conflict makes the acceptor read everything again.

--- a/core/src/main/java/org/peridotcourse/config/ConfigSnapshot.java
+++ b/core/src/main/java/org/peridotcourse/config/ConfigSnapshot.java
@@ -28,12 +28,20 @@
     private final long version;
     private final long floor;
     private final Map<RowKey, ConfigEntry> entries;
+    private final Map<Class<? extends TypedRow>, List<TypedRow>> rows = new HashMap<>();
     private final Map<CustomerId, Map<ServiceId, WorkloadRow>> services = new HashMap<>();
 
     private ConfigSnapshot(long version, long floor, Map<RowKey, ConfigEntry> entries) {
         this.version = version;
         this.floor = floor;
         this.entries = entries;
+        entries.values().stream()
+                .sorted(Comparator.comparing(ConfigEntry::key))
+                .flatMap(entry -> entry.row().stream())
+                .forEach(
+                        row ->
+                                rows.computeIfAbsent(row.getClass(), type -> new ArrayList<>())
+                                        .add(row));
         for (WorkloadRow row : rows(WorkloadRow.class)) {
             row.service()
                     .ifPresent(
@@ -119,12 +127,7 @@
      * @return the rows in the order of their keys
      */
     public <T extends TypedRow> List<T> rows(Class<T> type) {
-        return entries.values().stream()
-                .sorted(Comparator.comparing(ConfigEntry::key))
-                .flatMap(entry -> entry.row().stream())
-                .filter(type::isInstance)
-                .map(type::cast)
-                .toList();
+        return rows.getOrDefault(type, List.of()).stream().map(type::cast).toList();
     }
 
     /**
--- /dev/null
+++ b/core/src/test/java/org/peridotcourse/membership/BackendsTest.java
@@ -0,0 +1,92 @@
+package org.peridotcourse.membership;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+import org.peridotcourse.BackendId;
+import org.peridotcourse.DataCentreId;
+import org.peridotcourse.Resources;
+import org.peridotcourse.ServiceId;
+
+/** Checks the merge of host list, headers and news of peers. */
+class BackendsTest {
+    private static final BackendId B1 = BackendId.of("b1");
+    private final Backends backends = new Backends();
+
+    private static HostList list(long age, boolean leaving) {
+        Host.Serving serving = new Host.Serving(ServiceId.of("desk"), 8, 64);
+        DataCentreId place = DataCentreId.of("xela");
+        return new HostList(
+                age,
+                List.of(
+                        new Host(
+                                "b1",
+                                Host.Role.BACKEND,
+                                place,
+                                "r1",
+                                "127.0.0.1:1",
+                                leaving,
+                                Optional.of(serving),
+                                Resources.ZERO),
+                        new Host(
+                                "e1",
+                                Host.Role.ENTRY,
+                                place,
+                                "r1",
+                                "127.0.0.1:2",
+                                leaving,
+                                Optional.empty(),
+                                Resources.ZERO)),
+                0);
+    }
+
+    /** Guards against a delayed list that sends new work to a leaving backend server. */
+    @Test
+    void laggingListDoesNotUndoHeader() {
+        backends.onList(0, list(0, false));
+        backends.onLeavingHeader(10_000, B1);
+        backends.onList(20_000, list(12_000, false));
+        assertTrue(backends.isLeaving(B1));
+        assertTrue(backends.hosts().get(0).leaving());
+        backends.onList(30_000, list(12_000, false));
+        assertFalse(backends.isLeaving(B1));
+    }
+
+    /** Guards against backend servers that vanish while the list is unavailable. */
+    @Test
+    void lastListStaysInUse() {
+        assertEquals(1, backends.entryHosts(Optional.empty()));
+        assertEquals(Optional.empty(), backends.listAgeMillis(0));
+        backends.onList(1000, list(400, true));
+        assertEquals(600_400, backends.listAgeMillis(601_000).orElseThrow());
+        assertEquals(1, backends.hosts().size());
+        assertTrue(backends.isLeaving(B1));
+        backends.onList(2000, list(5000, false));
+        assertTrue(backends.isLeaving(B1));
+    }
+
+    /** Guards against old news that peers keep alive by sending it to each other. */
+    @Test
+    void newsAgesOnItsWay() {
+        backends.onRequestNote(10_000, new LeavingNote(B1, true, 3000));
+        backends.onRequestNote(20_000, new LeavingNote(B1, true, 3000));
+        assertEquals(13_000, backends.notes(20_000).get(0).ageMillis());
+        backends.onReplyNote(20_000, new LeavingNote(B1, true, 1000));
+        assertEquals(1000, backends.notes(20_000).get(0).ageMillis());
+        assertEquals(List.of(), backends.notes(80_000));
+    }
+
+    /** Guards against peers that undo for each other what the list has settled. */
+    @Test
+    void newsOlderThanTheListIsIgnored() {
+        backends.onList(50_000, list(0, false));
+        backends.onRequestNote(51_000, new LeavingNote(B1, true, 10_000));
+        assertFalse(backends.isLeaving(B1));
+        backends.onReplyNote(51_000, new LeavingNote(B1, true, 1500));
+        assertTrue(backends.isLeaving(B1));
+    }
+}
--- a/daemon/src/main/java/org/peridotcourse/daemon/control/AcceptorDuty.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/control/AcceptorDuty.java
@@ -55,6 +55,7 @@
     private final Map<RowKey, OperatorRow> rows = new HashMap<>();
     private final Map<RowKey, TypedRow> accepted = new HashMap<>();
     private final Map<RowKey, KnownNote> notes = new HashMap<>();
+    private final Map<RowKey, Long> noteCommits = new HashMap<>();
     private final Set<RowKey> toJudge = new HashSet<>();
     private long loadedEpoch;
     private long writes;
@@ -121,6 +122,7 @@
         rows.clear();
         accepted.clear();
         notes.clear();
+        noteCommits.clear();
         toJudge.clear();
         pending = Optional.empty();
     }
@@ -146,6 +148,7 @@
             Optional<RowKey> key = RowKey.parse(row.key());
             if (key.isPresent() && row.value().isPresent()) {
                 notes.put(key.get(), KnownNote.of(row.value().get()));
+                noteCommits.put(key.get(), row.commit());
             }
         }
         return true;
@@ -214,6 +217,11 @@
         String id = self.daemon() + "-" + self.incarnation() + "-accept-" + writes;
         Transaction.Builder builder = Transaction.builder(id);
         builder.check(LeaseKeeper.TABLE, lease.key(), held.commit());
+        // The lease and the judged rows do not change by this write. The check of a row that it
+        // writes lets
+        // a repeat after a lost answer fail, instead of giving the same rows a second version.
+        RowKey first = batch.get(0).key();
+        builder.check(RowCodec.ACCEPTANCE, first.toString(), noteCommits.getOrDefault(first, 0L));
         boolean changes = false;
         for (Acceptance note : batch) {
             OperatorRow row = rows.get(note.key());
@@ -254,6 +262,9 @@
         if (outcome instanceof WriteOutcome.Unknown) {
             pending = Optional.of(batch.withAnswerLost());
             log.event(ConfigEvent.ACCEPTANCE_UNKNOWN).with("id", batch.transaction().id()).write();
+        } else {
+            // Something differs from what this acceptor has read, so it reads everything again.
+            loadedEpoch = 0;
         }
         return false;
     }
@@ -275,6 +286,7 @@
             Acceptance note = batch.notes().get(i);
             OperatorRow row = batch.judged().get(i);
             notes.put(note.key(), KnownNote.of(note));
+            noteCommits.put(note.key(), commit);
             if (note.isAccepted()) {
                 row.columns()
                         .flatMap(c -> note.key().table().parse(note.key().key(), c).toOptional())
--- a/daemon/src/main/java/org/peridotcourse/daemon/control/Membership.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/control/Membership.java
@@ -11,6 +11,7 @@
 import org.peridotcourse.DataCentreId;
 import org.peridotcourse.base.StringId;
 import org.peridotcourse.config.ConfigChange;
+import org.peridotcourse.config.ConfigSnapshot;
 import org.peridotcourse.config.DataCentreRow;
 import org.peridotcourse.daemon.log.EventLog;
 import org.peridotcourse.daemon.peer.PeerEvent;
@@ -159,11 +160,10 @@
     }
 
     synchronized List<Peer> nextExchanges(long nowMillis) {
-        List<DataCentreRow> rows = config.snapshot().rows(DataCentreRow.class);
-        Optional<String> region =
-                config.snapshot().dataCentre(self.dataCentre()).map(DataCentreRow::region);
+        ConfigSnapshot snapshot = config.snapshot();
+        Optional<String> region = snapshot.dataCentre(self.dataCentre()).map(DataCentreRow::region);
         List<DataCentreId> ownRegion =
-                rows.stream()
+                snapshot.rows(DataCentreRow.class).stream()
                         .filter(row -> region.equals(Optional.of(row.region())))
                         .map(DataCentreRow::id)
                         .toList();
--- /dev/null
+++ b/daemon/src/test/java/org/peridotcourse/daemon/control/ConfigSpreadFiguresTest.java
@@ -0,0 +1,132 @@
+package org.peridotcourse.daemon.control;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Locale;
+import java.util.Random;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.peridotcourse.daemon.platform.TableStore;
+
+/**
+ * Compares bytes and times of two ways to spread the configuration, on a virtual clock: every
+ * daemon polls the table service, or two readers in each data centre poll and the others exchange.
+ */
+class ConfigSpreadFiguresTest {
+    private static final int EDITS = 100;
+    private static final int ROUNDS_PER_EDIT = 10;
+    private static final long TARGET_MILLIS = 6000;
+
+    private record Figures(String line, long worstMillis) {}
+
+    private static Figures measure(int dataCentres, int daemons, boolean everyonePolls) {
+        Cluster cluster = new Cluster();
+        cluster.farDataCentres = dataCentres > 1 ? Set.of("dc3", "dc4", "dc5") : Set.of();
+        for (int i = 0; i < daemons; i++) {
+            for (int dc = 1; dc <= dataCentres; dc++) {
+                Cluster.Node node = cluster.add("d" + dc + "-" + i, "dc" + dc, 1);
+                if (everyonePolls) {
+                    TableStore store = node;
+                    ConfigReader reader = new ConfigReader(store, node.config, cluster.log);
+                    node.duties.clear();
+                    node.duties.add(now -> reader.read(now));
+                }
+                if (i < 2) {
+                    node.withAcceptor();
+                }
+            }
+        }
+        Collections.shuffle(cluster.nodes, new Random(1));
+        for (int dc = 1; dc <= dataCentres; dc++) {
+            cluster.table.put("datacentres", "dc" + dc, "{'region':'r'}");
+        }
+        for (int i = 0; i < 500; i++) {
+            cluster.table.put("customers", "customer-" + i, "{'weight':100,'max-in-flight':500}");
+        }
+        cluster.rounds(30);
+        return run(cluster, everyonePolls);
+    }
+
+    private static Figures run(Cluster cluster, boolean everyonePolls) {
+        cluster.storeBytes = 0;
+        cluster.peerBytes = 0;
+        cluster.crossBytes = 0;
+        Random random = new Random(2);
+        long begin = cluster.now;
+        List<Long> times = new ArrayList<>();
+        for (int edit = 0; edit < EDITS; edit++) {
+            Probe probe = new Probe(cluster, random.nextInt(cluster.nodes.size()), edit);
+            cluster.nodes.forEach(node -> node.duties.add(0, probe));
+            cluster.nodes.forEach(node -> node.duties.add(probe));
+            cluster.rounds(ROUNDS_PER_EDIT);
+            cluster.nodes.forEach(node -> node.duties.removeIf(duty -> duty == probe));
+            times.add(probe.reachedMillis - probe.editedMillis);
+        }
+        Collections.sort(times);
+        double seconds = (cluster.now - begin) / 1000.0;
+        long worst = times.get(times.size() - 1);
+        String line =
+                String.format(
+                        Locale.ROOT,
+                        "daemons=%d policy=%s store=%.0f B/s peers=%.0f B/s per-daemon=%.0f B/s"
+                                + " between-regions=%.0f B/s p50=%d ms p99=%d ms max=%d ms",
+                        cluster.nodes.size(),
+                        everyonePolls ? "every-daemon-polls" : "readers-and-exchange",
+                        cluster.storeBytes / seconds,
+                        cluster.peerBytes / seconds,
+                        (cluster.storeBytes + cluster.peerBytes) / seconds / cluster.nodes.size(),
+                        cluster.crossBytes / seconds,
+                        times.get(times.size() / 2),
+                        times.get(times.size() * 99 / 100),
+                        worst);
+        return new Figures(line, worst);
+    }
+
+    /** Edits a row in the middle of a round and notes when the last daemon has it. */
+    private static final class Probe implements Duty {
+        private final Cluster cluster;
+        private final int weight;
+        private int callsUntilEdit;
+        private long editedMillis;
+        private long reachedMillis;
+        private long editVersion;
+
+        Probe(Cluster cluster, int nodesBefore, int edit) {
+            this.cluster = cluster;
+            this.callsUntilEdit = 2 * nodesBefore;
+            this.weight = 1 + edit % 1000;
+        }
+
+        @Override
+        public void step(long nowMillis) {
+            if (callsUntilEdit-- == 0) {
+                editVersion =
+                        cluster.table.put("customers", "customer-1", "{'weight':" + weight + "}");
+                editedMillis = nowMillis;
+            }
+            boolean everywhere =
+                    editVersion > 0
+                            && cluster.nodes.stream().allMatch(n -> n.version() > editVersion);
+            if (everywhere && reachedMillis == 0) {
+                reachedMillis = nowMillis;
+            }
+        }
+    }
+
+    /** Guards against a way of spreading that misses the target or costs more than polling. */
+    @Test
+    void readersAndExchangeMeetTheTarget() {
+        List<Figures> figures = new ArrayList<>();
+        for (int dataCentres : List.of(1, 5)) {
+            figures.add(measure(dataCentres, 8, true));
+            figures.add(measure(dataCentres, 8, false));
+        }
+        for (Figures each : figures) {
+            System.getLogger("figures").log(System.Logger.Level.INFO, each.line());
+            assertTrue(each.worstMillis() > 0 && each.worstMillis() <= TARGET_MILLIS);
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/peridotcourse/daemon/control/LeaseKeeperTest.java
@@ -0,0 +1,120 @@
+package org.peridotcourse.daemon.control;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+import org.peridotcourse.base.LeaseHolder;
+import org.peridotcourse.daemon.log.DecisionRing;
+import org.peridotcourse.daemon.log.EventLog;
+
+/** Checks one lease row under lost answers, pauses and restarts. */
+class LeaseKeeperTest {
+    private final EventLog log = new EventLog(System.getLogger("lease"), new DecisionRing(1));
+    private final FakeTable table = new FakeTable();
+    private long now = 1000;
+    private final LeaseKeeper first = keeper("d1", 1);
+    private final LeaseKeeper second = keeper("d2", 1);
+
+    private LeaseKeeper keeper(String name, long incarnation) {
+        return new LeaseKeeper(
+                table,
+                "acceptor",
+                Cluster.peer(name, "xela", incarnation),
+                LeaseKeeper.Terms.of(9000),
+                () -> now,
+                log);
+    }
+
+    private void pass(int seconds, LeaseKeeper... keepers) {
+        for (int i = 0; i < seconds; i++) {
+            now += 1000;
+            for (LeaseKeeper keeper : keepers) {
+                keeper.step(now);
+            }
+            assertFalse(isHeld(first) && isHeld(second));
+        }
+    }
+
+    private boolean isHeld(LeaseKeeper keeper) {
+        return keeper.held(now).isPresent();
+    }
+
+    /** Guards against two holders after a pause, and against a successor that waits too long. */
+    @Test
+    void pausedHolderIsReplacedAfterLeaseAndMargin() {
+        pass(30, first, second);
+        assertTrue(isHeld(first));
+        // The last renewal was at 29 s: the lease ends at 38 s, the margin at 39 s.
+        pass(6, second);
+        assertTrue(isHeld(first));
+        pass(1, second);
+        assertEquals(38_000, now);
+        assertFalse(isHeld(first) || isHeld(second));
+        pass(1, second);
+        assertTrue(isHeld(second));
+        pass(5, first, second);
+        assertEquals(2, second.held(now).map(LeaseHolder::epoch).orElseThrow());
+        assertFalse(isHeld(first));
+    }
+
+    /** Guards against a renewal that counts from its repeat, or takes itself for superseded. */
+    @Test
+    void lostAnswersKeepTheLease() {
+        for (FakeTable.Fault fault : FakeTable.Fault.values()) {
+            table.writeFaults.add(fault);
+            pass(20, first, second);
+            table.deliver();
+            pass(5, first, second);
+            assertTrue(isHeld(first));
+            assertEquals(1, first.held(now).map(LeaseHolder::epoch).orElseThrow());
+        }
+    }
+
+    /**
+     * Guards against a lease that counts from the repeat of a write which took effect long before.
+     */
+    @Test
+    void repeatOfLostRenewalDoesNotExtendTheLease() {
+        pass(1, first, second);
+        table.writeFaults.add(FakeTable.Fault.LOSE_ANSWER);
+        pass(3, first, second);
+        pass(8, second);
+        pass(1, first);
+        pass(4, second);
+        assertTrue(isHeld(second));
+    }
+
+    /** Guards against a lease that lasts through an outage without confirmed writes. */
+    @Test
+    void outageEndsTheLease() {
+        pass(5, first, second);
+        table.down = true;
+        pass(20, first, second);
+        assertFalse(isHeld(first));
+        table.down = false;
+        pass(15, first, second);
+        assertTrue(isHeld(first) || isHeld(second));
+    }
+
+    /** Guards against a successor that waits after a clean stop. */
+    @Test
+    void releaseIsTakenAtOnce() {
+        pass(5, first, second);
+        first.release();
+        pass(1, first, second);
+        assertTrue(isHeld(second));
+    }
+
+    /** Guards against a restarted daemon that takes a write of its earlier run for its own. */
+    @Test
+    void restartedDaemonWaitsForItsEarlierRun() {
+        pass(1, first);
+        LeaseKeeper again = keeper("d1", 2);
+        pass(8, again);
+        assertFalse(isHeld(again));
+        pass(4, again);
+        assertEquals(2, again.held(now).map(LeaseHolder::epoch).orElseThrow());
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/peridotcourse/daemon/peer/PeerServerTest.java
@@ -0,0 +1,82 @@
+package org.peridotcourse.daemon.peer;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.List;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.peridotcourse.Result;
+import org.peridotcourse.daemon.log.DecisionRing;
+import org.peridotcourse.daemon.log.EventLog;
+import org.peridotcourse.wire.ExchangeReply;
+import org.peridotcourse.wire.ExchangeRequest;
+import org.peridotcourse.wire.PeerHello;
+
+/** Checks the Thrift link on loopback. */
+class PeerServerTest {
+    private static final int TIMEOUT_MILLIS = 300;
+    private final EventLog log = new EventLog(System.getLogger("peer"), new DecisionRing(1));
+    private final PeerClient client = new PeerClient(TIMEOUT_MILLIS, TIMEOUT_MILLIS);
+    private final ExchangeRequest request =
+            new ExchangeRequest(new PeerHello("d1", "xela", 1, false, 7, 0), List.of());
+
+    private PeerServer server(int port) throws Exception {
+        return new PeerServer(
+                new InetSocketAddress("127.0.0.1", port),
+                message -> new ExchangeReply(message.getSender(), message.getBackends()),
+                log);
+    }
+
+    private Result<ExchangeReply> exchange(int port) {
+        return client.exchange("127.0.0.1:" + port, request);
+    }
+
+    @AfterEach
+    void stop() {
+        client.close();
+    }
+
+    /** Guards against a kept connection that fails for good after a restart of the other side. */
+    @Test
+    void survivesRestartOfTheServer() throws Exception {
+        PeerServer first = server(0);
+        int port = first.address().getPort();
+        assertEquals(7, exchange(port).toOptional().orElseThrow().getSender().getConfigVersion());
+        first.close();
+        assertEquals(Result.failed(PeerFailure.UNREACHABLE), exchange(port));
+        try (PeerServer second = server(port)) {
+            assertTrue(exchange(port).isOk());
+            assertEquals(port, second.address().getPort());
+        }
+    }
+
+    /** Guards against a silent daemon that holds the duty. */
+    @Test
+    void silentServerTimesOut() throws Exception {
+        try (ServerSocket silent = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
+            long begin = System.nanoTime();
+            assertEquals(Result.failed(PeerFailure.UNREACHABLE), exchange(silent.getLocalPort()));
+            assertTrue((System.nanoTime() - begin) / 1_000_000 < 10 * TIMEOUT_MILLIS);
+        }
+    }
+
+    /** Guards against strangers that occupy the server by a huge frame or by half a frame. */
+    @Test
+    void brokenFramesDoNotStopOthers() throws Exception {
+        try (PeerServer server = server(0);
+                Socket huge =
+                        new Socket(server.address().getAddress(), server.address().getPort());
+                Socket half =
+                        new Socket(server.address().getAddress(), server.address().getPort())) {
+            huge.getOutputStream().write(new byte[] {0x7f, 0, 0, 0, 1});
+            half.getOutputStream().write(new byte[] {0, 0, 1, 0, 1});
+            assertEquals(-1, huge.getInputStream().read());
+            assertTrue(exchange(server.address().getPort()).isOk());
+        }
+    }
+}
