--- a/core/src/main/java/org/peridotcourse/routing/BackendServer.java
+++ b/core/src/main/java/org/peridotcourse/routing/BackendServer.java
@@ -45,6 +45,11 @@
         return health.isSuspected() && health.isHealthy() ? tier + SUSPECTED_TIERS : tier;
     }
 
+    /** Tells whether it can be reached without the billed link between regions. */
+    boolean isNear() {
+        return tier < 2;
+    }
+
     int inFlight() {
         return inFlight;
     }
--- a/core/src/main/java/org/peridotcourse/routing/Dispatcher.java
+++ b/core/src/main/java/org/peridotcourse/routing/Dispatcher.java
@@ -378,13 +378,21 @@
         }
     }
 
-    /** Opens connections that show whether suspected and ejected servers work again. */
+    /**
+     * Opens connections that show whether suspected and ejected servers work again, and one to each
+     * server of the own region that has none, so that load spreads and a failure costs no set-up.
+     */
     void probe(long now, ServicePool pool, List<RoutingAction> out) {
+        boolean used = !pool.slots.latency.isEmpty();
         for (BackendServer server : pool.servers()) {
-            if (server.isAccepting()
-                    && server.mayConnect()
-                    && (server.health.startProbe(now)
-                            || (server.connecting() == 0 && server.health.startTry(now)))) {
+            if (!server.isAccepting() || !server.mayConnect()) {
+                continue;
+            }
+            Health health = server.health;
+            boolean bare = server.connections().isEmpty();
+            if (health.startProbe(now)
+                    || (server.connecting() == 0 && health.startTry(now))
+                    || (used && bare && health.isUnsuspected() && server.isNear())) {
                 connect(now, server, out);
             }
         }
--- a/core/src/main/java/org/peridotcourse/routing/Health.java
+++ b/core/src/main/java/org/peridotcourse/routing/Health.java
@@ -37,6 +37,10 @@
         return suspected;
     }
 
+    boolean isUnsuspected() {
+        return !ejected && !suspected;
+    }
+
     /** Takes the news that a new connection is open. */
     void onConnected() {
         suspected = false;
--- /dev/null
+++ b/core/src/test/java/org/peridotcourse/routing/FairQueueTest.java
@@ -0,0 +1,59 @@
+package org.peridotcourse.routing;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+
+/** Guards against a flow that gets more than its weight by flooding or by having been idle. */
+class FairQueueTest {
+    private final FairQueue<String, String> queue = new FairQueue<>();
+
+    private void add(String key, int weight, int count) {
+        for (int i = 0; i < count; i++) {
+            queue.add(key, weight, key + i);
+        }
+    }
+
+    private long taken(String key, int count) {
+        long taken = 0;
+        for (int i = 0; i < count; i++) {
+            taken += queue.poll(item -> true).orElseThrow().startsWith(key) ? 1 : 0;
+        }
+        return taken;
+    }
+
+    @Test
+    void servesWaitingFlowsByWeight() {
+        add("a", 300, 400);
+        add("b", 100, 400);
+        assertEquals(300, taken("a", 400), 1);
+    }
+
+    @Test
+    void idleFlowGainsNoCredit() {
+        add("a", 100, 1000);
+        taken("a", 500);
+        add("b", 100, 100);
+        assertEquals(50, taken("b", 100), 1);
+    }
+
+    @Test
+    void removedItemsCostNothing() {
+        add("a", 100, 100);
+        add("b", 100, 100);
+        for (int i = 0; i < 50; i++) {
+            queue.remove("a", "a" + i);
+        }
+        assertEquals(50, taken("a", 100), 1);
+        assertEquals(50, queue.size());
+    }
+
+    @Test
+    void flowWhoseHeadDoesNotFitIsPassedOver() {
+        add("a", 100, 1);
+        add("b", 100, 1);
+        assertEquals("b0", queue.poll(item -> item.startsWith("b")).orElseThrow());
+        assertTrue(queue.poll(item -> item.startsWith("b")).isEmpty());
+    }
+}
--- a/core/src/test/java/org/peridotcourse/routing/RouterHarness.java
+++ b/core/src/test/java/org/peridotcourse/routing/RouterHarness.java
@@ -33,6 +33,7 @@
     final RoutingSettings settings;
     EntryHosts hosts = new EntryHosts(1, 0);
     long now = 1_000;
+    final List<String> released = new ArrayList<>();
     int firsts;
     int retries;
 
@@ -204,6 +205,7 @@
                 Sent sent = requests.get(release.request());
                 assertEquals(0, sent.uncertain, "released a key that may be in use");
                 sent.claimed = false;
+                released.add(release.request());
             } else if (action instanceof RoutingAction.StoreAnswer store) {
                 assertTrue(requests.get(store.request()).replied, "stored without a response");
             }
