Skip the scan of waiting customers when no server has room

Cause: at saturation each event scanned all servers for each waiting customer, which is 440 times 45 at the target size. Change: one scan of the servers decides whether any has room.

--- a/core/src/main/java/org/peridotcourse/routing/Admission.java
+++ b/core/src/main/java/org/peridotcourse/routing/Admission.java
@@ -30,7 +30,7 @@
         double wait = lane.expectedWaitMillis(customer.info());
         double left = request.info.deadlineMillis() - now;
         boolean late = request.isSlotted() && wait > left * LONGEST_WAIT;
-        if (late || !lane.hasRoom(customer.info(), settings.maxQueued())) {
+        if (late || !lane.hasQueueRoom(customer.info(), settings.maxQueued())) {
             return refusal(
                     NotRunReason.OVERLOAD, Math.max(lane.meanMillis(), wait - left * LONGEST_WAIT));
         }
--- a/core/src/main/java/org/peridotcourse/routing/Dispatcher.java
+++ b/core/src/main/java/org/peridotcourse/routing/Dispatcher.java
@@ -66,7 +66,9 @@
     }
 
     private void serve(long now, ServicePool pool, ServicePool.Lane lane, List<RoutingAction> out) {
-        while (!lane.queue.isEmpty()) {
+        // At saturation this spares a scan of all servers for each waiting customer.
+        boolean limited = settings.policy().isLimited();
+        while (!lane.queue.isEmpty() && (!limited || lane.hasRoom(now))) {
             BackendServer[] server = new BackendServer[1];
             Optional<RoutedRequest> next =
                     lane.queue.poll(
@@ -83,7 +85,9 @@
                 forward(now, next.get(), server[0], out);
             }
         }
-        connect(now, pool, lane, out);
+        if (!limited || lane.hasRoom(now)) {
+            connect(now, pool, lane, out);
+        }
     }
 
     /**
--- a/core/src/main/java/org/peridotcourse/routing/ServicePool.java
+++ b/core/src/main/java/org/peridotcourse/routing/ServicePool.java
@@ -51,6 +51,18 @@
             return servers.stream().mapToInt(server -> server.used(slotted)).sum();
         }
 
+        /** Tells whether any server may take one more request of this lane. */
+        boolean hasRoom(long now) {
+            for (BackendServer server : servers) {
+                if (server.isAccepting()
+                        && !server.isPaused(now)
+                        && server.used(slotted) < server.room(slotted)) {
+                    return true;
+                }
+            }
+            return false;
+        }
+
         /** Estimates how long a new request of a customer waits before it is forwarded. */
         double expectedWaitMillis(CustomerInfo customer) {
             int capacity = capacity();
@@ -62,7 +74,7 @@
         }
 
         /** Tells whether a customer's part of the bounded queue has room. */
-        boolean hasRoom(CustomerInfo customer, int maxQueued) {
+        boolean hasQueueRoom(CustomerInfo customer, int maxQueued) {
             double share = customer.weight() / queue.weightWith(customer.id(), customer.weight());
             return queue.size() < maxQueued
                     && queue.sizeOf(customer.id()) < Math.max(1, maxQueued * share);
--- a/core/src/test/java/org/peridotcourse/routing/LoadModelTest.java
+++ b/core/src/test/java/org/peridotcourse/routing/LoadModelTest.java
@@ -61,11 +61,12 @@
 
     @Test
     void customerWithinItsWeightKeepsItsShareAgainstAFlood() {
-        // The first of two customers with equal weights asks for 45% of the capacity.
+        // The second of two customers with equal weights asks for 45% of the capacity. Ties in the
+        // queue favour the first one, so they cannot help it.
         LoadModel model = model(3.0);
-        model.mix = new double[] {0.15, 0.85};
+        model.mix = new double[] {0.85, 0.15};
         LoadModel.Figures figures = print("flood", 3.0, model.run(SEED));
-        assertTrue(figures.shares()[0] >= 0.95 * 0.45, "share " + figures.shares()[0]);
+        assertTrue(figures.shares()[1] >= 0.95 * 0.45, "share " + figures.shares()[1]);
         assertTrue(figures.goodput() >= 0.9);
     }
 
