Test limits, late starts, refusals and rates of request routing

Cause: with the refusal of late starts or the cut of the limit on latency switched off, no test failed. Change: tests of the limit, of the unloaded latency and of four reactions of the router.

--- /dev/null
+++ b/core/src/test/java/org/peridotcourse/routing/InFlightLimitTest.java
@@ -0,0 +1,52 @@
+package org.peridotcourse.routing;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+
+/** Guards against limits that stay high after the load has shifted, or that inflate themselves. */
+class InFlightLimitTest {
+    private final InFlightLimit limit = new InFlightLimit();
+
+    private void replies(int count, long millis) {
+        for (int i = 0; i < count; i++) {
+            limit.onReply(millis, true, 20);
+        }
+    }
+
+    @Test
+    void growsToTheSlotsWhileLatencyIsUnloadedAndShrinksToTheShareWhenItRises() {
+        limit.update(1, 8);
+        replies(200, 20);
+        assertEquals(8, limit.value());
+        replies(500, 60);
+        assertEquals(1, limit.value());
+    }
+
+    @Test
+    void refusalReturnsItToTheShareAndSlowsTheNextGrowth() {
+        limit.update(2, 8);
+        replies(8, 20);
+        assertEquals(3, limit.value());
+        limit.onRefused();
+        assertEquals(2, limit.value());
+        replies(8, 20);
+        assertEquals(2, limit.value());
+        replies(8, 20);
+        assertEquals(3, limit.value());
+    }
+
+    @Test
+    void unloadedLatencyDoesNotRiseWhileTheShareIsExceeded() {
+        UnloadedLatency unloaded = new UnloadedLatency();
+        for (int i = 0; i < 256 * 20; i++) {
+            unloaded.add(i < 256 ? 20 : 100, true);
+        }
+        assertEquals(20, unloaded.value());
+        for (int i = 0; i < 256 * 20; i++) {
+            unloaded.add(100, false);
+        }
+        assertTrue(unloaded.value() > 80, "a slower service is learned within the share");
+    }
+}
--- a/core/src/test/java/org/peridotcourse/routing/RequestRouterTest.java
+++ b/core/src/test/java/org/peridotcourse/routing/RequestRouterTest.java
@@ -145,6 +145,57 @@
         assertEquals(NotRunReason.OVERLOAD, refusal(last));
     }
 
+    @Test
+    void requestThatWaitedTooLongIsRefusedInsteadOfForwarded() {
+        RouterHarness harness = new RouterHarness(RoutingSettings.defaults(), 1, 1, 8);
+        warmUp(harness, 20);
+        RouterHarness.Sent first = send(harness, RequestKind.IDEMPOTENT);
+        RouterHarness.Sent waiting = harness.offer(RequestKind.IDEMPOTENT, false, 30);
+        harness.tick(22);
+        assertNull(waiting.outcome);
+        harness.reply(lineOf(harness, first), Reply.of(200));
+        assertEquals(NotRunReason.OVERLOAD, refusal(waiting));
+    }
+
+    @Test
+    void refusingServerIsLeftAloneForAWhile() {
+        RouterHarness harness = harness(2);
+        warmUp(harness, 30);
+        RouterHarness.Line refusing = lineOf(harness, send(harness, RequestKind.NON_IDEMPOTENT));
+        harness.reply(refusing, Reply.notRun(50));
+        for (int i = 0; i < 4; i++) {
+            BackendId used = lineOf(harness, send(harness, RequestKind.IDEMPOTENT)).backend;
+            assertTrue(!used.equals(refusing.backend), "used during its retry-after time");
+        }
+    }
+
+    @Test
+    void rateLimitOfTheCustomerIsDividedAmongTheEntryHosts() {
+        RouterHarness harness = harness(2);
+        harness.hosts(new EntryHosts(4, 1));
+        harness.router.updateCustomers(
+                harness.now,
+                List.of(new CustomerInfo(RouterHarness.CUSTOMER, 1, 1000, 40, Set.of())));
+        for (int i = 0; i < 10; i++) {
+            assertNull(harness.offer(RequestKind.IDEMPOTENT, false, 2_000).outcome);
+        }
+        RouterHarness.Sent refused = harness.offer(RequestKind.IDEMPOTENT, false, 2_000);
+        assertEquals(new Outcome.NotRun(NotRunReason.CUSTOMER_RATE, 100), refused.outcome);
+        harness.tick(100);
+        assertNull(harness.offer(RequestKind.IDEMPOTENT, false, 2_000).outcome);
+    }
+
+    @Test
+    void slotsAndConnectionsOfAllEntryHostsAddUpToThoseOfTheServer() {
+        for (int count = 1; count <= 12; count++) {
+            int sum = 0;
+            for (int index = 0; index < count; index++) {
+                sum += new EntryHosts(count, index).partOf(8, 12345);
+            }
+            assertEquals(8, sum, count + " hosts");
+        }
+    }
+
     @Test
     void watchesLeaveConnectionsForRequests() {
         RouterHarness harness = new RouterHarness(RoutingSettings.defaults(), 1, 2, 8);
