--- a/ctl/src/main/java/org/peridotcourse/ctl/RowsCommand.java
+++ b/ctl/src/main/java/org/peridotcourse/ctl/RowsCommand.java
@@ -56,7 +56,7 @@
         ArrayNode rows = JsonHttp.MAPPER.createArrayNode();
         for (JsonNode row : store.rows(table, prefix)) {
             JsonNode note = notes.get(table + "/" + row.path("key").asText());
-            rows.add(shown(row, Optional.ofNullable(note)));
+            rows.add(shown(table, row, Optional.ofNullable(note)));
         }
         if (console.isJson()) {
             console.value(rows);
@@ -69,7 +69,7 @@
     private static ExitCode get(RowStore store, String table, String key, Console console)
             throws CtlException {
         JsonNode row = store.row(table, key).orElseThrow(() -> notFound(table, key));
-        console.value(shown(row, note(store, table, key)));
+        console.value(shown(table, row, note(store, table, key)));
         return ExitCode.OK;
     }
 
@@ -111,7 +111,7 @@
             Optional<JsonNode> newer = store.row(table, key);
             console.value(
                     newer.isPresent()
-                            ? shown(newer.get(), note(store, table, key))
+                            ? shown(table, newer.get(), note(store, table, key))
                             : JsonHttp.MAPPER.createObjectNode().put("key", key).put("commit", 0));
             return ExitCode.CONFLICT;
         }
@@ -170,10 +170,13 @@
         return store.row(ACCEPTANCE, table + "/" + key).map(row -> row.path("value"));
     }
 
-    private static ObjectNode shown(JsonNode row, Optional<JsonNode> note) {
+    /** Only the tables that operators edit have an acceptance. */
+    private static ObjectNode shown(String table, JsonNode row, Optional<JsonNode> note) {
         ObjectNode node = JsonHttp.MAPPER.createObjectNode();
         node.put("key", row.path("key").asText()).put("commit", row.path("commit").asLong());
-        describe(node, row.path("commit").asLong(), note);
+        if (ConfigTable.parse(table).isPresent()) {
+            describe(node, row.path("commit").asLong(), note);
+        }
         node.set("columns", row.path("value"));
         return node;
     }
@@ -196,8 +199,7 @@
                 row.path("key").asText()
                         + " commit="
                         + row.path("commit")
-                        + " "
-                        + row.path("acceptance").asText()
+                        + (row.has("acceptance") ? " " + row.path("acceptance").asText() : "")
                         + " "
                         + row.path("columns");
         return row.has("message") ? line + "\n    " + row.path("message").asText() : line;
