--- /dev/null
+++ b/daemon/src/main/java/org/peridotcourse/daemon/KeptLogManager.java
@@ -0,0 +1,17 @@
+package org.peridotcourse.daemon;
+
+import java.util.logging.LogManager;
+
+/**
+ * Log manager that keeps its handlers during a stop. The standard one closes them in a shutdown
+ * hook of its own, so the records of the stop would be lost. It is thread-safe.
+ */
+public final class KeptLogManager extends LogManager {
+    /** Creates the manager; the logging system calls it. */
+    public KeptLogManager() {}
+
+    @Override
+    public void reset() {
+        // Handlers stay open until the process ends.
+    }
+}
--- a/daemon/src/main/java/org/peridotcourse/daemon/Main.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/Main.java
@@ -21,8 +21,10 @@
     private static final String FORMAT_KEY = "java.util.logging.SimpleFormatter.format";
     private static final String FORMAT = "%1$tFT%1$tT.%1$tL %4$s %5$s%n";
 
+    private static final String MANAGER_KEY = "java.util.logging.manager";
+
     /** Kept, because levels of loggers that nobody refers to are forgotten. */
-    private static final Logger GRIZZLY = Logger.getLogger("org.glassfish.grizzly");
+    private static Logger grizzly;
 
     private Main() {}
 
@@ -35,7 +37,11 @@
         if (System.getProperty(FORMAT_KEY) == null) {
             System.setProperty(FORMAT_KEY, FORMAT);
         }
-        GRIZZLY.setLevel(Level.WARNING);
+        if (System.getProperty(MANAGER_KEY) == null) {
+            System.setProperty(MANAGER_KEY, KeptLogManager.class.getName());
+        }
+        grizzly = Logger.getLogger("org.glassfish.grizzly");
+        grizzly.setLevel(Level.WARNING);
         EventLog log = new EventLog(System.getLogger("org.peridotcourse"), new DecisionRing(1));
         if (arguments.length != 1) {
             System.err.println("usage: peridotd SETTINGS.ini");
--- a/daemon/src/main/java/org/peridotcourse/daemon/entry/CallerConnection.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/entry/CallerConnection.java
@@ -41,6 +41,10 @@
         return phase == Phase.IDLE;
     }
 
+    synchronized boolean isIdleFor(long now, long millis) {
+        return phase == Phase.IDLE && now - since >= millis;
+    }
+
     /** Returns the number of bytes that arrived since the current head began. */
     synchronized int headBytes() {
         return headBytes;
--- a/daemon/src/main/java/org/peridotcourse/daemon/entry/CallerGuard.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/entry/CallerGuard.java
@@ -24,16 +24,25 @@
     /** Load balancers reuse connections; an idle one costs little, so they are kept for long. */
     private static final long IDLE_TIMEOUT_MILLIS = 60_000;
 
+    /** The request of a connection that was just accepted may still be on its way. */
+    private static final long IDLE_GRACE_MILLIS = 500;
+
     private final Set<CallerConnection> connections = ConcurrentHashMap.newKeySet();
     private final int maxConnections;
     private final long readTimeoutMillis;
     private final BodyBudget budget;
     private final LongSupplier clock;
+    private final Supplier<CallerAnswer> malformed;
 
-    CallerGuard(int maxConnections, long readTimeoutMillis, BodyBudget budget, LongSupplier clock) {
+    CallerGuard(
+            EntryHandler.Limits limits,
+            BodyBudget budget,
+            LongSupplier clock,
+            Supplier<CallerAnswer> malformed) {
+        this.malformed = malformed;
         this.budget = budget;
-        this.maxConnections = maxConnections;
-        this.readTimeoutMillis = readTimeoutMillis;
+        this.maxConnections = limits.maxConnections();
+        this.readTimeoutMillis = limits.readTimeoutMillis();
         this.clock = clock;
     }
 
@@ -65,8 +74,27 @@
             return context.getStopAction();
         }
         Buffer buffer = context.getMessage();
+        boolean begins = state.isIdle();
         state.onBytes(buffer.remaining(), clock.getAsLong());
-        return context.getInvokeAction();
+        if (begins && !hasRequestLine(buffer)) {
+            state.refuse(malformed.get(), clock.getAsLong());
+        }
+        return state.isRefused() ? context.getStopAction() : context.getInvokeAction();
+    }
+
+    /** Tells whether the first line may be a request line; Grizzly waits for more otherwise. */
+    private static boolean hasRequestLine(Buffer buffer) {
+        int blanks = 0;
+        boolean text = false;
+        for (int i = buffer.position(); i < buffer.limit(); i++) {
+            byte next = buffer.get(i);
+            if (next == '\n' && text) {
+                return blanks >= 2;
+            }
+            blanks += next == ' ' ? 1 : 0;
+            text |= next > ' ';
+        }
+        return true;
     }
 
     @Override
@@ -96,16 +124,17 @@
         return refused;
     }
 
-    /** Closes connections without a request. Returns the number of the others. */
+    /** Closes connections that had no request for a while. Returns the number of the others. */
     int closeIdle() {
-        int busy = 0;
+        long now = clock.getAsLong();
+        int open = 0;
         for (CallerConnection state : connections) {
-            if (state.isIdle()) {
+            if (state.isIdleFor(now, IDLE_GRACE_MILLIS)) {
                 state.close();
             } else {
-                busy++;
+                open++;
             }
         }
-        return busy;
+        return open;
     }
 }
--- a/daemon/src/main/java/org/peridotcourse/daemon/entry/EntryServer.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/entry/EntryServer.java
@@ -37,7 +37,11 @@
         this.handler = handler;
         this.ids = ids;
         this.guard =
-                new CallerGuard(limits.maxConnections(), limits.readTimeoutMillis(), budget, clock);
+                new CallerGuard(
+                        limits,
+                        budget,
+                        clock,
+                        () -> Answers.notRun(ids.next(), NotRunReason.MALFORMED, 0));
         this.listener = new NetworkListener("entry", address.getHostString(), address.getPort());
         TCPNIOTransport transport = listener.getTransport();
         transport.setIOStrategy(SameThreadIOStrategy.getInstance());
--- a/daemon/src/main/java/org/peridotcourse/daemon/settings/SettingKey.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/settings/SettingKey.java
@@ -120,15 +120,7 @@
             "1s",
             50,
             30_000,
-            "Longest wait for the platform's answer to one call."),
-    /** Interval of reading the host list. */
-    HOSTS_INTERVAL(
-            "platform.hosts-interval",
-            SettingType.DURATION,
-            "1s",
-            100,
-            60_000,
-            "Interval of reading the list of hosts.");
+            "Longest wait for the platform's answer to one call.");
 
     private final String path;
     private final SettingType type;
--- /dev/null
+++ b/daemon/src/test/java/org/peridotcourse/daemon/entry/EntryStopTest.java
@@ -0,0 +1,83 @@
+package org.peridotcourse.daemon.entry;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.net.http.HttpResponse;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.locks.LockSupport;
+import org.junit.jupiter.api.Test;
+
+/** Guards against a planned stop that cuts a request or that does not end. */
+class EntryStopTest {
+    @Test
+    void stopUnderLoadCutsNoRequest() throws Exception {
+        try (FakeBackend backend = new FakeBackend()) {
+            AtomicBoolean balancerSaw = new AtomicBoolean();
+            AtomicInteger running = new AtomicInteger();
+            backend.script(
+                    (request, out) -> {
+                        running.incrementAndGet();
+                        long millis = balancerSaw.get() ? 400 : 20;
+                        LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(millis));
+                        running.decrementAndGet();
+                        return FakeBackend.ok(request, out);
+                    });
+            EntryFixture entry = new EntryFixture("e1", new FakeTableStore()).with(backend);
+            AtomicInteger answered = new AtomicInteger();
+            ConcurrentLinkedQueue<String> cut = new ConcurrentLinkedQueue<>();
+            List<Thread> callers = new ArrayList<>();
+            for (int i = 0; i < 8; i++) {
+                Thread caller = new Thread(() -> call(entry, answered, cut, balancerSaw));
+                caller.start();
+                callers.add(caller);
+            }
+            EntryFixture.await("load", () -> answered.get() >= 100);
+            entry.service.prepareStop();
+            int before = answered.get();
+            EntryFixture.await("load while stopping", () -> answered.get() >= before + 50);
+            balancerSaw.set(true);
+            EntryFixture.await(
+                    "the last requests run",
+                    () -> running.get() == callers.stream().filter(Thread::isAlive).count());
+            int atClose = running.get();
+            entry.service.closePort();
+            EntryFixture.await(
+                    "every request has its response",
+                    () -> entry.service.closeIdle() == 0 && entry.service.pending() == 0);
+            for (Thread caller : callers) {
+                caller.join(10_000);
+            }
+            entry.close();
+            assertEquals(List.of(), List.copyOf(cut));
+            assertEquals(backend.received().size(), answered.get());
+            assertTrue(atClose > 0, "requests run while the port is closed");
+        }
+    }
+
+    /** Calls until the load balancer has seen that the host is not ready. */
+    private static void call(
+            EntryFixture entry,
+            AtomicInteger answered,
+            ConcurrentLinkedQueue<String> cut,
+            AtomicBoolean balancerSaw) {
+        while (!balancerSaw.get()) {
+            try {
+                HttpResponse<String> response = entry.post(EntryFixture.PATH, "x");
+                if (response.statusCode() == 200) {
+                    answered.incrementAndGet();
+                } else {
+                    cut.add(response.body());
+                }
+            } catch (Exception other) {
+                cut.add(other.toString());
+                return;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/peridotcourse/daemon/entry/JobDutyTest.java
@@ -0,0 +1,94 @@
+package org.peridotcourse.daemon.entry;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.net.http.HttpResponse;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Guards against jobs that are lost, doubled or changed by a repeated submission. */
+class JobDutyTest {
+    private static final String JOB =
+            "{\"workload\":\"night\",\"tasks\":3,\"milliCores\":500,\"memoryMiB\":64,"
+                    + "\"payload\":\"p\"}";
+
+    private final FakeTableStore store = new FakeTableStore();
+    private EntryFixture entry;
+
+    @BeforeEach
+    void start() throws Exception {
+        entry = new EntryFixture("e1", store);
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        entry.close();
+    }
+
+    @Test
+    void submitsOnceHoweverOftenItIsRepeated() throws Exception {
+        assertEquals("201", put("/jobs/shop/j1", JOB));
+        assertEquals("200", put("/jobs/shop/j1", JOB));
+        assertEquals("409 job-name-taken", put("/jobs/shop/j1", JOB.replace("3", "4")));
+        assertEquals(1, store.writes());
+        assertEquals("shop/night", store.value("jobs", "shop/j1").get().path("workload").asText());
+        assertEquals("200", call("GET", "/jobs/shop/j1", ""));
+        assertEquals("404 unknown-job", call("GET", "/jobs/shop/j2", ""));
+        assertEquals("200", call("DELETE", "/jobs/shop/j1", ""));
+        assertEquals("200", call("DELETE", "/jobs/shop/j1", ""));
+        assertEquals(true, store.value("jobs", "shop/j1").get().path("cancel").asBoolean());
+        assertEquals("200", put("/jobs/shop/j1", JOB), "a cancelled job is still the same job");
+    }
+
+    @Test
+    void lostAnswersAndOutagesHaveTypedOutcomes() throws Exception {
+        store.loseAnswers(2);
+        assertEquals("201", put("/jobs/shop/j1", JOB));
+        assertEquals(1, store.writes());
+        store.setAway(true);
+        assertEquals("503 store-unsettled", put("/jobs/shop/j2", JOB));
+        assertEquals("503 store-unavailable", call("GET", "/jobs/shop/j1", ""));
+        store.setAway(false);
+        EntryFixture.await("the job is accepted", () -> safePut().equals("201"));
+    }
+
+    @Test
+    void refusesMalformedJobs() throws Exception {
+        String[] bodies = {
+            "",
+            "[]",
+            "{",
+            JOB.replace("\"tasks\":3", "\"tasks\":0"),
+            JOB.replace("500", "\"500\""),
+            JOB.replace("payload", "paylaod"),
+            JOB.replace("night", "a/b"),
+            JOB.replace("64", "1.5")
+        };
+        for (String body : bodies) {
+            assertEquals("400 malformed", put("/jobs/shop/j1", body), body);
+        }
+        assertEquals("400 malformed", put("/jobs/shop", JOB));
+        assertEquals("400 malformed", call("PATCH", "/jobs/shop/j1", JOB));
+        assertEquals("404 unknown-customer", put("/jobs/nobody/j1", JOB));
+        assertEquals(0, store.writes());
+    }
+
+    private String safePut() {
+        try {
+            return put("/jobs/shop/j2", JOB);
+        } catch (Exception e) {
+            return e.toString();
+        }
+    }
+
+    private String put(String path, String body) throws Exception {
+        return call("PUT", path, body);
+    }
+
+    private String call(String method, String path, String body) throws Exception {
+        HttpResponse<String> response = entry.call(method, path, body);
+        String reason = response.body().replaceAll("(?s).*\"reason\":\"([a-z-]*)\".*", " $1");
+        return response.statusCode() + (response.statusCode() < 300 ? "" : reason);
+    }
+}
