--- a/daemon/src/test/java/org/peridotcourse/daemon/entry/FakeTableStore.java
+++ b/daemon/src/test/java/org/peridotcourse/daemon/entry/FakeTableStore.java
@@ -23,6 +23,7 @@
     private int writes;
     private int lostAnswers;
     private boolean away;
+    private boolean awayAfterLoss;
 
     synchronized void setAway(boolean isAway) {
         away = isAway;
@@ -33,6 +34,12 @@
         lostAnswers = count;
     }
 
+    /** The next write takes effect, its answer is lost, and then the store is away. */
+    synchronized void loseAnswerAndGoAway() {
+        lostAnswers = 1;
+        awayAfterLoss = true;
+    }
+
     synchronized int writes() {
         return writes;
     }
@@ -78,6 +85,8 @@
         transaction.deletes().forEach(gone -> rows.remove(gone.table() + "/" + gone.key()));
         if (lostAnswers > 0) {
             lostAnswers--;
+            away = awayAfterLoss;
+            awayAfterLoss = false;
             return new WriteOutcome.Unknown();
         }
         return new WriteOutcome.Committed(commit);
--- a/daemon/src/test/java/org/peridotcourse/daemon/entry/RequestKeyTest.java
+++ b/daemon/src/test/java/org/peridotcourse/daemon/entry/RequestKeyTest.java
@@ -118,11 +118,14 @@
         assertEquals(200, post(first, "order", "once").statusCode());
         assertEquals(1, backend.received().size());
 
-        store.loseAnswers(1);
+        EntryFixture.await("the response is stored", () -> state("once").equals("done"));
+        store.loseAnswerAndGoAway();
+        assertEquals("503 not-run store-unavailable", summary(post(first, "order", "undone")));
+        assertEquals("claimed", state("undone"), "the lost write took effect");
         store.setAway(false);
-        EntryFixture.await("stored", () -> state("once").equals("done"));
-        assertEquals(200, post(second, "order", "once").statusCode());
-        assertEquals(1, backend.received().size());
+        EntryFixture.await("the claim is undone", () -> state("undone").equals("absent"));
+        assertEquals(1, backend.received().size(), "the refused request did not run");
+        assertEquals(200, post(second, "order", "undone").statusCode());
     }
 
     @Test
