--- a/core/src/main/java/org/peridotcourse/routing/Dispatcher.java
+++ b/core/src/main/java/org/peridotcourse/routing/Dispatcher.java
@@ -66,7 +66,9 @@
     }
 
     private void serve(long now, ServicePool pool, ServicePool.Lane lane, List<RoutingAction> out) {
-        while (!lane.queue.isEmpty()) {
+        // At saturation this spares a scan of all servers for each waiting customer.
+        boolean limited = settings.policy().isLimited();
+        while (!lane.queue.isEmpty() && (!limited || lane.hasRoom(now))) {
             BackendServer[] server = new BackendServer[1];
             Optional<RoutedRequest> next =
                     lane.queue.poll(
@@ -83,7 +85,9 @@
                 forward(now, next.get(), server[0], out);
             }
         }
-        connect(now, pool, lane, out);
+        if (!limited || lane.hasRoom(now)) {
+            connect(now, pool, lane, out);
+        }
     }
 
     /**
@@ -378,13 +382,21 @@
         }
     }
 
-    /** Opens connections that show whether suspected and ejected servers work again. */
+    /**
+     * Opens connections that show whether suspected and ejected servers work again, and one to each
+     * server of the own region that has none, so that load spreads and a failure costs no set-up.
+     */
     void probe(long now, ServicePool pool, List<RoutingAction> out) {
+        boolean used = !pool.slots.latency.isEmpty();
         for (BackendServer server : pool.servers()) {
-            if (server.isAccepting()
-                    && server.mayConnect()
-                    && (server.health.startProbe(now)
-                            || (server.connecting() == 0 && server.health.startTry(now)))) {
+            if (!server.isAccepting() || !server.mayConnect()) {
+                continue;
+            }
+            Health health = server.health;
+            boolean bare = server.connections().isEmpty();
+            if (health.startProbe(now)
+                    || (server.connecting() == 0 && health.startTry(now))
+                    || (used && bare && health.isUnsuspected() && server.isNear())) {
                 connect(now, server, out);
             }
         }
