Hand queued tasks over to idle data centres; stop starts on an out edit that is not accepted yet

Cause: quickstart's job of eight tasks ran five at a time in huehue while xela was idle, because one data centre claims a job. Separately, an edit to out waits about 10 s while the acceptor's lease changes hands, and starts went on.

--- /dev/null
+++ b/core/src/main/java/org/peridotcourse/placement/Destinations.java
@@ -0,0 +1,50 @@
+package org.peridotcourse.placement;
+
+import java.util.Map;
+import org.peridotcourse.DataCentreId;
+import org.peridotcourse.Resources;
+
+/** Chooses the data centres that tasks are handed over to. Confined to one thread. */
+final class Destinations {
+    private final Book book;
+
+    Destinations(Book book) {
+        this.book = book;
+    }
+
+    /**
+     * Returns the data centre with the most free processor time that may take a task of a job.
+     *
+     * @param job the job
+     * @param needsRoom whether the free capacity must have room for the task
+     * @return the data centre, null if there is none
+     */
+    DataCentreId choose(Job job, boolean needsRoom) {
+        PlacementConfig.WorkloadRule rule = book.rule(job.workload()).orElse(null);
+        if (rule == null) {
+            return null;
+        }
+        DataCentreId best = null;
+        Resources bestFree = Resources.ZERO;
+        for (Map.Entry<DataCentreId, Peer> entry : book.peers.entrySet()) {
+            DataCentreId candidate = entry.getKey();
+            Resources free = entry.getValue().free;
+            boolean usable =
+                    book.config.isIn(candidate)
+                            && rule.allows(candidate)
+                            && !entry.getValue().challenger.isHoldOver(book.nowMillis)
+                            && (!needsRoom || job.size().isWithin(free));
+            if (usable && (best == null || free.milliCores() > bestFree.milliCores())) {
+                best = candidate;
+                bestFree = free;
+            }
+        }
+        return best;
+    }
+
+    /** Takes the size of one task off what a data centre published as free. */
+    void reserve(DataCentreId target, Job job) {
+        Peer peer = book.peers.get(target);
+        peer.free = peer.free.minus(job.size());
+    }
+}
--- a/core/src/main/java/org/peridotcourse/placement/Evacuation.java
+++ b/core/src/main/java/org/peridotcourse/placement/Evacuation.java
@@ -3,9 +3,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
-import java.util.Map;
 import org.peridotcourse.DataCentreId;
-import org.peridotcourse.Resources;
 
 /**
  * Moves batch tasks away while this data centre is out, and takes over those of data centres whose
@@ -24,12 +22,14 @@
     private final Book book;
     private final WriteBuffer writes;
     private final Outbox outbox;
+    private final Destinations destinations;
     private boolean leaving;
 
-    Evacuation(Book book, WriteBuffer writes, Outbox outbox) {
+    Evacuation(Book book, WriteBuffer writes, Outbox outbox, Destinations destinations) {
         this.book = book;
         this.writes = writes;
         this.outbox = outbox;
+        this.destinations = destinations;
     }
 
     /** Starts the next moves, or ends them after a return. */
@@ -57,7 +57,7 @@
                     continue;
                 }
                 if (task.state == TaskState.QUEUED && moved < QUEUED_PER_STEP) {
-                    DataCentreId target = target(job, false);
+                    DataCentreId target = destinations.choose(job, false);
                     if (target != null) {
                         moved++;
                         writes.add(Change.move(task, target));
@@ -69,10 +69,9 @@
         }
         running.sort(Comparator.comparingLong(Task::unsavedProgress));
         for (Task task : running) {
-            DataCentreId target = target(task.job, true);
+            DataCentreId target = destinations.choose(task.job, true);
             if (target != null && task.worker.reconciled) {
-                Peer peer = book.peers.get(target);
-                peer.free = peer.free.minus(task.job.size());
+                destinations.reserve(target, task.job);
                 task.target = target;
                 task.state = TaskChart.next(task.state, TaskEvent.CHECKPOINT_REQUESTED);
                 outbox.checkpoint(task);
@@ -92,30 +91,6 @@
         }
     }
 
-    /** Returns the data centre with the most free processor time that may take a task. */
-    private DataCentreId target(Job job, boolean needsRoom) {
-        PlacementConfig.WorkloadRule rule = book.rule(job.workload()).orElse(null);
-        if (rule == null) {
-            return null;
-        }
-        DataCentreId best = null;
-        Resources bestFree = Resources.ZERO;
-        for (Map.Entry<DataCentreId, Peer> entry : book.peers.entrySet()) {
-            DataCentreId candidate = entry.getKey();
-            Resources free = entry.getValue().free;
-            boolean usable =
-                    book.config.isIn(candidate)
-                            && rule.allows(candidate)
-                            && !entry.getValue().challenger.isHoldOver(book.nowMillis)
-                            && (!needsRoom || job.size().isWithin(free));
-            if (usable && (best == null || free.milliCores() > bestFree.milliCores())) {
-                best = candidate;
-                bestFree = free;
-            }
-        }
-        return best;
-    }
-
     /** Asks for the rows of data centres whose batch leases have all ended. */
     private void takeover(long nowMillis) {
         if (!book.mayStart(nowMillis)) {
--- a/core/src/main/java/org/peridotcourse/placement/PlacementOwner.java
+++ b/core/src/main/java/org/peridotcourse/placement/PlacementOwner.java
@@ -35,6 +35,7 @@
     private final JobIntake intake;
     private final Replicas replicas;
     private final Evacuation evacuation;
+    private final Rebalancing rebalancing;
     private final Upkeep upkeep;
     private final Commits commits;
     private long loadCommit;
@@ -61,7 +62,9 @@
         reconciler = new Reconciler(book, writes, outbox, ends, guards);
         intake = new JobIntake(book, writes);
         replicas = new Replicas(book, writes, outbox);
-        evacuation = new Evacuation(book, writes, outbox);
+        Destinations destinations = new Destinations(book);
+        evacuation = new Evacuation(book, writes, outbox, destinations);
+        rebalancing = new Rebalancing(book, writes, order, destinations);
         upkeep = new Upkeep(book, writes, outbox, ends);
         commits = new Commits(book, writes, outbox, intake);
     }
@@ -233,6 +236,7 @@
             nextUpkeepMillis = nowMillis + UPKEEP_MILLIS;
             upkeep.expire(nowMillis);
             evacuation.run(nowMillis);
+            rebalancing.run(nowMillis);
         }
         if (nowMillis >= nextReplicasMillis) {
             nextReplicasMillis = nowMillis + REPLICAS_MILLIS;
--- a/daemon/src/main/java/org/peridotcourse/daemon/placement/PlacementDuty.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/placement/PlacementDuty.java
@@ -194,7 +194,8 @@
             viewVersion = standing.snapshot().version();
             view = ConfigView.of(standing.snapshot());
         }
-        handle(now, new PlacementEvent.ConfigSeen(view, now - standing.ageMillis()));
+        long confirmed = Math.min(now - standing.ageMillis(), store.ownRowConfirmedMillis());
+        handle(now, new PlacementEvent.ConfigSeen(view, confirmed));
         long version = workers.version();
         if (version != workersVersion) {
             workersVersion = version;
--- a/daemon/src/main/java/org/peridotcourse/daemon/placement/PlacementStore.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/placement/PlacementStore.java
@@ -12,6 +12,7 @@
 import org.peridotcourse.Result;
 import org.peridotcourse.base.LeaseHolder;
 import org.peridotcourse.base.LeaseRow;
+import org.peridotcourse.config.ConfigTable;
 import org.peridotcourse.config.DataCentreRow;
 import org.peridotcourse.daemon.control.LeaseKeeper;
 import org.peridotcourse.daemon.control.SnapshotHolder;
@@ -57,6 +58,7 @@
     private long tasksSince;
     private long nextPollMillis;
     private long nextPeersMillis;
+    private volatile long ownRowConfirmedMillis = Long.MIN_VALUE / 2;
 
     PlacementStore(
             TableStore store,
@@ -84,6 +86,7 @@
         }
         if (nowMillis >= nextPollMillis) {
             nextPollMillis = nowMillis + POLL_MILLIS;
+            pollOwnRow();
             pollJobs();
             pollTasks();
         }
@@ -93,6 +96,15 @@
         }
     }
 
+    /**
+     * Returns when the operators' own row of this data centre was last read without an unaccepted
+     * {@code out}. An edit may wait for about 10 s while the acceptor's lease changes hands, so the
+     * accepted rows alone prove too little for a start.
+     */
+    long ownRowConfirmedMillis() {
+        return ownRowConfirmedMillis;
+    }
+
     void perform(StoreWork work) {
         if (work instanceof StoreWork.Publish publish) {
             publish(publish.free());
@@ -139,6 +151,23 @@
         reported = held.or(() -> lease.isHolder() ? reported : Optional.empty());
     }
 
+    private void pollOwnRow() {
+        long sentMillis = clock.getAsLong();
+        String table = ConfigTable.DATA_CENTRES.title();
+        if (store.row(table, dataCentre.value()) instanceof Result.Ok<Optional<Row>> ok) {
+            boolean wantedOut =
+                    ok.value()
+                            .flatMap(Row::value)
+                            .map(json -> json.path("state").asText().equals("out"))
+                            .orElse(false);
+            boolean acceptedIn =
+                    config.snapshot().dataCentre(dataCentre).map(DataCentreRow::isIn).orElse(false);
+            if (!(wantedOut && acceptedIn)) {
+                ownRowConfirmedMillis = sentMillis;
+            }
+        }
+    }
+
     private void pollJobs() {
         Result<RowPage> read = TableReader.changes(store, JOBS, "", jobsSince);
         if (read instanceof Result.Ok<RowPage> ok) {
