--- a/daemon/src/main/java/org/peridotcourse/daemon/entry/BodyBudget.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/entry/BodyBudget.java
@@ -11,8 +11,8 @@
         this.limit = limit;
     }
 
-    long used() {
-        return used.get();
+    long limit() {
+        return limit;
     }
 
     boolean take(long bytes) {
