Read no body of a request that announces none

A request with an Upgrade header, which the JDK's HTTP client sends by default, waited 30 s for its body in the stand-ins, because Grizzly gives it an endless one. The new test of the backend server showed it.

--- a/standins/src/main/java/org/peridotcourse/standins/StandInServer.java
+++ b/standins/src/main/java/org/peridotcourse/standins/StandInServer.java
@@ -125,7 +125,12 @@
     private final class Adapter extends HttpHandler {
         @Override
         public void service(Request request, Response response) throws IOException {
-            byte[] body = request.getInputStream().readAllBytes();
+            // Grizzly gives a request with an Upgrade header an endless body, and clients such as
+            // that of the JDK offer an upgrade to HTTP/2.
+            boolean hasBody =
+                    request.getContentLengthLong() > 0
+                            || request.getHeader("Transfer-Encoding") != null;
+            byte[] body = hasBody ? request.getInputStream().readAllBytes() : new byte[0];
             Connection<?> connection = request.getRequest().getConnection();
             Call call =
                     new Call(
