Take back the closing of callers that do not read their responses

A test with 24 callers that read nothing showed that Grizzly's write queue reports no unsent bytes, so no caller was closed. Responses that nobody reads are bounded only by entry.max-connections and entry.max-answer.

--- a/daemon/src/main/java/org/peridotcourse/daemon/entry/BodyBudget.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/entry/BodyBudget.java
@@ -11,8 +11,8 @@
         this.limit = limit;
     }
 
-    long limit() {
-        return limit;
+    long used() {
+        return used.get();
     }
 
     boolean take(long bytes) {
--- a/daemon/src/main/java/org/peridotcourse/daemon/entry/CallerConnection.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/entry/CallerConnection.java
@@ -4,7 +4,6 @@
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.memory.Buffers;
-import org.glassfish.grizzly.nio.NIOConnection;
 
 /**
  * What the entry host knows of one connection of a caller: whether a request is arriving, being
@@ -149,16 +148,6 @@
         }
     }
 
-    /** Returns the bytes of responses that the caller has not taken yet. */
-    int unsentBytes() {
-        return ((NIOConnection) connection).getAsyncWriteQueue().spaceInBytes();
-    }
-
-    /** Returns when the present phase began. */
-    synchronized long since() {
-        return since;
-    }
-
     void close() {
         connection.closeSilently();
     }
--- a/daemon/src/main/java/org/peridotcourse/daemon/entry/CallerGuard.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/entry/CallerGuard.java
@@ -1,9 +1,6 @@
 package org.peridotcourse.daemon.entry;
 
 import java.io.IOException;
-import java.util.ArrayList;
-import java.util.Comparator;
-import java.util.List;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.LongSupplier;
@@ -27,9 +24,6 @@
     /** Load balancers reuse connections; an idle one costs little, so they are kept for long. */
     private static final long IDLE_TIMEOUT_MILLIS = 60_000;
 
-    /** A caller may take this many read time-outs to read a response. */
-    private static final int UNREAD_TIMEOUTS = 6;
-
     /** The request of a connection that was just accepted may still be on its way. */
     private static final long IDLE_GRACE_MILLIS = 500;
 
@@ -122,35 +116,14 @@
     int sweep(Supplier<CallerAnswer> refusal) {
         long now = clock.getAsLong();
         int refused = 0;
-        long unsent = 0;
-        List<CallerConnection> readers = new ArrayList<>();
         for (CallerConnection state : connections) {
-            int bytes = state.unsentBytes();
-            if (bytes > 0) {
-                unsent += bytes;
-                readers.add(state);
-            }
             if (state.sweep(now, readTimeoutMillis, IDLE_TIMEOUT_MILLIS, refusal)) {
                 refused++;
             }
         }
-        closeSlowReaders(readers, unsent, now);
         return refused;
     }
 
-    /** Closes callers that do not read their responses, first those that wait longest. */
-    private void closeSlowReaders(List<CallerConnection> readers, long unsentBytes, long now) {
-        long unsent = unsentBytes;
-        readers.sort(Comparator.comparingLong(CallerConnection::since));
-        for (CallerConnection state : readers) {
-            boolean late = now - state.since() >= UNREAD_TIMEOUTS * readTimeoutMillis;
-            if (late || unsent > budget.limit()) {
-                unsent -= state.unsentBytes();
-                state.close();
-            }
-        }
-    }
-
     /** Closes connections that had no request for a while. Returns the number of the others. */
     int closeIdle() {
         long now = clock.getAsLong();
