List placement events in the catalogue

Cause: the event enum of placement was missing from docs/EVENTS.md and its name escaped the test that looks for it.

--- a/daemon/src/main/java/org/peridotcourse/daemon/log/EventCatalogue.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/log/EventCatalogue.java
@@ -6,6 +6,7 @@
 import org.peridotcourse.daemon.control.ConfigEvent;
 import org.peridotcourse.daemon.entry.RequestEvent;
 import org.peridotcourse.daemon.peer.PeerEvent;
+import org.peridotcourse.daemon.placement.PlacementLogEvent;
 import org.peridotcourse.daemon.platform.PlatformEvent;
 
 /**
@@ -18,6 +19,7 @@
     public static final List<Class<? extends Event>> ENUMS =
             List.of(
                     RequestEvent.class,
+                    PlacementLogEvent.class,
                     ConfigEvent.class,
                     PeerEvent.class,
                     PlatformEvent.class,
--- a/daemon/src/main/java/org/peridotcourse/daemon/placement/PlacementDuty.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/placement/PlacementDuty.java
@@ -73,7 +73,7 @@
      * @param config the configuration in force
      * @param workers the workers of the host list
      * @param clock monotonic milliseconds
-     * @param log receives {@link PlacementRecord} records
+     * @param log receives {@link PlacementLogEvent} records
      */
     public PlacementDuty(
             Peer self,
@@ -142,7 +142,7 @@
         if (!running || events.tryReport(event)) {
             return true;
         }
-        log.event(PlacementRecord.RING_FULL)
+        log.event(PlacementLogEvent.RING_FULL)
                 .with("event", event.getClass().getSimpleName())
                 .write();
         return false;
@@ -238,7 +238,7 @@
 
     private void record(PlacementAction.Decided decided) {
         EventLog.Line line =
-                log.event(PlacementRecord.DECIDED)
+                log.event(PlacementLogEvent.DECIDED)
                         .with("subject", decided.subject())
                         .with("decision", decided.decision());
         decided.worker().ifPresent(worker -> line.with("worker", worker));
--- a/daemon/src/main/java/org/peridotcourse/daemon/placement/PlacementRecord.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/placement/PlacementLogEvent.java
@@ -4,7 +4,7 @@
 import org.peridotcourse.daemon.log.Event;
 
 /** Log records of placement. Constants are immutable and thread-safe. */
-public enum PlacementRecord implements Event {
+public enum PlacementLogEvent implements Event {
     /** The owner decided something about a task, job or worker. */
     DECIDED(
             2001,
@@ -38,7 +38,7 @@
     private final Level level;
     private final String description;
 
-    PlacementRecord(int number, String title, Level level, String description) {
+    PlacementLogEvent(int number, String title, Level level, String description) {
         this.number = number;
         this.title = title;
         this.level = level;
--- a/daemon/src/main/java/org/peridotcourse/daemon/placement/PlacementStore.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/placement/PlacementStore.java
@@ -306,7 +306,7 @@
 
     private <T> Optional<T> checked(String table, Row row, Optional<T> parsed) {
         if (parsed.isEmpty() && row.value().isPresent()) {
-            log.event(PlacementRecord.ROW_BROKEN)
+            log.event(PlacementLogEvent.ROW_BROKEN)
                     .with("table", table)
                     .with("row", row.key())
                     .write();
--- a/daemon/src/main/java/org/peridotcourse/daemon/placement/WorkerCalls.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/placement/WorkerCalls.java
@@ -224,10 +224,10 @@
         WorkerId worker = answered.call().worker;
         if (answered.reply().isPresent()) {
             if (unreachable.remove(worker)) {
-                log.event(PlacementRecord.WORKER_REACHABLE).with("worker", worker).write();
+                log.event(PlacementLogEvent.WORKER_REACHABLE).with("worker", worker).write();
             }
         } else if (unreachable.add(worker)) {
-            log.event(PlacementRecord.WORKER_UNREACHABLE)
+            log.event(PlacementLogEvent.WORKER_UNREACHABLE)
                     .with("worker", worker)
                     .with("call", answered.call().http.target())
                     .with("failure", answered.failure())
