Measure placement against the plain policy and speed up the decisions

- The fair order keeps each customer's share instead of looking weights up for 440 customers per placement; workers keep a list of their services.
- Rows are flushed ahead of a pass, and a running task's own checkpoints are published every 10 s at most, so they no longer hold starts back.
- Neighbours share only the unexplained part of a slow-down, evictions confirm a pair, and rare probes clear a wrongly blamed workload.
- A quarantined worker's older tasks no longer double its quarantine.

--- a/core/src/main/java/org/peridotcourse/placement/Book.java
+++ b/core/src/main/java/org/peridotcourse/placement/Book.java
@@ -230,7 +230,9 @@
         worker.ledger.adopt(task.job.size(), task.estimate);
         worker.tasks.add(task);
         placed++;
-        if (!task.job.replicas) {
+        if (task.job.replicas) {
+            worker.services.add(task.job.workload());
+        } else {
             worker.changedMillis = nowMillis;
             task.job.customer.used = task.job.customer.used.plus(task.job.size());
         }
@@ -241,9 +243,11 @@
         task.worker = null;
         worker.ledger.release(task.job.size(), task.estimate);
         worker.tasks.remove(task);
-        worker.health.withdrawn();
+        worker.health.left(task);
         placed--;
-        if (!task.job.replicas) {
+        if (task.job.replicas) {
+            worker.services.remove(task.job.workload());
+        } else {
             worker.changedMillis = nowMillis;
             task.job.customer.used = task.job.customer.used.minus(task.job.size());
         }
@@ -316,6 +320,7 @@
                 worker.ledger.release(task.job.size(), task.estimate);
             }
             worker.tasks.clear();
+            worker.services.clear();
             worker.beginEpoch(boundMillis);
         }
     }
--- a/core/src/main/java/org/peridotcourse/placement/Customer.java
+++ b/core/src/main/java/org/peridotcourse/placement/Customer.java
@@ -10,6 +10,9 @@
     final CustomerId id;
     int queuedTasks;
 
+    /** Its weighted dominant share when the present pass last looked. */
+    double weightedShare;
+
     /** Declared sizes of its placed batch tasks. */
     Resources used = Resources.ZERO;
 
@@ -58,6 +61,20 @@
         return urgent.isEmpty() && normal.isEmpty();
     }
 
+    /** Returns when the first of its queued batch jobs was seen. */
+    long firstSeenMillis(boolean urgentOnly) {
+        long first = Long.MAX_VALUE;
+        for (Job job : urgent) {
+            first = Math.min(first, job.firstSeenMillis);
+        }
+        if (!urgentOnly) {
+            for (Job job : normal) {
+                first = Math.min(first, job.firstSeenMillis);
+            }
+        }
+        return first;
+    }
+
     boolean hasUrgent() {
         return !urgent.isEmpty();
     }
--- a/core/src/main/java/org/peridotcourse/placement/FairOrder.java
+++ b/core/src/main/java/org/peridotcourse/placement/FairOrder.java
@@ -20,6 +20,16 @@
         return customer.used.dominantShare(book.capacity) / weight(customer);
     }
 
+    /** Computes all shares, ahead of a pass; configuration and capacity may have changed. */
+    void refresh() {
+        book.customers.values().forEach(this::refresh);
+    }
+
+    /** Computes the share of a customer after a placement. */
+    void refresh(Customer customer) {
+        customer.weightedShare = weightedShare(customer);
+    }
+
     private int weight(Customer customer) {
         PlacementConfig.CustomerRule rule = book.config.customers().get(customer.id);
         return rule == null ? 1 : Math.max(1, rule.weight());
@@ -27,7 +37,8 @@
 
     /**
      * Returns the next customer with queued batch work that was not given up in this pass: first
-     * those with urgent work, then the one with the least weighted share.
+     * those with urgent work, then the one with the least weighted share. The plain policy serves
+     * the customer whose job came first.
      */
     Customer next(long pass, boolean urgentOnly) {
         Customer best = null;
@@ -39,7 +50,10 @@
             if (urgentOnly ? !customer.hasUrgent() : customer.isIdle()) {
                 continue;
             }
-            double share = weightedShare(customer);
+            double share =
+                    book.policy.isGuarded()
+                            ? customer.weightedShare
+                            : customer.firstSeenMillis(urgentOnly);
             if (share < least) {
                 least = share;
                 best = customer;
--- a/core/src/main/java/org/peridotcourse/placement/Guards.java
+++ b/core/src/main/java/org/peridotcourse/placement/Guards.java
@@ -1,7 +1,9 @@
 package org.peridotcourse.placement;
 
+import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.Locale;
+import java.util.Map;
 import java.util.Set;
 import org.peridotcourse.WorkloadId;
 
@@ -19,9 +21,24 @@
 
     private static final int THROTTLED_PERCENT = 50;
 
+    /**
+     * Least estimate after an eviction. Half of the reports of a busy worker fall into the time
+     * after a change, so the average alone stayed below the threshold after a whole wave.
+     */
+    private static final double CONFIRMED_RATIO = 1.2;
+
+    private static final long PROBE_FIRST_MILLIS = 10_000;
+    private static final long PROBE_LONGEST_MILLIS = 600_000;
+
     private final Book book;
     private final Outbox outbox;
     private final EvictionBudget budget = new EvictionBudget();
+    private final Map<WorkloadId, Probe> probes = new HashMap<>();
+
+    private static final class Probe {
+        long nextMillis;
+        long pauseMillis = PROBE_FIRST_MILLIS;
+    }
 
     Guards(Book book, Outbox outbox) {
         this.book = book;
@@ -65,17 +82,19 @@
         }
         double worst = 1;
         WorkloadId culprit = null;
+        WorkloadId harmed = null;
         for (WorkerReport.ServiceReport service : report.services()) {
             double ratio =
                     book.interference.observe(
                             nowMillis, service.workload(), service.p99Millis(), neighbours);
             if (ratio > worst) {
                 worst = ratio;
+                harmed = service.workload();
                 culprit = culprit(nowMillis, service.workload(), neighbours);
             }
         }
         if (worker.guard.observe(neighbours.isEmpty() ? 1 : worst)) {
-            act(nowMillis, worker, culprit);
+            act(nowMillis, worker, harmed, culprit);
         }
     }
 
@@ -96,8 +115,9 @@
         return found;
     }
 
-    private void act(long nowMillis, Worker worker, WorkloadId culprit) {
+    private void act(long nowMillis, Worker worker, WorkloadId harmed, WorkloadId culprit) {
         WorkerGuard.Step step = worker.guard.step();
+        worker.guard.blame(culprit);
         book.decide(
                 worker.id.value(),
                 "guard-" + step.name().toLowerCase(Locale.ROOT).replace('_', '-'),
@@ -115,6 +135,9 @@
             }
         }
         if (step == WorkerGuard.Step.EVICT) {
+            if (harmed != null && culprit != null) {
+                book.interference.confirm(nowMillis, harmed, culprit, CONFIRMED_RATIO);
+            }
             evict(nowMillis, worker, culprit, "interference");
         }
     }
@@ -151,16 +174,40 @@
     /** Returns the expected slow-down of the services on a worker by a batch workload. */
     double expected(long nowMillis, Worker worker, WorkloadId batch) {
         double sum = 0;
-        for (Task task : worker.tasks) {
-            if (task.job.replicas) {
-                sum += book.interference.ratio(nowMillis, task.job.workload(), batch) - 1;
-            }
+        for (WorkloadId service : worker.services) {
+            sum += book.interference.ratio(nowMillis, service, batch) - 1;
         }
         return sum;
     }
 
-    /** Tells whether a worker takes more batch work. */
-    boolean allowsGrowth(Worker worker) {
-        return !isOn() || (worker.guard.step() == WorkerGuard.Step.NONE && !worker.pressed);
+    /**
+     * Tells whether a workload that is expected to interfere may be tried on a worker. Several
+     * workloads on one worker share the blame, and only a report about one of them alone can clear
+     * it.
+     */
+    boolean mayProbe(long nowMillis, Worker worker, WorkloadId workload) {
+        if (worker.guard.step() != WorkerGuard.Step.NONE
+                || worker.tasks.size() > worker.services.size()) {
+            return false;
+        }
+        Probe probe = probes.get(workload);
+        return probe == null || nowMillis >= probe.nextMillis;
+    }
+
+    /** Records a placement; a probe makes the next one of its workload wait twice as long. */
+    void chosen(long nowMillis, Worker worker, WorkloadId workload, boolean probed) {
+        if (probed) {
+            Probe probe = probes.computeIfAbsent(workload, key -> new Probe());
+            probe.nextMillis = nowMillis + probe.pauseMillis;
+            probe.pauseMillis = Math.min(2 * probe.pauseMillis, PROBE_LONGEST_MILLIS);
+            book.decide(workload.value(), "interference-probed", worker, "to clear or confirm");
+        } else if (!worker.services.isEmpty()) {
+            probes.remove(workload);
+        }
+    }
+
+    /** Tells whether a worker takes more tasks of a batch workload. */
+    boolean allowsGrowth(Worker worker, WorkloadId workload) {
+        return !isOn() || (!worker.pressed && worker.guard.allowsGrowth(workload));
     }
 }
--- a/core/src/main/java/org/peridotcourse/placement/InterferenceModel.java
+++ b/core/src/main/java/org/peridotcourse/placement/InterferenceModel.java
@@ -9,16 +9,29 @@
  * Learns how much each batch workload slows each service down when both share a worker.
  *
  * <p>Per pair it keeps an exponentially weighted ratio of the service's p99 with and without that
- * neighbour. An estimate fades with time, so that a pair is tried again. Confined to one thread.
+ * neighbour. Several neighbours share the difference between the observed and the expected ratio,
+ * so a harmless workload is cleared by the reports in which it is alone; one that was part of many
+ * clean reports takes less of the blame. An estimate fades slowly with time. Confined to one
+ * thread.
  */
 final class InterferenceModel {
     private static final double WEIGHT = 0.3;
     private static final double ALONE_WEIGHT = 0.1;
 
+    /** A report below this clears the neighbours in it. */
+    private static final double CLEAN = 1.03;
+
+    /** Bound of the clean reports that count, so that a workload that changes is found out. */
+    private static final int MOST_CLEAN = 30;
+
     /** Rise per report of the lowest p99 seen, used until the service was seen alone. */
     private static final double LOWEST_RISE = 1.001;
 
-    private static final double HALF_LIFE_MILLIS = 600_000;
+    /**
+     * Probes clear a pair that has changed. With a half-life of 10 minutes instead, an estimate
+     * fell below the threshold after 4 minutes and let a whole wave of noisy tasks in again.
+     */
+    private static final double HALF_LIFE_MILLIS = 6 * 3_600_000.0;
 
     private final Map<WorkloadId, Service> services = new HashMap<>();
 
@@ -35,6 +48,12 @@
     private static final class Pair {
         double ratio = 1;
         long updatedMillis;
+        int cleanReports;
+
+        /** Weight of this neighbour in the sharing of a difference. */
+        double suspicion(double error) {
+            return error > 0 ? 1.0 / (1 + cleanReports) : 1;
+        }
     }
 
     /**
@@ -54,15 +73,38 @@
             return 1;
         }
         double ratio = p99 / known.baseline();
+        double predicted = 1;
+        for (WorkloadId neighbour : neighbours) {
+            predicted += ratio(nowMillis, service, neighbour) - 1;
+        }
+        double error = ratio - predicted;
+        boolean clean = ratio < CLEAN;
+        double suspicion = 0;
         for (WorkloadId neighbour : neighbours) {
             Pair pair = known.pairs.computeIfAbsent(neighbour, key -> new Pair());
-            double old = faded(pair, nowMillis);
-            pair.ratio = old + WEIGHT / neighbours.size() * (ratio - old);
+            pair.cleanReports =
+                    clean ? Math.min(pair.cleanReports + 1, MOST_CLEAN) : pair.cleanReports;
+            suspicion += pair.suspicion(error);
+        }
+        for (WorkloadId neighbour : neighbours) {
+            Pair pair = known.pairs.get(neighbour);
+            double step = WEIGHT * error * pair.suspicion(error) / suspicion;
+            pair.ratio = Math.max(1, faded(pair, nowMillis) + step);
             pair.updatedMillis = nowMillis;
         }
         return ratio;
     }
 
+    /** Raises an estimate to at least a ratio, after an eviction for interference. */
+    void confirm(long nowMillis, WorkloadId service, WorkloadId batch, double ratio) {
+        Pair pair =
+                services.computeIfAbsent(service, key -> new Service())
+                        .pairs
+                        .computeIfAbsent(batch, key -> new Pair());
+        pair.ratio = Math.max(faded(pair, nowMillis), ratio);
+        pair.updatedMillis = nowMillis;
+    }
+
     /** Returns the expected ratio of a pair, 1 if nothing is known. */
     double ratio(long nowMillis, WorkloadId service, WorkloadId batch) {
         Service known = services.get(service);
--- a/core/src/main/java/org/peridotcourse/placement/PlacementOwner.java
+++ b/core/src/main/java/org/peridotcourse/placement/PlacementOwner.java
@@ -242,6 +242,7 @@
             nextIntakeMillis = nowMillis + INTAKE_MILLIS;
             intake.run(nowMillis);
         }
+        writes.flush(nowMillis);
         scheduler.run(nowMillis);
         writes.flush(nowMillis);
     }
--- a/core/src/main/java/org/peridotcourse/placement/Reconciler.java
+++ b/core/src/main/java/org/peridotcourse/placement/Reconciler.java
@@ -12,6 +12,12 @@
  * of earlier owners, so its list is complete. Confined to one thread.
  */
 final class Reconciler {
+    /**
+     * Shortest time between publications of a running task's own checkpoints. Stops and evictions
+     * publish at once; 15,000 tasks stay below 10 transactions a second.
+     */
+    private static final long PUBLISH_MILLIS = 10_000;
+
     private final Book book;
     private final WriteBuffer writes;
     private final Outbox outbox;
@@ -115,8 +121,11 @@
             writes.add(
                     Change.of(task, TaskChart.next(task.state, TaskEvent.STARTED))
                             .withCheckpoint(each.checkpoint().orElse(task.checkpoint)));
-        } else if (each.checkpoint().isPresent() && !each.checkpoint().equals(task.published())) {
+        } else if (nowMillis - task.publishedMillis >= PUBLISH_MILLIS
+                && each.checkpoint().isPresent()
+                && !each.checkpoint().equals(task.published())) {
             task.savedProgress = each.progress();
+            task.publishedMillis = nowMillis;
             writes.add(Change.of(task, task.state).withCheckpoint(each.checkpoint().get()));
         }
     }
@@ -183,7 +192,6 @@
         } else if (!task.busy && task.state == TaskState.STARTING) {
             task.worker.reconciled = false;
             task.worker.nextReportMillis = nowMillis;
-            task.worker.health.withdrawn();
             book.decide(task.id().value(), "start-refused", task.worker, result.error().get());
             ends.stopped(task, TaskEvent.STOPPED, Optional.empty());
         }
--- a/core/src/main/java/org/peridotcourse/placement/Scheduler.java
+++ b/core/src/main/java/org/peridotcourse/placement/Scheduler.java
@@ -44,8 +44,12 @@
         }
         pass++;
         unfit.clear();
+        order.refresh();
         int left = STARTS_PER_PASS;
         for (Customer customer : book.customers.values()) {
+            if (customer.replicas().isEmpty()) {
+                continue;
+            }
             for (Job job : List.copyOf(customer.replicas())) {
                 while (left > 0 && job.blockedPass != pass && job.isSchedulable()) {
                     left -= assign(nowMillis, job) ? 1 : 0;
@@ -117,7 +121,8 @@
         task.attempt++;
         task.forgetAttempt();
         book.attach(nowMillis, task, worker);
-        worker.health.started();
+        worker.health.started(task);
+        order.refresh(job.customer);
         Change change = Change.of(task, task.state);
         writes.add(change);
         book.decide(
--- a/core/src/main/java/org/peridotcourse/placement/Task.java
+++ b/core/src/main/java/org/peridotcourse/placement/Task.java
@@ -34,6 +34,10 @@
 
     long progress;
     long savedProgress;
+
+    /** When its newest checkpoint was published. */
+    long publishedMillis = Long.MIN_VALUE / 2;
+
     Estimate estimate = Estimate.NONE;
     int throttlePercent = 100;
 
--- a/core/src/main/java/org/peridotcourse/placement/TaskEnds.java
+++ b/core/src/main/java/org/peridotcourse/placement/TaskEnds.java
@@ -53,7 +53,7 @@
         Job job = task.job;
         if (!job.replicas && book.policy.isGuarded()) {
             job.failedOn.add(worker.id);
-            for (String blamed : worker.health.failed(job.key, nowMillis)) {
+            for (String blamed : worker.health.failed(task, nowMillis)) {
                 Job innocent = book.jobs.get(blamed);
                 if (innocent != null) {
                     innocent.failedOn.remove(worker.id);
--- a/core/src/main/java/org/peridotcourse/placement/Worker.java
+++ b/core/src/main/java/org/peridotcourse/placement/Worker.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.peridotcourse.WorkerId;
+import org.peridotcourse.WorkloadId;
 import org.peridotcourse.base.LeaseClock;
 
 /** What the owner knows of one worker of its data centre. Confined to one thread. */
@@ -16,6 +17,10 @@
     final WorkerHealth health = new WorkerHealth();
     final WorkerGuard guard = new WorkerGuard();
     final List<Task> tasks = new ArrayList<>();
+
+    /** The workload of each replica on it. */
+    final List<WorkloadId> services = new ArrayList<>();
+
     boolean leaving;
 
     /** The newest host list shows it. */
--- a/core/src/main/java/org/peridotcourse/placement/WorkerChoice.java
+++ b/core/src/main/java/org/peridotcourse/placement/WorkerChoice.java
@@ -14,7 +14,7 @@
      */
     private static final int CANDIDATES = 64;
 
-    /** Interference above this is not risked; the estimate fades, so the pair is tried again. */
+    /** Interference above this is not risked but for rare probes. */
     private static final double MOST_INTERFERENCE = WorkerGuard.HIGH - 1;
 
     private final Book book;
@@ -57,12 +57,14 @@
             Worker worker = order[(start + i) % order.length];
             if (!worker.ledger.fits(size, estimate)
                     || !worker.isUsable(nowMillis)
-                    || (!job.replicas && !guards.allowsGrowth(worker))) {
+                    || (!job.replicas && !guards.allowsGrowth(worker, job.workload()))) {
                 continue;
             }
             double interference =
                     job.replicas ? 0 : guards.expected(nowMillis, worker, job.workload());
-            if (interference > MOST_INTERFERENCE || job.failedOn.contains(worker.id)) {
+            if (job.failedOn.contains(worker.id)
+                    || (interference > MOST_INTERFERENCE
+                            && !guards.mayProbe(nowMillis, worker, job.workload()))) {
                 continue;
             }
             candidates++;
@@ -75,6 +77,9 @@
         if (candidates == CANDIDATES) {
             start = (start + CANDIDATES) % order.length;
         }
+        if (best != null && !job.replicas) {
+            guards.chosen(nowMillis, best, job.workload(), bestScore >= MOST_INTERFERENCE * 1_000);
+        }
         return best;
     }
 }
--- a/core/src/main/java/org/peridotcourse/placement/WorkerGuard.java
+++ b/core/src/main/java/org/peridotcourse/placement/WorkerGuard.java
@@ -1,5 +1,7 @@
 package org.peridotcourse.placement;
 
+import org.peridotcourse.WorkloadId;
+
 /**
  * Steps of the reaction to interference on one worker: stop growth, throttle, evict.
  *
@@ -25,11 +27,24 @@
     private Step step = Step.NONE;
     private int high;
     private int low;
+    private WorkloadId culprit;
 
     Step step() {
         return step;
     }
 
+    /** Names the workload that the steps concern, null for all batch work. */
+    void blame(WorkloadId workload) {
+        if (workload != null) {
+            culprit = workload;
+        }
+    }
+
+    /** Tells whether a workload may grow on the worker. */
+    boolean allowsGrowth(WorkloadId workload) {
+        return step == Step.NONE || (culprit != null && !culprit.equals(workload));
+    }
+
     /**
      * Records the worst ratio of a report.
      *
--- a/core/src/main/java/org/peridotcourse/placement/WorkerHealth.java
+++ b/core/src/main/java/org/peridotcourse/placement/WorkerHealth.java
@@ -19,11 +19,11 @@
     private final Set<String> failedJobs = new LinkedHashSet<>();
     private long pauseMillis;
     private long untilMillis;
-    private boolean probing;
+    private Task probe;
 
     /** Tells whether a task may start, which uses up the probe only with {@link #started}. */
     boolean mayStart(long nowMillis) {
-        return pauseMillis == 0 || (!probing && nowMillis >= untilMillis);
+        return pauseMillis == 0 || (probe == null && nowMillis >= untilMillis);
     }
 
     boolean isQuarantined() {
@@ -31,20 +31,24 @@
     }
 
     /** Records a start. */
-    void started() {
-        probing = pauseMillis > 0;
+    void started(Task task) {
+        if (pauseMillis > 0) {
+            probe = task;
+        }
     }
 
-    /** Records that a start came to nothing, without a verdict on the worker. */
-    void withdrawn() {
-        probing = false;
+    /** Records that a task has left the worker, with or without a verdict. */
+    void left(Task task) {
+        if (probe == task) {
+            probe = null;
+        }
     }
 
     /** Records a good end. */
     void succeeded() {
         failedJobs.clear();
         pauseMillis = 0;
-        probing = false;
+        probe = null;
     }
 
     /**
@@ -52,14 +56,17 @@
      *
      * @return the jobs whose failures are the worker's, if it is quarantined now; otherwise none
      */
-    List<String> failed(String job, long nowMillis) {
-        failedJobs.add(job);
+    List<String> failed(Task task, long nowMillis) {
+        String job = task.job.key;
         if (pauseMillis > 0) {
-            probing = false;
-            pauseMillis = Math.min(2 * pauseMillis, LONGEST_MILLIS);
-            untilMillis = nowMillis + pauseMillis;
+            // Failures of tasks that were there before the quarantine say nothing new.
+            if (probe == task) {
+                pauseMillis = Math.min(2 * pauseMillis, LONGEST_MILLIS);
+                untilMillis = nowMillis + pauseMillis;
+            }
             return List.of(job);
         }
+        failedJobs.add(job);
         if (failedJobs.size() < JOBS) {
             return List.of();
         }
--- a/core/src/test/java/org/peridotcourse/placement/FakeTable.java
+++ b/core/src/test/java/org/peridotcourse/placement/FakeTable.java
@@ -88,7 +88,9 @@
             }
         }
         commit++;
-        judge.written(this, write);
+        if (judge != null) {
+            judge.written(this, write);
+        }
         write.taskPuts().forEach(row -> put("tasks", row.key(), row, write.id()));
         write.jobPuts().forEach(row -> put("jobs", row.spec().id().value(), row, write.id()));
         write.taskDeletes().forEach(key -> rows.remove("tasks|" + key));
--- /dev/null
+++ b/core/src/test/java/org/peridotcourse/placement/OwnerLoop.java
@@ -0,0 +1,211 @@
+package org.peridotcourse.placement;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.EnumSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import org.peridotcourse.CustomerId;
+import org.peridotcourse.DataCentreId;
+import org.peridotcourse.JobId;
+import org.peridotcourse.Resources;
+import org.peridotcourse.WorkerId;
+import org.peridotcourse.WorkloadId;
+import org.peridotcourse.base.LeaseRow;
+
+/** Drives one owner without faults or delays, and measures its decisions. */
+final class OwnerLoop {
+    static final DataCentreId HERE = DataCentreId.of("a");
+    static final DataCentreId OTHER = DataCentreId.of("b");
+    private static final long TICK_MILLIS = 50;
+
+    final PlacementOwner owner;
+    final FakeTable table = new FakeTable(EnumSet.noneOf(Mechanism.class), null);
+    final Map<WorkerId, FakeWorker> workers = new TreeMap<>();
+    final List<PlacementAction.WriteRows> writes = new ArrayList<>();
+    final List<String> decisions = new ArrayList<>();
+    final Map<CustomerId, PlacementConfig.CustomerRule> customers = new TreeMap<>();
+    final Map<WorkloadId, PlacementConfig.WorkloadRule> workloads = new TreeMap<>();
+    final Map<DataCentreId, Boolean> dataCentres = new TreeMap<>();
+    final List<WorkerHost> hosts = new ArrayList<>();
+    Resources freeElsewhere = Resources.ZERO;
+
+    /** Duration of each call of the owner, and of each placement within the calls that made any. */
+    final List<Long> callNanos = new ArrayList<>();
+
+    final List<Long> placementNanos = new ArrayList<>();
+    long now = 1_000;
+    private final ArrayDeque<PlacementEvent> events = new ArrayDeque<>();
+    private long leaseCommit;
+    private long version;
+
+    OwnerLoop(PlacementPolicy policy) {
+        owner = new PlacementOwner(OwnerSettings.of(HERE, "d0"), policy);
+        dataCentres.put(HERE, true);
+    }
+
+    void addWorkers(int count, Resources capacity) {
+        for (int i = 0; i < count; i++) {
+            WorkerHost host =
+                    new WorkerHost(
+                            WorkerId.of(String.format("w%04d", hosts.size())),
+                            HERE,
+                            "r" + i / 8,
+                            capacity,
+                            false);
+            hosts.add(host);
+            workers.put(host.id(), new FakeWorker(host, EnumSet.noneOf(Mechanism.class), null, 1));
+        }
+    }
+
+    void customer(String name, int weight, Resources quota) {
+        customers.put(
+                CustomerId.of(name),
+                new PlacementConfig.CustomerRule(weight, Optional.ofNullable(quota)));
+    }
+
+    WorkloadId batch(String name, int evictionsPerMinute) {
+        WorkloadId id = WorkloadId.of(name);
+        workloads.put(
+                id,
+                new PlacementConfig.WorkloadRule(
+                        false, Set.of(), 0, Resources.ZERO, false, evictionsPerMinute));
+        return id;
+    }
+
+    WorkloadId service(String name, int replicas, Resources size) {
+        WorkloadId id = WorkloadId.of(name);
+        workloads.put(
+                id, new PlacementConfig.WorkloadRule(true, Set.of(), replicas, size, false, 0));
+        return id;
+    }
+
+    void submit(String job, WorkloadId workload, int tasks, Resources size, String payload) {
+        submit(job, workload, tasks, size, payload, false);
+    }
+
+    void submit(
+            String job,
+            WorkloadId workload,
+            int tasks,
+            Resources size,
+            String payload,
+            boolean urgent) {
+        table.putJob(
+                JobRow.submitted(
+                        new JobRow.Spec(JobId.of(job), workload, tasks, size, urgent, payload)));
+        events.add(new PlacementEvent.JobsSeen(List.of(job(job))));
+    }
+
+    void cancel(String job) {
+        JobRow row = job(job);
+        table.putJob(new JobRow(row.spec(), true, row.progress(), 0));
+        events.add(new PlacementEvent.JobsSeen(List.of(job(job))));
+    }
+
+    JobRow job(String name) {
+        return FakeTable.job(table.row("jobs", name));
+    }
+
+    long queuedHere() {
+        return owner.status(now).queued();
+    }
+
+    /** Runs until a time has passed. */
+    void run(long millis) {
+        long end = now + millis;
+        while (now < end) {
+            if (now % 1_000 == 0) {
+                poll();
+            }
+            if (now % 3_000 == 0 || leaseCommit == 0) {
+                lease();
+            }
+            events.add(new PlacementEvent.Tick());
+            while (!events.isEmpty()) {
+                handle(events.poll());
+            }
+            now += TICK_MILLIS;
+        }
+    }
+
+    private void poll() {
+        version++;
+        events.add(
+                new PlacementEvent.ConfigSeen(
+                        new PlacementConfig(version, dataCentres, customers, workloads), now));
+        events.add(new PlacementEvent.WorkersSeen(hosts));
+        if (dataCentres.containsKey(OTHER)) {
+            events.add(
+                    new PlacementEvent.PeerLeaseSeen(
+                            OTHER,
+                            new LeaseRow("e0", 1, 9_000, 600_000, now),
+                            table.commit() + now,
+                            freeElsewhere));
+        }
+    }
+
+    private void lease() {
+        LeaseRow row = new LeaseRow("d0", 1, 9_000, 600_000, now);
+        leaseCommit =
+                table.writeLease(
+                        "placement/a",
+                        leaseCommit,
+                        new FakeTable.Lease(row, freeElsewhere),
+                        "l" + now);
+        events.add(new PlacementEvent.LeaseConfirmed(row, leaseCommit, now, 0));
+    }
+
+    private void handle(PlacementEvent event) {
+        long begin = System.nanoTime();
+        List<PlacementAction> actions = owner.handle(now, event);
+        long took = System.nanoTime() - begin;
+        callNanos.add(took);
+        int placements = 0;
+        for (PlacementAction action : actions) {
+            if (action instanceof PlacementAction.Decided decided) {
+                placements += decided.decision().equals("task-placed") ? 1 : 0;
+                decisions.add(decided.decision() + " " + decided.subject());
+            }
+            perform(action);
+        }
+        for (int i = 0; i < placements; i++) {
+            placementNanos.add(took / placements);
+        }
+    }
+
+    private void perform(PlacementAction action) {
+        if (action instanceof PlacementAction.WriteRows write) {
+            writes.add(write);
+            long commit = table.write(write);
+            events.add(
+                    commit > 0
+                            ? new PlacementEvent.WriteCommitted(write.id(), commit)
+                            : new PlacementEvent.WriteConflict(write.id()));
+        } else if (action instanceof PlacementAction.ReadTasks read) {
+            events.add(
+                    new PlacementEvent.TaskRowsSeen(
+                            read.dataCentre(),
+                            table.tasks(read.dataCentre().value() + "/"),
+                            true,
+                            table.commit()));
+        } else if (action instanceof PlacementAction.SendCommands send) {
+            workers.get(send.worker()).execute(now, send).ifPresent(events::add);
+        } else if (action instanceof PlacementAction.FetchReport fetch) {
+            events.add(
+                    new PlacementEvent.ReportReceived(
+                            fetch.number(), workers.get(fetch.worker()).report(now)));
+        }
+    }
+
+    static long percentile(List<Long> values, double part) {
+        List<Long> sorted = new ArrayList<>(values);
+        sorted.sort(null);
+        return sorted.isEmpty()
+                ? 0
+                : sorted.get((int) Math.min(sorted.size() - 1, sorted.size() * part));
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/peridotcourse/placement/PlacementMeasureTest.java
@@ -0,0 +1,237 @@
+package org.peridotcourse.placement;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.TreeMap;
+import org.junit.jupiter.api.Test;
+import org.peridotcourse.CustomerId;
+import org.peridotcourse.Resources;
+import org.peridotcourse.WorkloadId;
+import org.peridotcourse.base.LeaseRow;
+
+/** Measures placement at the two-year size and against the plain policy. */
+class PlacementMeasureTest {
+    private static final int WORKERS = 1_800;
+    private static final int SERVICES = 12;
+    private static final int REPLICAS = 1_000;
+    private static final int JOBS = 750;
+    private static final int TASKS_PER_JOB = 20;
+    private static final Map<String, Integer> LOAD = Map.of("c1", 180, "c2", 120, "c3", 60);
+    private static final Resources SIZE = Resources.of(1_000, 2_000);
+
+    /** Guards against decisions that take longer than 1 ms at 1,800 workers and 27,000 tasks. */
+    @Test
+    void decidesWithinAMillisecondAtFullSize() {
+        OwnerLoop loop = new OwnerLoop(PlacementPolicy.LEAST_INTERFERENCE);
+        loop.addWorkers(WORKERS, Resources.of(32_000, 128_000));
+        for (int i = 0; i < SERVICES; i++) {
+            loop.service("s" + i + "/desk", REPLICAS, SIZE);
+        }
+        for (int i = 0; i < 440; i++) {
+            loop.customer("c" + i, 50 + i % 100, null);
+            loop.batch("c" + i + "/plan", 10);
+        }
+        loop.run(16_000);
+        loop.callNanos.clear();
+        loop.placementNanos.clear();
+        int writes = loop.writes.size();
+        for (int i = 0; i < JOBS; i++) {
+            String customer = "c" + i % 440;
+            WorkloadId workload = WorkloadId.of(customer + "/plan");
+            loop.submit(customer + "/j" + i, workload, TASKS_PER_JOB, SIZE, "600000");
+        }
+        loop.run(20_000);
+        int expected = SERVICES * REPLICAS + JOBS * TASKS_PER_JOB;
+        int placed = loop.owner.status(loop.now).placed();
+        long placementNanos = 0;
+        for (long each : loop.placementNanos) {
+            placementNanos += each;
+        }
+        long p99 = OwnerLoop.percentile(loop.placementNanos, 0.99);
+        System.out.printf(
+                Locale.ROOT,
+                "size: %d placed, %.0f decisions/s of owner time, placement p50 %d us p99 %d us,"
+                        + " call p50 %d us p99 %d us max %d us, %.1f writes/s, memory %.1f MB%n",
+                placed,
+                loop.placementNanos.size() * 1e9 / placementNanos,
+                OwnerLoop.percentile(loop.placementNanos, 0.5) / 1_000,
+                p99 / 1_000,
+                OwnerLoop.percentile(loop.callNanos, 0.5) / 1_000,
+                OwnerLoop.percentile(loop.callNanos, 0.99) / 1_000,
+                OwnerLoop.percentile(loop.callNanos, 1) / 1_000,
+                (loop.writes.size() - writes) / 20.0,
+                memory(loop));
+        assertTrue(placed == expected, "placed " + placed + " of " + expected);
+        assertTrue(p99 < 1_000_000, "p99 of a placement in ns: " + p99);
+    }
+
+    /** Returns the heap that another owner needs for the same rows, in MB. */
+    private static double memory(OwnerLoop loop) {
+        List<TaskRow> rows = loop.table.tasks("a/");
+        List<JobRow> jobs = loop.table.jobs();
+        PlacementConfig config =
+                new PlacementConfig(1, loop.dataCentres, loop.customers, loop.workloads);
+        long before = usedHeap();
+        PlacementOwner owner =
+                new PlacementOwner(
+                        OwnerSettings.of(OwnerLoop.HERE, "d1"), PlacementPolicy.LEAST_INTERFERENCE);
+        LeaseRow lease = new LeaseRow("d1", 2, 9_000, 600_000, 0);
+        owner.handle(0, new PlacementEvent.ConfigSeen(config, 0));
+        owner.handle(0, new PlacementEvent.WorkersSeen(loop.hosts));
+        owner.handle(0, new PlacementEvent.JobsSeen(jobs));
+        owner.handle(0, new PlacementEvent.LeaseConfirmed(lease, 1, 0, 0));
+        owner.handle(0, new PlacementEvent.TaskRowsSeen(OwnerLoop.HERE, rows, true, 2));
+        owner.handle(0, new PlacementEvent.LeaseLost());
+        long after = usedHeap();
+        assertTrue(owner.status(0).placed() > 0, "nothing was loaded");
+        return (after - before) / 1e6;
+    }
+
+    private static long usedHeap() {
+        System.gc();
+        System.gc();
+        return Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory();
+    }
+
+    /** What one policy achieved. */
+    private record Outcome(
+            double throughput,
+            long evictions,
+            double harmed,
+            double laterHarmed,
+            double laterP99Ratio,
+            double largestGap) {}
+
+    /** Guards against guards that cost more batch work than they protect latency. */
+    @Test
+    void protectsServicesWithoutLosingThroughput() {
+        Outcome plain = waves(PlacementPolicy.FIRST_FIT, false);
+        Outcome guarded = waves(PlacementPolicy.LEAST_INTERFERENCE, false);
+        System.out.println("waves, plain:   " + plain);
+        System.out.println("waves, guarded: " + guarded);
+        // The first minute, with the first wave, is what the guards learn from. The target, a p99
+        // within 10% of the service alone, is not reached yet in the minutes after it.
+        assertTrue(
+                guarded.laterHarmed() < plain.laterHarmed() / 4,
+                "harmed samples " + guarded.laterHarmed());
+        assertTrue(plain.laterP99Ratio() > 1.10, "the waves do no harm");
+        assertTrue(
+                guarded.throughput() >= 0.85 * plain.throughput(),
+                "throughput " + guarded.throughput() + " against " + plain.throughput());
+    }
+
+    /** Guards against a customer that floods the queue and takes the shares of others. */
+    @Test
+    void sharesFollowWeightsInAFlood() {
+        Outcome plain = waves(PlacementPolicy.FIRST_FIT, true);
+        Outcome guarded = waves(PlacementPolicy.LEAST_INTERFERENCE, true);
+        System.out.println("flood, plain:   " + plain);
+        System.out.println("flood, guarded: " + guarded);
+        assertTrue(guarded.largestGap() < 0.05, "gap " + guarded.largestGap());
+        assertTrue(
+                guarded.throughput() >= 0.85 * plain.throughput(),
+                "throughput " + guarded.throughput() + " against " + plain.throughput());
+    }
+
+    /**
+     * 40 workers, every second one with a replica. Three customers of weights 100, 300 and 100
+     * submit steadily; the first one also sends waves of a workload that raises the service's p99
+     * by 60% on a shared host. The load is 91% of the free capacity, or a flood by the first
+     * customer.
+     */
+    private static Outcome waves(PlacementPolicy policy, boolean flood) {
+        OwnerLoop loop = new OwnerLoop(policy);
+        loop.addWorkers(40, Resources.of(16_000, 60_000));
+        WorkloadId service = loop.service("s/desk", 20, Resources.of(10_000, 8_000));
+        Map<String, Integer> weights = new TreeMap<>(Map.of("c1", 100, "c2", 300, "c3", 100));
+        weights.forEach((name, weight) -> loop.customer(name, weight, null));
+        WorkloadId noisy = loop.batch("c1/noisy", 10);
+        for (String name : weights.keySet()) {
+            loop.batch(name + "/plan", 10);
+        }
+        for (FakeWorker worker : loop.workers.values()) {
+            worker.latency = attempts -> latency(service, noisy, attempts);
+        }
+        loop.run(5_000);
+        List<Double> ratios = new ArrayList<>();
+        double largestGap = 0;
+        long seconds = 600;
+        for (int second = 0; second < seconds; second++) {
+            if (second % 60 == 0) {
+                loop.submit("c1/wave" + second, noisy, 60, SIZE, "40000");
+            }
+            if (second % 20 == 0) {
+                for (String name : weights.keySet()) {
+                    WorkloadId plan = WorkloadId.of(name + "/plan");
+                    int tasks = flood ? (name.equals("c1") ? 1_000 : 500) : LOAD.get(name);
+                    loop.submit(name + "/j" + second, plan, tasks, SIZE, "20000");
+                }
+            }
+            loop.run(1_000);
+            for (FakeWorker worker : loop.workers.values()) {
+                worker.latency.apply(worker.running(loop.now)).stream()
+                        .forEach(each -> ratios.add(each.p99Millis() / 10));
+            }
+            if (second >= 60) {
+                largestGap = Math.max(largestGap, gap(loop, weights));
+            }
+        }
+        long finished = 0;
+        for (JobRow row : loop.table.jobs()) {
+            long duration = Long.parseLong(row.spec().payload()) / 1_000;
+            finished += row.progress().finished() * duration;
+        }
+        double capacity = (40 * 16 - 20 * 10) * (double) seconds;
+        List<Double> later = new ArrayList<>(ratios.subList(ratios.size() / 10, ratios.size()));
+        later.sort(null);
+        return new Outcome(
+                finished / capacity,
+                loop.owner.status(loop.now).evictions(),
+                harmed(ratios),
+                harmed(later),
+                later.get((int) (later.size() * 0.99)),
+                largestGap);
+    }
+
+    private static double harmed(List<Double> ratios) {
+        return (double) ratios.stream().filter(ratio -> ratio > 1.10).count() / ratios.size();
+    }
+
+    private static List<WorkerReport.ServiceReport> latency(
+            WorkloadId service, WorkloadId noisy, Collection<FakeWorker.Attempt> attempts) {
+        boolean present = false;
+        double p99 = 10;
+        for (FakeWorker.Attempt attempt : attempts) {
+            present |= attempt.start.workload().equals(service);
+            if (attempt.start.workload().equals(noisy)) {
+                p99 = Math.max(p99, 10 + 6.0 * attempt.percent / 100);
+            }
+        }
+        return present ? List.of(new WorkerReport.ServiceReport(service, p99)) : List.of();
+    }
+
+    /**
+     * Returns the largest difference between a customer's part of the use and its weight's part.
+     */
+    private static double gap(OwnerLoop loop, Map<String, Integer> weights) {
+        Map<String, Double> used = new TreeMap<>();
+        double all = 0;
+        for (Map.Entry<String, Integer> entry : weights.entrySet()) {
+            double share =
+                    loop.owner.weightedShare(CustomerId.of(entry.getKey())) * entry.getValue();
+            used.put(entry.getKey(), share);
+            all += share;
+        }
+        double largest = 0;
+        for (Map.Entry<String, Integer> entry : weights.entrySet()) {
+            double due = entry.getValue() / 500.0;
+            largest = Math.max(largest, Math.abs(used.get(entry.getKey()) / all - due));
+        }
+        return largest;
+    }
+}
