Count batch leases from the worker's clock reading

Cause: FaultSequenceTest.promisesHoldInEverySequence fails at (a task in two places): after a lapse and renewal of the lease a mute worker was renewed with an old clock reading, so the drift added up over more than one lease and exceeded the margin. The renewal is the cause as read from the code; the sequence was not traced step by step.

--- a/core/src/main/java/org/peridotcourse/placement/Outbox.java
+++ b/core/src/main/java/org/peridotcourse/placement/Outbox.java
@@ -71,9 +71,13 @@
 
     /** Extends the leases on a worker. */
     void renew(long nowMillis, Worker worker) {
+        // The margin covers the drift over one lease, which counts from the worker's clock reading:
+        // with an older reading the worker would still run when its lease counts as expired.
+        long readMillis = Math.min(nowMillis, worker.clock.receivedMillis());
         long batch =
                 Math.min(
-                        nowMillis + OwnerSettings.BATCH_LEASE_MILLIS, book.lease.holdUntilMillis());
+                        readMillis + OwnerSettings.BATCH_LEASE_MILLIS,
+                        book.lease.holdUntilMillis());
         long service = nowMillis + OwnerSettings.SERVICE_LEASE_MILLIS;
         worker.batchBoundMillis = Math.max(worker.batchBoundMillis, batch);
         worker.serviceBoundMillis = Math.max(worker.serviceBoundMillis, service);
