--- a/core/src/main/java/org/peridotcourse/base/LeaseHolder.java
+++ b/core/src/main/java/org/peridotcourse/base/LeaseHolder.java
@@ -80,6 +80,15 @@
         return !lost && nowMillis < confirmedSentMillis + row.leaseMillis();
     }
 
+    /**
+     * Returns when the lease lapses, for a comparison with the clock on another thread.
+     *
+     * @return the end of the lease, long past once it was lost
+     */
+    public long heldUntilMillis() {
+        return lost ? Long.MIN_VALUE : confirmedSentMillis + row.leaseMillis();
+    }
+
     /**
      * Returns the bound of the leases that the holder may grant for batch tasks.
      *
--- a/core/src/main/java/org/peridotcourse/placement/Book.java
+++ b/core/src/main/java/org/peridotcourse/placement/Book.java
@@ -190,6 +190,10 @@
                         : !known.busy && row.commit() > known.commit;
         if (newer) {
             adopt(nowMillis, row);
+            Task adopted = known == null ? find(row.task()) : null;
+            if (adopted != null) {
+                adopted.handedInMillis = nowMillis;
+            }
         }
     }
 
--- a/core/src/main/java/org/peridotcourse/placement/Destinations.java
+++ b/core/src/main/java/org/peridotcourse/placement/Destinations.java
@@ -33,7 +33,8 @@
                     book.config.isIn(candidate)
                             && rule.allows(candidate)
                             && !entry.getValue().challenger.isHoldOver(book.nowMillis)
-                            && (!needsRoom || job.size().isWithin(free));
+                            && (!needsRoom || job.size().isWithin(free))
+                            && (!needsRoom || !entry.getValue().isUnattended(book.nowMillis));
             if (usable && (best == null || free.milliCores() > bestFree.milliCores())) {
                 best = candidate;
                 bestFree = free;
--- a/core/src/main/java/org/peridotcourse/placement/Peer.java
+++ b/core/src/main/java/org/peridotcourse/placement/Peer.java
@@ -16,4 +16,9 @@
     Peer(String name, long marginMillis) {
         challenger = new LeaseChallenger(name, marginMillis);
     }
+
+    /** Tells whether nobody keeps the published figure up to date or takes tasks in. */
+    boolean isUnattended(long nowMillis) {
+        return challenger.takeover(nowMillis, 0, 0).isPresent();
+    }
 }
--- a/core/src/main/java/org/peridotcourse/placement/PlacementOwner.java
+++ b/core/src/main/java/org/peridotcourse/placement/PlacementOwner.java
@@ -95,6 +95,15 @@
                 book.starts);
     }
 
+    /**
+     * Returns the lease, under which the daemon checks each action right before it leaves.
+     *
+     * @return the lease, possibly lapsed, empty before the first confirmation
+     */
+    public Optional<LeaseHolder> lease() {
+        return Optional.ofNullable(book.lease);
+    }
+
     /**
      * Returns what is free on usable workers less what is queued here. The daemon publishes it with
      * the lease row, so that other owners pace their handovers.
--- a/core/src/main/java/org/peridotcourse/placement/Rebalancing.java
+++ b/core/src/main/java/org/peridotcourse/placement/Rebalancing.java
@@ -14,6 +14,12 @@
     /** A task that is placed at once waits less; a handover costs a write and a poll there. */
     private static final long WAIT_MILLIS = 2_000;
 
+    /**
+     * The published sum says nothing about the gaps on single workers, so a task that fits nowhere
+     * there would be handed back and forth without end.
+     */
+    private static final long STAY_MILLIS = 60_000;
+
     /** Bounds the rows of one step, to leave room for other writes. */
     private static final int MOVES_PER_STEP = 80;
 
@@ -64,7 +70,7 @@
             if (target == null) {
                 break;
             }
-            if (!task.busy) {
+            if (!task.busy && nowMillis - task.handedInMillis >= STAY_MILLIS) {
                 destinations.reserve(target, job);
                 writes.add(Change.move(task, target));
                 moved++;
--- a/core/src/main/java/org/peridotcourse/placement/Task.java
+++ b/core/src/main/java/org/peridotcourse/placement/Task.java
@@ -17,6 +17,9 @@
     String checkpoint;
     long commit;
 
+    /** When another data centre handed it over to this one. */
+    long handedInMillis = Long.MIN_VALUE / 2;
+
     /** A change of the row is collected, in flight or being read back. */
     boolean busy;
 
--- a/core/src/test/java/org/peridotcourse/placement/OwnerLoop.java
+++ b/core/src/test/java/org/peridotcourse/placement/OwnerLoop.java
@@ -33,6 +33,9 @@
     final List<WorkerHost> hosts = new ArrayList<>();
     Resources freeElsewhere = Resources.ZERO;
 
+    /** The owner of the other data centre has stopped. */
+    boolean peerSilent;
+
     /** Duration of each call of the owner, and of each placement within the calls that made any. */
     final List<Long> callNanos = new ArrayList<>();
 
@@ -138,7 +141,7 @@
                 new PlacementEvent.ConfigSeen(
                         new PlacementConfig(version, dataCentres, customers, workloads), now));
         events.add(new PlacementEvent.WorkersSeen(hosts));
-        if (dataCentres.containsKey(OTHER)) {
+        if (dataCentres.containsKey(OTHER) && !peerSilent) {
             events.add(
                     new PlacementEvent.PeerLeaseSeen(
                             OTHER,
--- a/daemon/src/main/java/org/peridotcourse/daemon/placement/PlacementDuty.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/placement/PlacementDuty.java
@@ -1,7 +1,10 @@
 package org.peridotcourse.daemon.placement;
 
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.locks.LockSupport;
 import java.util.function.LongSupplier;
 import org.peridotcourse.Resources;
 import org.peridotcourse.daemon.control.LeaseKeeper;
@@ -19,6 +22,7 @@
 import org.peridotcourse.placement.PlacementEvent;
 import org.peridotcourse.placement.PlacementOwner;
 import org.peridotcourse.placement.PlacementPolicy;
+import org.peridotcourse.placement.WorkerCommand;
 
 /**
  * Places the tasks of one data centre while this daemon holds its placement lease.
@@ -56,6 +60,7 @@
 
     private volatile boolean running = true;
     private volatile boolean releasing;
+    private volatile Standing standing = Standing.NONE;
     private volatile OwnerStatus status = new OwnerStatus(0, false, 0, 0, 0, 0, 0, 0, 0, 0);
     private PlacementConfig view = PlacementConfig.EMPTY;
     private long viewVersion = -1;
@@ -63,6 +68,7 @@
     private long nextConfigMillis;
     private long nextCapacityMillis;
     private Resources published;
+    private long publishedEpoch;
 
     /**
      * Creates the duty without starting it.
@@ -91,14 +97,19 @@
         String dataCentre = self.dataCentre().value();
         settings = OwnerSettings.of(self.dataCentre(), self.daemon().value());
         owner = new PlacementOwner(settings, PlacementPolicy.LEAST_INTERFERENCE);
-        calls = new WorkerCalls(channels, dataCentre, this::report, log);
+        calls = new WorkerCalls(channels, dataCentre, this::allowedUntil, clock, this::report, log);
         LeaseKeeper.Terms terms =
                 new LeaseKeeper.Terms(LEASE_MILLIS, () -> ConfigView.holdMillis(config.snapshot()));
         LeaseKeeper lease =
                 new LeaseKeeper(table, "placement/" + dataCentre, self, terms, clock, log);
         store =
                 new PlacementStore(
-                        table, lease, config, self.dataCentre(), clock, this::report, log);
+                        table, lease, config, self.dataCentre(), clock, this::deliver, log);
+    }
+
+    /** The lease as of the last event that the owner took. */
+    private record Standing(long epoch, long heldUntilMillis, long holdUntilMillis) {
+        static final Standing NONE = new Standing(0, Long.MIN_VALUE, Long.MIN_VALUE);
     }
 
     /** Starts both threads. */
@@ -124,6 +135,7 @@
         running = false;
         events.wake();
         join(placementThread);
+        standing = Standing.NONE;
         releasing = true;
         storeWork.wake();
         join(storeThread);
@@ -148,20 +160,65 @@
         return false;
     }
 
+    /**
+     * Passes an event of the store thread on, waiting while the ring is full: the owner would wait
+     * for ever for the outcome of a write that was dropped.
+     */
+    private boolean deliver(PlacementEvent event) {
+        boolean full = false;
+        while (running && !events.tryReport(event)) {
+            if (!full) {
+                full = true;
+                log.event(PlacementLogEvent.RING_FULL)
+                        .with("event", event.getClass().getSimpleName())
+                        .write();
+            }
+            LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(1));
+        }
+        return true;
+    }
+
+    /** Renewals go on up to the hold, everything else needs the lease of its own epoch. */
+    private long allowedUntil(PlacementAction.SendCommands send) {
+        Standing present = standing;
+        boolean renewal = send.commands().stream().allMatch(WorkerCommand.Renew.class::isInstance);
+        if (renewal) {
+            return present.holdUntilMillis();
+        }
+        return send.epoch() == present.epoch() ? present.heldUntilMillis() : Long.MIN_VALUE;
+    }
+
     private void place() {
-        long nextTick = clock.getAsLong();
+        AtomicLong nextTick = new AtomicLong(clock.getAsLong());
         while (running) {
-            Object event = events.poll();
-            while (event != null) {
-                take(event);
-                event = events.poll();
-            }
-            long now = clock.getAsLong();
-            if (now >= nextTick) {
-                nextTick = now + settings.tickMillis();
-                tick(now);
-            }
-            events.await(Math.max(1, nextTick - clock.getAsLong()));
+            safely(() -> placeOnce(nextTick));
+            events.await(Math.max(1, nextTick.get() - clock.getAsLong()));
+        }
+    }
+
+    private void placeOnce(AtomicLong nextTick) {
+        Object event = events.poll();
+        while (event != null) {
+            Object taken = event;
+            safely(() -> take(taken));
+            event = events.poll();
+        }
+        long now = clock.getAsLong();
+        if (now >= nextTick.get()) {
+            nextTick.set(now + settings.tickMillis());
+            tick(now);
+        }
+    }
+
+    /** A thread that ended would leave the lease held and nothing placed. */
+    private void safely(Runnable step) {
+        try {
+            step.run();
+        } catch (RuntimeException unexpected) {
+            log.event(PlacementLogEvent.STEP_FAILED)
+                    .with("thread", Thread.currentThread().getName())
+                    .with("error", unexpected)
+                    .write();
         }
     }
 
@@ -175,7 +232,7 @@
     }
 
     private void tick(long now) {
-        calls.expire(now);
+        calls.expire(now).forEach(event -> handle(now, event));
         if (now >= nextConfigMillis) {
             nextConfigMillis = now + CONFIG_MILLIS;
             refresh(now);
@@ -205,15 +262,26 @@
     }
 
     private void publish(Resources free) {
-        if (!free.equals(published) && storeWork.offer(new StoreWork.Publish(free))) {
+        // Another owner may have published since the last epoch of this one.
+        boolean changed = !free.equals(published) || publishedEpoch != status.epoch();
+        if (changed && storeWork.offer(new StoreWork.Publish(free))) {
             published = free;
+            publishedEpoch = status.epoch();
         }
     }
 
     private void handle(long now, PlacementEvent event) {
-        for (PlacementAction action : owner.handle(now, event)) {
-            perform(action);
-        }
+        List<PlacementAction> actions = owner.handle(now, event);
+        standing =
+                owner.lease()
+                        .map(
+                                lease ->
+                                        new Standing(
+                                                lease.epoch(),
+                                                lease.heldUntilMillis(),
+                                                lease.holdUntilMillis()))
+                        .orElse(Standing.NONE);
+        actions.forEach(action -> safely(() -> perform(action)));
     }
 
     private void perform(PlacementAction action) {
@@ -232,7 +300,7 @@
     /** A write that never left is reported as unknown, so the owner returns it again. */
     private void refuse(PlacementAction action) {
         if (action instanceof PlacementAction.WriteRows write) {
-            report(new PlacementEvent.WriteUnknown(write.id()));
+            handle(clock.getAsLong(), new PlacementEvent.WriteUnknown(write.id()));
         }
     }
 
@@ -252,13 +320,14 @@
         while (!releasing) {
             Optional<StoreWork> work = Optional.ofNullable(storeWork.poll());
             while (work.isPresent() && !releasing) {
-                store.perform(work.get());
-                store.step(clock.getAsLong());
+                StoreWork next = work.get();
+                safely(() -> store.perform(next));
+                safely(() -> store.step(clock.getAsLong()));
                 work = Optional.ofNullable(storeWork.poll());
             }
-            store.step(clock.getAsLong());
+            safely(() -> store.step(clock.getAsLong()));
             storeWork.await(STORE_STEP_MILLIS);
         }
-        store.release();
+        safely(store::release);
     }
 }
--- a/daemon/src/main/java/org/peridotcourse/daemon/placement/PlacementLogEvent.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/placement/PlacementLogEvent.java
@@ -31,7 +31,13 @@
             2005,
             "placement.ring-full",
             Level.WARNING,
-            "An event was dropped because the placement thread is behind; fields event");
+            "An event was dropped because the placement thread is behind; fields event"),
+    /** A step of a placement thread failed unexpectedly. */
+    STEP_FAILED(
+            2006,
+            "placement.step-failed",
+            Level.ERROR,
+            "A step of a placement thread failed; the thread goes on; fields thread, error");
 
     private final int number;
     private final String title;
--- a/daemon/src/main/java/org/peridotcourse/daemon/placement/PlacementStore.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/placement/PlacementStore.java
@@ -5,8 +5,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import java.util.function.Function;
 import java.util.function.LongSupplier;
+import java.util.function.Predicate;
 import org.peridotcourse.DataCentreId;
 import org.peridotcourse.Resources;
 import org.peridotcourse.Result;
@@ -50,9 +50,10 @@
     private final SnapshotHolder config;
     private final DataCentreId dataCentre;
     private final LongSupplier clock;
-    private final Function<PlacementEvent, Boolean> events;
+    private final Predicate<PlacementEvent> events;
     private final EventLog log;
     private Optional<LeaseHolder> reported = Optional.empty();
+    private Optional<Resources> unpublished = Optional.empty();
     private long reportedCommit;
     private long jobsSince;
     private long tasksSince;
@@ -66,7 +67,7 @@
             SnapshotHolder config,
             DataCentreId dataCentre,
             LongSupplier clock,
-            Function<PlacementEvent, Boolean> events,
+            Predicate<PlacementEvent> events,
             EventLog log) {
         this.store = store;
         this.lease = lease;
@@ -82,6 +83,7 @@
         lease.step(nowMillis);
         reportLease();
         if (reported.isEmpty()) {
+            unpublished = Optional.empty();
             return;
         }
         if (nowMillis >= nextPollMillis) {
@@ -93,6 +95,7 @@
         if (nowMillis >= nextPeersMillis) {
             nextPeersMillis = nowMillis + PEERS_MILLIS;
             pollPeers();
+            unpublished.ifPresent(this::publish);
         }
     }
 
@@ -138,15 +141,24 @@
                 tasksSince = 0;
             }
             if (first || holder.commit() != reportedCommit) {
-                reportedCommit = holder.commit();
                 LeaseRow row = holder.row();
                 long earlierHold = row.epoch() > 1 ? row.holdMillis() : 0;
-                events.apply(
-                        new PlacementEvent.LeaseConfirmed(
-                                row, holder.commit(), holder.confirmedSentMillis(), earlierHold));
+                boolean taken =
+                        events.test(
+                                new PlacementEvent.LeaseConfirmed(
+                                        row,
+                                        holder.commit(),
+                                        holder.confirmedSentMillis(),
+                                        earlierHold));
+                if (!taken) {
+                    return;
+                }
+                reportedCommit = holder.commit();
             }
-        } else if (reported.isPresent() && !lease.isHolder()) {
-            events.apply(new PlacementEvent.LeaseLost());
+        } else if (reported.isPresent()
+                && !lease.isHolder()
+                && !events.test(new PlacementEvent.LeaseLost())) {
+            return;
         }
         reported = held.or(() -> lease.isHolder() ? reported : Optional.empty());
     }
@@ -172,7 +184,7 @@
         Result<RowPage> read = TableReader.changes(store, JOBS, "", jobsSince);
         if (read instanceof Result.Ok<RowPage> ok) {
             List<JobRow> rows = jobs(ok.value().rows());
-            if (rows.isEmpty() || events.apply(new PlacementEvent.JobsSeen(rows))) {
+            if (rows.isEmpty() || events.test(new PlacementEvent.JobsSeen(rows))) {
                 jobsSince = ok.value().commit();
             }
         }
@@ -189,7 +201,7 @@
             PlacementEvent seen =
                     new PlacementEvent.TaskRowsSeen(
                             dataCentre, tasks(ok.value().rows()), false, ok.value().commit());
-            if (events.apply(seen)) {
+            if (events.test(seen)) {
                 tasksSince = ok.value().commit();
             }
         }
@@ -216,16 +228,23 @@
                         .map(RowJson::resources)
                         .orElse(Resources.ZERO);
         Optional<Row> found = leaseRow.toOptional().flatMap(row -> row);
+        // A malformed row reads as a hold of zero, which would free running tasks at once.
         found.flatMap(Row::value)
                 .flatMap(LeaseKeeper::parse)
+                .filter(row -> row.epoch() > 0 && row.holdMillis() > 0)
                 .ifPresent(
                         row ->
-                                events.apply(
+                                events.test(
                                         new PlacementEvent.PeerLeaseSeen(
                                                 peer, row, found.get().commit(), free)));
     }
 
     private void write(PlacementAction.WriteRows write) {
+        if (lease.held(clock.getAsLong()).isEmpty()) {
+            // It never left. The owner repeats it, or forgets it with the next confirmed lease.
+            events.test(new PlacementEvent.WriteUnknown(write.id()));
+            return;
+        }
         Transaction.Builder builder = Transaction.builder(write.id());
         write.checks().forEach(c -> builder.check(c.table(), c.key(), c.commit()));
         write.taskPuts().forEach(row -> builder.put(TASKS, row.key(), RowJson.toJson(row)));
@@ -234,11 +253,11 @@
         write.taskDeletes().forEach(key -> builder.delete(TASKS, key));
         WriteOutcome outcome = store.write(builder.build());
         if (outcome instanceof WriteOutcome.Committed committed) {
-            events.apply(new PlacementEvent.WriteCommitted(write.id(), committed.commit()));
+            events.test(new PlacementEvent.WriteCommitted(write.id(), committed.commit()));
         } else if (outcome instanceof WriteOutcome.Conflict) {
-            events.apply(new PlacementEvent.WriteConflict(write.id()));
+            events.test(new PlacementEvent.WriteConflict(write.id()));
         } else {
-            events.apply(new PlacementEvent.WriteUnknown(write.id()));
+            events.test(new PlacementEvent.WriteUnknown(write.id()));
         }
     }
 
@@ -257,7 +276,7 @@
             }
             ok.value().flatMap(this::job).ifPresent(jobs::add);
         }
-        events.apply(
+        events.test(
                 new PlacementEvent.RowsRead(
                         read.number(), read.taskKeys(), read.jobKeys(), tasks, jobs));
     }
@@ -268,7 +287,7 @@
             PlacementEvent seen =
                     new PlacementEvent.TaskRowsSeen(
                             of, tasks(ok.value().rows()), true, ok.value().commit());
-            if (events.apply(seen) && of.equals(dataCentre)) {
+            if (events.test(seen) && of.equals(dataCentre)) {
                 tasksSince = ok.value().commit();
             }
         }
@@ -281,7 +300,9 @@
         json.put("memoryMiB", free.memoryMib());
         json.put("accelerators", free.accelerators());
         String id = "capacity-" + dataCentre + "-" + reportedCommit + "-" + clock.getAsLong();
-        store.write(Transaction.builder(id).put(CAPACITY, dataCentre.value(), json).build());
+        Transaction row = Transaction.builder(id).put(CAPACITY, dataCentre.value(), json).build();
+        boolean written = store.write(row) instanceof WriteOutcome.Committed;
+        unpublished = written ? Optional.empty() : Optional.of(free);
     }
 
     private List<JobRow> jobs(List<Row> rows) {
--- a/daemon/src/main/java/org/peridotcourse/daemon/placement/RowJson.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/placement/RowJson.java
@@ -107,12 +107,19 @@
 
     private static TaskRow task(Row row, JsonNode json) {
         int slash = row.key().indexOf('/');
+        TaskId id = TaskId.of(row.key().substring(slash + 1));
+        int index = Integer.parseInt(id.value().substring(id.value().lastIndexOf('/') + 1));
+        TaskState state = TaskState.parse(json.path("state").asText());
+        Optional<WorkerId> worker = text(json, "worker").map(WorkerId::of);
+        if (index < 0 || state.isPlaced() && worker.isEmpty()) {
+            throw new IllegalArgumentException("a task needs an index, a placed one a worker");
+        }
         return new TaskRow(
                 DataCentreId.of(row.key().substring(0, slash)),
-                TaskId.of(row.key().substring(slash + 1)),
-                TaskState.parse(json.path("state").asText()),
+                id,
+                state,
                 json.path("attempt").asInt(),
-                text(json, "worker").map(WorkerId::of),
+                worker,
                 text(json, "checkpoint"),
                 json.has("milliCores") ? Optional.of(resources(json)) : Optional.empty(),
                 json.path("epoch").asLong(),
--- a/daemon/src/main/java/org/peridotcourse/daemon/placement/WorkerCalls.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/placement/WorkerCalls.java
@@ -10,6 +10,8 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import java.util.function.ToLongFunction;
 import org.peridotcourse.WorkerId;
 import org.peridotcourse.daemon.http.ChannelException;
 import org.peridotcourse.daemon.http.ChannelFactory;
@@ -36,14 +38,29 @@
 
     private final ChannelFactory channels;
     private final String group;
+    private final ToLongFunction<SendCommands> allowedUntil;
+    private final LongSupplier clock;
     private final Consumer<Answered> answers;
     private final EventLog log;
     private final Map<WorkerId, Link> links = new HashMap<>();
     private final Set<WorkerId> unreachable = new HashSet<>();
 
-    WorkerCalls(ChannelFactory channels, String group, Consumer<Answered> answers, EventLog log) {
+    /**
+     * Creates the calls to the workers of one data centre.
+     *
+     * @param allowedUntil tells until when commands may leave; asked from any thread
+     */
+    WorkerCalls(
+            ChannelFactory channels,
+            String group,
+            ToLongFunction<SendCommands> allowedUntil,
+            LongSupplier clock,
+            Consumer<Answered> answers,
+            EventLog log) {
         this.channels = channels;
         this.group = group;
+        this.allowedUntil = allowedUntil;
+        this.clock = clock;
         this.answers = answers;
         this.log = log;
     }
@@ -77,7 +94,7 @@
     /** The connection to a worker with its waiting calls. */
     private static final class Link {
         final List<Call> waiting = new ArrayList<>(2);
-        InetSocketAddress address;
+        volatile InetSocketAddress address;
         volatile HttpChannel channel;
         volatile Call active;
     }
@@ -88,8 +105,10 @@
                 (worker, address) -> {
                     Link link = links.computeIfAbsent(worker, key -> new Link());
                     if (!address.equals(link.address)) {
-                        close(link);
-                        link.address = address;
+                        synchronized (link) {
+                            close(link);
+                            link.address = address;
+                        }
                     }
                 });
         for (Iterator<Map.Entry<WorkerId, Link>> it = links.entrySet().iterator(); it.hasNext(); ) {
@@ -113,16 +132,23 @@
         enqueue(nowMillis, new Call(fetch, HttpCall.get("/v1/report")));
     }
 
-    /** Fails calls whose time is over. */
-    void expire(long nowMillis) {
+    /**
+     * Fails calls whose time is over. The results do not pass the ring, because a full ring would
+     * leave a worker without calls for ever.
+     */
+    List<PlacementEvent> expire(long nowMillis) {
+        List<Answered> late = new ArrayList<>();
         for (Link link : links.values()) {
-            if (link.active != null && nowMillis >= link.active.deadline) {
-                Call late = link.active;
-                late.deadline = Long.MAX_VALUE;
+            Call call = link.active;
+            if (call != null && nowMillis >= call.deadline) {
+                call.deadline = Long.MAX_VALUE;
                 close(link);
-                fail(late, ChannelFailure.TIMED_OUT);
+                late.add(new Answered(call, Optional.empty(), ChannelFailure.TIMED_OUT.code()));
             }
         }
+        List<PlacementEvent> events = new ArrayList<>(late.size());
+        late.forEach(answered -> finish(nowMillis, answered).ifPresent(events::add));
+        return events;
     }
 
     /**
@@ -170,30 +196,49 @@
     }
 
     private void connect(Link link, Call call) {
-        channels.connect(link.address)
+        InetSocketAddress address = link.address;
+        channels.connect(address)
                 .whenComplete(
                         (channel, error) -> {
                             if (error != null) {
                                 fail(call, ChannelFailure.CONNECT_FAILED);
                             } else {
-                                adopt(link, channel, call);
+                                adopt(link, address, channel, call);
                             }
                         });
     }
 
     /** Runs on a selector thread; a call that timed out meanwhile must not be sent any more. */
-    private void adopt(Link link, HttpChannel channel, Call call) {
+    private void adopt(Link link, InetSocketAddress address, HttpChannel channel, Call call) {
+        boolean moved;
         synchronized (link) {
             if (link.active != call || call.deadline == Long.MAX_VALUE) {
                 channel.close();
                 return;
             }
-            link.channel = channel;
+            moved = !address.equals(link.address);
+            if (!moved) {
+                link.channel = channel;
+            }
+        }
+        if (moved) {
+            channel.close();
+            fail(call, ChannelFailure.CONNECT_FAILED);
+        } else {
+            dispatch(channel, call);
         }
-        dispatch(channel, call);
     }
 
     private void dispatch(HttpChannel channel, Call call) {
+        // The process may have been paused, or the call may have waited, since the decision.
+        boolean allowed =
+                call.commands
+                        .map(send -> clock.getAsLong() < allowedUntil.applyAsLong(send))
+                        .orElse(true);
+        if (!allowed) {
+            fail(call, ChannelFailure.CLOSED_BEFORE_SEND);
+            return;
+        }
         channel.send(call.http)
                 .whenComplete(
                         (reply, error) -> {
@@ -226,7 +271,8 @@
             if (unreachable.remove(worker)) {
                 log.event(PlacementLogEvent.WORKER_REACHABLE).with("worker", worker).write();
             }
-        } else if (unreachable.add(worker)) {
+        } else if (!answered.failure().equals(ChannelFailure.CLOSED_BEFORE_SEND.code())
+                && unreachable.add(worker)) {
             log.event(PlacementLogEvent.WORKER_UNREACHABLE)
                     .with("worker", worker)
                     .with("call", answered.call().http.target())
--- a/daemon/src/test/java/org/peridotcourse/daemon/control/FakeTable.java
+++ b/daemon/src/test/java/org/peridotcourse/daemon/control/FakeTable.java
@@ -3,7 +3,6 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.Deque;
@@ -11,6 +10,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.concurrent.ConcurrentLinkedDeque;
 import org.peridotcourse.Result;
 import org.peridotcourse.daemon.platform.Row;
 import org.peridotcourse.daemon.platform.RowPage;
@@ -20,9 +20,9 @@
 import org.peridotcourse.daemon.platform.WriteOutcome;
 
 /** Table service in memory with commits, outages, lost answers and writes that arrive late. */
-final class FakeTable implements TableStore {
+public final class FakeTable implements TableStore {
     /** What happens to one write. */
-    enum Fault {
+    public enum Fault {
         /** The write takes effect, its answer is lost. */
         LOSE_ANSWER,
         /** The write is lost. */
@@ -31,13 +31,13 @@
         DELAY
     }
 
-    final Deque<Fault> writeFaults = new ArrayDeque<>();
+    public final Deque<Fault> writeFaults = new ConcurrentLinkedDeque<>();
 
     /** Faults hit only writes that put rows into this table; any write if it is empty. */
-    String faultTable = "";
+    public volatile String faultTable = "";
 
     final List<Transaction> written = new ArrayList<>();
-    boolean down;
+    public volatile boolean down;
 
     /** Makes pages smaller than asked for, so that small tables need several of them. */
     int pageDivisor = 1;
@@ -56,7 +56,7 @@
     }
 
     /** Writes a row as an operator and returns its commit. */
-    synchronized long put(String table, String key, String text) {
+    public synchronized long put(String table, String key, String text) {
         Transaction edit =
                 Transaction.builder("operator-" + operatorWrites++)
                         .put(table, key, json(text))
@@ -74,7 +74,7 @@
         inTransit.clear();
     }
 
-    synchronized Optional<JsonNode> value(String table, String key) {
+    public synchronized Optional<JsonNode> value(String table, String key) {
         return Optional.ofNullable(table(table).get(key)).flatMap(Row::value);
     }
 
