Learn interference only from reports without ended tasks; restore the p99 target

Cause: an attempt that has ended stays in the ledger until its row is written. Reports of that time show the normal latency and cleared the neighbour that had just ended. After the first wave the estimate of the noisy pair fell from 1.30 to 1.07, below the threshold of 1.10, and the wave at 240 s was let in again on four workers with a replica.

Change: such reports are skipped. The stated target (p99 at most 1.10 of the service alone after the first minute, throughput at least 0.85) is asserted next to the comparison with the plain policy.

Known failure: FaultSequenceTest#promisesHoldInEverySequence fails (no task in two places).

--- a/core/src/main/java/org/peridotcourse/placement/Guards.java
+++ b/core/src/main/java/org/peridotcourse/placement/Guards.java
@@ -71,7 +71,8 @@
             evict(nowMillis, worker, null, "estimates exceed the capacity");
         }
         if (report.services().isEmpty()
-                || nowMillis - report.usageAgeMillis() - worker.changedMillis < SETTLE_MILLIS) {
+                || nowMillis - report.usageAgeMillis() - worker.changedMillis < SETTLE_MILLIS
+                || hasEndedTask(report)) {
             return;
         }
         Set<WorkloadId> neighbours = new LinkedHashSet<>();
@@ -98,6 +99,20 @@
         }
     }
 
+    /**
+     * Tells whether an attempt has ended and is still in the ledger. Its workload would be cleared
+     * by a latency that it no longer affects: after one wave of noisy tasks the estimate of the
+     * pair fell from 1.30 to 1.07, and a later wave was let in again.
+     */
+    private static boolean hasEndedTask(WorkerReport report) {
+        for (WorkerReport.TaskReport each : report.tasks()) {
+            if (each.state() != WorkerReport.AttemptState.RUNNING) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     private boolean isOn() {
         return book.policy.isGuarded() && book.settings.guards();
     }
--- a/core/src/test/java/org/peridotcourse/placement/PlacementMeasureTest.java
+++ b/core/src/test/java/org/peridotcourse/placement/PlacementMeasureTest.java
@@ -114,8 +114,9 @@
         Outcome guarded = waves(PlacementPolicy.LEAST_INTERFERENCE, false);
         System.out.println("waves, plain:   " + plain);
         System.out.println("waves, guarded: " + guarded);
-        // The first minute, with the first wave, is what the guards learn from. The target, a p99
-        // within 10% of the service alone, is not reached yet in the minutes after it.
+        // The first minute, with the first wave, is what the guards learn from.
+        assertTrue(guarded.laterP99Ratio() <= 1.10, "p99 against alone " + guarded.laterP99Ratio());
+        assertTrue(guarded.throughput() >= 0.85, "throughput " + guarded.throughput());
         assertTrue(
                 guarded.laterHarmed() < plain.laterHarmed() / 4,
                 "harmed samples " + guarded.laterHarmed());
