Start a workload that a service has not met as one task beside it

Change: beside a service such a workload starts as one task until two clean reports have cleared the pair, interference has been shown, or 10 s have passed. Urgent work and services without latency reports are not held back. The workers of the size measure report latencies, so that each choice looks at the pairs.

Known failure: FaultSequenceTest#promisesHoldInEverySequence, as before this change; the other sequences and the nine tests without a mechanism pass.

--- a/core/src/main/java/org/peridotcourse/placement/Guards.java
+++ b/core/src/main/java/org/peridotcourse/placement/Guards.java
@@ -32,6 +32,7 @@
 
     private final Book book;
     private final Outbox outbox;
+    private final Trials trials;
     private final EvictionBudget budget = new EvictionBudget();
     private final Map<WorkloadId, Probe> probes = new HashMap<>();
 
@@ -43,6 +44,7 @@
     Guards(Book book, Outbox outbox) {
         this.book = book;
         this.outbox = outbox;
+        this.trials = new Trials(book.interference);
     }
 
     /** Follows a changed estimate of a running task; evicts if the worker cannot hold it. */
@@ -209,8 +211,22 @@
         return probe == null || nowMillis >= probe.nextMillis;
     }
 
+    /**
+     * Tells whether a workload may start beside the services of a worker. Urgent work does not wait
+     * for a trial.
+     */
+    boolean mayMeet(long nowMillis, Worker worker, Job job) {
+        return worker.services.isEmpty()
+                || !isOn()
+                || job.row.spec().urgent()
+                || trials.allows(nowMillis, worker, job.workload());
+    }
+
     /** Records a placement; a probe makes the next one of its workload wait twice as long. */
     void chosen(long nowMillis, Worker worker, WorkloadId workload, boolean probed) {
+        if (isOn()) {
+            trials.started(nowMillis, worker, workload);
+        }
         if (probed) {
             Probe probe = probes.computeIfAbsent(workload, key -> new Probe());
             probe.nextMillis = nowMillis + probe.pauseMillis;
--- a/core/src/main/java/org/peridotcourse/placement/InterferenceModel.java
+++ b/core/src/main/java/org/peridotcourse/placement/InterferenceModel.java
@@ -21,6 +21,9 @@
     /** A report below this clears the neighbours in it. */
     private static final double CLEAN = 1.03;
 
+    /** Clean reports that clear a pair of a service and a workload that it has not met before. */
+    private static final int CLEARING_REPORTS = 2;
+
     /** Bound of the clean reports that count, so that a workload that changes is found out. */
     private static final int MOST_CLEAN = 30;
 
@@ -112,6 +115,20 @@
         return pair == null ? 1 : Math.max(1, faded(pair, nowMillis));
     }
 
+    /**
+     * Tells whether reports have neither cleared a pair nor shown interference; a service that has
+     * reported no latency cannot be judged.
+     */
+    boolean isUndecided(WorkloadId service, WorkloadId batch) {
+        Service known = services.get(service);
+        if (known == null || known.lowest == Double.MAX_VALUE) {
+            return false;
+        }
+        Pair pair = known.pairs.get(batch);
+        return pair == null
+                || (pair.cleanReports < CLEARING_REPORTS && pair.ratio <= WorkerGuard.HIGH);
+    }
+
     private static double faded(Pair pair, long nowMillis) {
         double age = Math.max(0, nowMillis - pair.updatedMillis);
         return 1 + (pair.ratio - 1) * Math.pow(0.5, age / HALF_LIFE_MILLIS);
--- a/core/src/main/java/org/peridotcourse/placement/WorkerChoice.java
+++ b/core/src/main/java/org/peridotcourse/placement/WorkerChoice.java
@@ -57,7 +57,9 @@
             Worker worker = order[(start + i) % order.length];
             if (!worker.ledger.fits(size, estimate)
                     || !worker.isUsable(nowMillis)
-                    || (!job.replicas && !guards.allowsGrowth(worker, job.workload()))) {
+                    || (!job.replicas
+                            && (!guards.allowsGrowth(worker, job.workload())
+                                    || !guards.mayMeet(nowMillis, worker, job)))) {
                 continue;
             }
             double interference =
--- a/core/src/test/java/org/peridotcourse/placement/PlacementMeasureTest.java
+++ b/core/src/test/java/org/peridotcourse/placement/PlacementMeasureTest.java
@@ -4,10 +4,13 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import org.junit.jupiter.api.Test;
 import org.peridotcourse.CustomerId;
 import org.peridotcourse.Resources;
@@ -36,6 +39,8 @@
             loop.customer("c" + i, 50 + i % 100, null);
             loop.batch("c" + i + "/plan", 10);
         }
+        // Only with reports does each choice look at the pairs of services and batch workloads.
+        loop.workers.values().forEach(worker -> worker.latency = PlacementMeasureTest::unharmed);
         loop.run(16_000);
         loop.callNanos.clear();
         loop.placementNanos.clear();
@@ -70,6 +75,17 @@
         assertTrue(p99 < 1_000_000, "p99 of a placement in ns: " + p99);
     }
 
+    private static List<WorkerReport.ServiceReport> unharmed(
+            Collection<FakeWorker.Attempt> attempts) {
+        Set<WorkloadId> services = new TreeSet<>(Comparator.comparing(WorkloadId::value));
+        for (FakeWorker.Attempt attempt : attempts) {
+            if (attempt.start.latencyCritical()) {
+                services.add(attempt.start.workload());
+            }
+        }
+        return services.stream().map(each -> new WorkerReport.ServiceReport(each, 10)).toList();
+    }
+
     /** Returns the heap that another owner needs for the same rows, in MB. */
     private static double memory(OwnerLoop loop) {
         List<TaskRow> rows = loop.table.tasks("a/");
@@ -104,6 +120,7 @@
             long evictions,
             double harmed,
             double laterHarmed,
+            double p99Ratio,
             double laterP99Ratio,
             double largestGap) {}
 
@@ -195,11 +212,14 @@
         double capacity = (40 * 16 - 20 * 10) * (double) seconds;
         List<Double> later = new ArrayList<>(ratios.subList(ratios.size() / 10, ratios.size()));
         later.sort(null);
+        List<Double> all = new ArrayList<>(ratios);
+        all.sort(null);
         return new Outcome(
                 finished / capacity,
                 loop.owner.status(loop.now).evictions(),
                 harmed(ratios),
                 harmed(later),
+                all.get((int) (all.size() * 0.99)),
                 later.get((int) (later.size() * 0.99)),
                 largestGap);
     }
