Age latency estimates of unused backend servers

Of two idle servers the one with the better estimate took every request, so a server with one slow sample was never measured again: in the new unit test it received 0 of 600 requests. This is the cause suspected behind the failures of RequestPathTest.sendsNothingMoreToLeavingBackendServer under load.

The estimate of an unused server halves every 500 ms, and the next sample replaces the outdated part of it. The server now receives at least 100 of 600.

--- a/core/src/main/java/org/peridotcourse/routing/BackendChoice.java
+++ b/core/src/main/java/org/peridotcourse/routing/BackendChoice.java
@@ -67,7 +67,7 @@
             if (!usable) {
                 continue;
             }
-            double score = score(pool, server, used, slotted);
+            double score = score(now, server, used, slotted);
             ties = best != null && score == bestScore ? ties + 1 : 1;
             if (best == null
                     || score < bestScore
@@ -92,12 +92,12 @@
         return drawn;
     }
 
-    private static double score(ServicePool pool, BackendServer server, int used, boolean slotted) {
+    private static double score(long now, BackendServer server, int used, boolean slotted) {
         if (server.health.isProbing()) {
             return -1; // A server that may have recovered is probed as soon as possible.
         }
         double load = (used + 1.0) / Math.max(1, server.info().slots());
-        return slotted ? load * server.latency.mean() : load;
+        return slotted ? load * server.expectedMillis(now) : load;
     }
 
     private static boolean isEligible(
--- a/core/src/main/java/org/peridotcourse/routing/BackendServer.java
+++ b/core/src/main/java/org/peridotcourse/routing/BackendServer.java
@@ -13,6 +13,12 @@
      */
     private static final long REFUSAL_PAUSE_MILLIS = 20;
 
+    /**
+     * Time in which the latency estimate of an unused server halves. Without it, of two idle
+     * servers the one with a single slow sample is never measured again.
+     */
+    private static final double HALF_LIFE_MILLIS = 500;
+
     private static final int SUSPECTED_TIERS = 3;
     private static final long LONGEST_PAUSE_MILLIS = 1_000;
 
@@ -30,6 +36,10 @@
     private int inFlight;
     private int watches;
     private long pausedUntilMillis;
+    private long lastUsedMillis;
+
+    /** Part of the estimate that the next sample replaces. */
+    private double outdated;
 
     BackendServer(BackendInfo info, int tier) {
         this.info = info;
@@ -121,6 +131,17 @@
         return Math.max(1, bound - (bound + 1) / 2);
     }
 
+    /** Returns the mean latency, which counts for less the longer the server was not used. */
+    double expectedMillis(long now) {
+        return latency.mean() * trust(now);
+    }
+
+    /** Returns the part of the estimate that is not outdated. */
+    private double trust(long now) {
+        long unused = inFlight > 0 ? 0 : Math.max(0, now - lastUsedMillis);
+        return Math.pow(0.5, unused / HALF_LIFE_MILLIS);
+    }
+
     int used(boolean slotted) {
         return slotted ? inFlight : watches;
     }
@@ -166,7 +187,9 @@
         connection.request = request;
         connection.sentMillis = now;
         if (request.isSlotted()) {
+            outdated = Math.max(outdated, 1 - trust(now));
             inFlight++;
+            lastUsedMillis = now;
         } else {
             watches++;
         }
@@ -178,7 +201,8 @@
         if (!slotted) {
             return;
         }
-        latency.add(millis);
+        latency.add(millis, outdated);
+        outdated = 0;
         unloaded.add(millis, inFlight > limit.share());
         if (adaptive) {
             limit.onReply(millis, inFlight >= limit.value(), unloaded.value());
@@ -186,9 +210,10 @@
     }
 
     /** Detaches the request of a connection. */
-    void onReleased(Connection connection) {
+    void onReleased(Connection connection, long now) {
         if (connection.request.isSlotted()) {
             inFlight--;
+            lastUsedMillis = now;
         } else {
             watches--;
         }
--- a/core/src/main/java/org/peridotcourse/routing/Dispatcher.java
+++ b/core/src/main/java/org/peridotcourse/routing/Dispatcher.java
@@ -188,7 +188,7 @@
         BackendServer server = connection.server;
         request.connection = null;
         connection.lastByteMillis = now;
-        server.onReleased(connection);
+        server.onReleased(connection, now);
         if (close.isPresent()) {
             close(connection, close.get(), out);
         } else if (!reusable) {
--- a/core/src/main/java/org/peridotcourse/routing/LatencyWindow.java
+++ b/core/src/main/java/org/peridotcourse/routing/LatencyWindow.java
@@ -15,8 +15,14 @@
     private double mean;
 
     void add(long millis) {
+        add(millis, GAIN);
+    }
+
+    /** Takes a value that replaces at least the given part of the mean. */
+    void add(long millis, double leastGain) {
         recent[count++ % SIZE] = millis;
-        mean = count == 1 ? millis : mean + Math.max(GAIN, 1.0 / count) * (millis - mean);
+        double gain = Math.max(Math.max(GAIN, leastGain), 1.0 / count);
+        mean = count == 1 ? millis : mean + gain * (millis - mean);
     }
 
     boolean isEmpty() {
--- a/core/src/test/java/org/peridotcourse/routing/RequestRouterTest.java
+++ b/core/src/test/java/org/peridotcourse/routing/RequestRouterTest.java
@@ -157,6 +157,25 @@
         assertEquals(NotRunReason.OVERLOAD, refusal(waiting));
     }
 
+    @Test
+    void oneSlowSampleDoesNotStarveAServer() {
+        // Without ageing, an idle server with the higher estimate is never measured again.
+        RouterHarness harness = harness(2);
+        warmUp(harness, 10);
+        RouterHarness.Line slow = lineOf(harness, send(harness, RequestKind.IDEMPOTENT));
+        warmUp(harness, 1);
+        harness.tick(190);
+        harness.reply(slow, Reply.of(200));
+        int used = 0;
+        for (int i = 0; i < 600; i++) {
+            RouterHarness.Line line = lineOf(harness, send(harness, RequestKind.IDEMPOTENT));
+            used += line.backend.equals(slow.backend) ? 1 : 0;
+            harness.tick(10);
+            harness.reply(line, Reply.of(200));
+        }
+        assertTrue(used >= 100, "used " + used + " times in 600");
+    }
+
     @Test
     void refusingServerIsLeftAloneForAWhile() {
         RouterHarness harness = harness(2);
