--- /dev/null
+++ b/bench/src/main/java/org/peridotcourse/bench/OwnerBench.java
@@ -0,0 +1,344 @@
+package org.peridotcourse.bench;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Queue;
+import java.util.Set;
+import org.HdrHistogram.Histogram;
+import org.peridotcourse.CustomerId;
+import org.peridotcourse.DataCentreId;
+import org.peridotcourse.JobId;
+import org.peridotcourse.Resources;
+import org.peridotcourse.WorkerId;
+import org.peridotcourse.WorkloadId;
+import org.peridotcourse.base.LeaseRow;
+import org.peridotcourse.daemon.placement.RowJson;
+import org.peridotcourse.daemon.placement.WorkerJson;
+import org.peridotcourse.daemon.platform.Row;
+import org.peridotcourse.daemon.platform.Transaction;
+import org.peridotcourse.placement.JobRow;
+import org.peridotcourse.placement.OwnerSettings;
+import org.peridotcourse.placement.PlacementAction;
+import org.peridotcourse.placement.PlacementConfig;
+import org.peridotcourse.placement.PlacementEvent;
+import org.peridotcourse.placement.PlacementOwner;
+import org.peridotcourse.placement.PlacementPolicy;
+import org.peridotcourse.placement.TaskRow;
+import org.peridotcourse.placement.WorkerHost;
+
+/**
+ * The placement owner of one data centre on a virtual clock. Its CPU time includes the conversion
+ * of commands, reports and rows, and excludes that of the fakes and of HTTP.
+ */
+final class OwnerBench {
+    static final DataCentreId HERE = DataCentreId.of("dc-1");
+    private static final int CUSTOMERS = 440;
+    private static final int TASKS_PER_JOB = 50;
+    private static final long TICK_MILLIS = 50;
+    private static final ObjectMapper JSON = new ObjectMapper();
+
+    /** What was counted since the last reset. */
+    static final class Counts {
+        long virtualMillis;
+        long transactions;
+        long rows;
+        long storeBytes;
+        long workerCalls;
+        long workerBytes;
+        long starts;
+        long lastStartMillis;
+        double cpuMicros;
+
+        /** CPU time of single decisions in nanoseconds. */
+        final Histogram decisions = new Histogram(60_000_000_000L, 3);
+
+        double perSecond(double total) {
+            return total * 1000 / Math.max(1, virtualMillis);
+        }
+    }
+
+    private final Probe probe = new Probe();
+    private final OwnerWorld world = new OwnerWorld();
+    private final Map<String, TaskRow> changed = new LinkedHashMap<>();
+    private final Map<String, JobRow> jobs = new HashMap<>();
+    private final Set<String> changedJobs = new HashSet<>();
+    private final Queue<PlacementEvent> due = new ArrayDeque<>();
+    private final List<WorkerHost> hosts = new ArrayList<>();
+    private final PlacementConfig config;
+    private PlacementOwner owner;
+    private Counts counts = new Counts();
+    private long now = 1_000;
+    private long commit = 10;
+    private long startedAt;
+    private long submitted;
+
+    /** Creates an owner that holds its lease, with workers and with replicas of services. */
+    OwnerBench(int workers, int serviceTasks) {
+        owner =
+                new PlacementOwner(
+                        OwnerSettings.of(HERE, "daemon-1"), PlacementPolicy.LEAST_INTERFERENCE);
+        config = config(serviceTasks);
+        for (int i = 0; i < workers; i++) {
+            // 2,500 accelerators on 1,800 workers are 7 on 5 workers.
+            Resources capacity = Resources.of(32_000, 125_000, i % 5 < 2 ? 2 : 1);
+            hosts.add(
+                    new WorkerHost(
+                            WorkerId.of("worker-" + i), HERE, "rack-" + i / 8, capacity, false));
+        }
+        due.add(new PlacementEvent.WorkersSeen(hosts));
+        lease();
+    }
+
+    private static PlacementConfig config(int serviceTasks) {
+        Map<CustomerId, PlacementConfig.CustomerRule> customers = new HashMap<>();
+        Map<WorkloadId, PlacementConfig.WorkloadRule> workloads = new HashMap<>();
+        int services = Math.max(1, serviceTasks / 60);
+        for (int i = 0; i < CUSTOMERS; i++) {
+            customers.put(
+                    CustomerId.of("customer-" + i),
+                    new PlacementConfig.CustomerRule(100, Optional.empty()));
+            workloads.put(
+                    WorkloadId.of("customer-" + i + "/night"),
+                    new PlacementConfig.WorkloadRule(
+                            false, Set.of(), 0, Resources.ZERO, false, 10));
+        }
+        for (int i = 0; i < services; i++) {
+            workloads.put(
+                    WorkloadId.of("customer-" + i % CUSTOMERS + "/service-" + i),
+                    new PlacementConfig.WorkloadRule(
+                            true,
+                            Set.of(),
+                            serviceTasks / services,
+                            Resources.of(2_000, 6_000),
+                            false,
+                            10));
+        }
+        return new PlacementConfig(5, Map.of(HERE, true), customers, workloads);
+    }
+
+    Counts counts() {
+        return counts;
+    }
+
+    int placed() {
+        return owner.status(now).placed();
+    }
+
+    /** Returns the bytes that the owner's state occupies; the owner is not usable afterwards. */
+    long stateBytes() {
+        long with = Probe.liveBytes();
+        owner = null;
+        due.clear();
+        return with - Probe.liveBytes();
+    }
+
+    /** Starts counting anew. */
+    void reset() {
+        counts = new Counts();
+        probe.reset();
+        startedAt = world.starts();
+    }
+
+    /** Submits jobs of 50 tasks. */
+    void submit(String prefix, int tasks) {
+        List<JobRow> rows = new ArrayList<>();
+        for (int left = tasks; left > 0; left -= TASKS_PER_JOB) {
+            long number = submitted++;
+            String customer = "customer-" + number % CUSTOMERS;
+            JobRow.Spec spec =
+                    new JobRow.Spec(
+                            JobId.of(customer + "/" + prefix + number),
+                            WorkloadId.of(customer + "/night"),
+                            Math.min(left, TASKS_PER_JOB),
+                            Resources.of(500, 1_000),
+                            number % 10 == 0,
+                            "payload-of-a-job");
+            JobRow row = JobRow.submitted(spec).withCommit(++commit);
+            jobs.put(spec.id().value(), row);
+            rows.add(row);
+        }
+        due.add(new PlacementEvent.JobsSeen(rows));
+    }
+
+    /** Lets all tasks finish whose job has this prefix. */
+    int finish(String prefix) {
+        int finished = 0;
+        for (int i = 0; i < CUSTOMERS; i++) {
+            finished += world.finish("customer-" + i + "/" + prefix);
+        }
+        return finished;
+    }
+
+    /** Lets virtual time pass. */
+    void pass(long millis) {
+        for (long end = now + millis; now < end; now += TICK_MILLIS) {
+            deliver();
+            if (now % 250 == 0) {
+                handle(new PlacementEvent.ConfigSeen(config, now - 500));
+            }
+            if (now % 500 == 0) {
+                poll();
+            }
+            if (now % 3_000 == 0) {
+                lease();
+            }
+            handle(new PlacementEvent.Tick());
+            counts.virtualMillis += TICK_MILLIS;
+        }
+        deliver();
+        counts.cpuMicros = probe.cpuMicros();
+        counts.starts = world.starts() - startedAt;
+    }
+
+    private void lease() {
+        LeaseRow row = new LeaseRow("daemon-1", 1, 9_000, 600_000, now);
+        due.add(new PlacementEvent.LeaseConfirmed(row, ++commit, now - 20, 0));
+    }
+
+    private void deliver() {
+        for (int left = due.size(); left > 0; left--) {
+            handle(due.remove());
+        }
+    }
+
+    private void handle(PlacementEvent event) {
+        long before = probe.cpuNanos();
+        long startsBefore = world.starts();
+        List<PlacementAction> actions = probe.run(() -> owner.handle(now, event));
+        counts.decisions.recordValue(Math.max(1, probe.cpuNanos() - before));
+        actions.forEach(this::perform);
+        if (world.starts() > startsBefore) {
+            counts.lastStartMillis = now;
+        }
+    }
+
+    private void perform(PlacementAction action) {
+        if (action instanceof PlacementAction.WriteRows write) {
+            write(write);
+        } else if (action instanceof PlacementAction.ReadTasks) {
+            due.add(new PlacementEvent.TaskRowsSeen(HERE, List.of(), true, commit));
+        } else if (action instanceof PlacementAction.SendCommands send) {
+            counts.workerCalls++;
+            byte[] body = probe.run(() -> WorkerJson.commands(HERE.value(), send));
+            int results = world.execute(send);
+            counts.workerBytes += body.length + 40 + 12L * results + Heads.BYTES;
+            due.add(
+                    new PlacementEvent.CommandsAnswered(
+                            send.worker(),
+                            send.number(),
+                            now,
+                            List.copyOf(
+                                    java.util.Collections.nCopies(
+                                            results, PlacementEvent.CommandResult.OK))));
+        } else if (action instanceof PlacementAction.FetchReport fetch) {
+            counts.workerCalls++;
+            byte[] body = world.report(fetch.worker(), now);
+            counts.workerBytes += body.length + Heads.BYTES;
+            due.add(
+                    new PlacementEvent.ReportReceived(
+                            fetch.number(),
+                            probe.run(() -> WorkerJson.report(fetch.worker(), body))
+                                    .orElseThrow()));
+        }
+    }
+
+    private void write(PlacementAction.WriteRows write) {
+        commit++;
+        counts.transactions++;
+        counts.rows += write.rows();
+        byte[] body = probe.run(() -> OwnerWorld.bytes(transaction(write)));
+        counts.storeBytes += body.length + 20 + Heads.BYTES;
+        for (TaskRow row : write.taskPuts()) {
+            changed.put(row.key(), committed(row));
+        }
+        for (JobRow row : write.jobPuts()) {
+            jobs.put(row.spec().id().value(), row.withCommit(commit));
+            changedJobs.add(row.spec().id().value());
+        }
+        write.taskDeletes().forEach(changed::remove);
+        due.add(new PlacementEvent.WriteCommitted(write.id(), commit));
+    }
+
+    private static Transaction transaction(PlacementAction.WriteRows write) {
+        Transaction.Builder builder = Transaction.builder(write.id());
+        write.checks().forEach(c -> builder.check(c.table(), c.key(), c.commit()));
+        write.taskPuts().forEach(row -> builder.put("tasks", row.key(), RowJson.toJson(row)));
+        write.jobPuts()
+                .forEach(row -> builder.put("jobs", row.spec().id().value(), RowJson.toJson(row)));
+        write.taskDeletes().forEach(key -> builder.delete("tasks", key));
+        return builder.build();
+    }
+
+    private TaskRow committed(TaskRow row) {
+        return new TaskRow(
+                row.dataCentre(),
+                row.task(),
+                row.state(),
+                row.attempt(),
+                row.worker(),
+                row.checkpoint(),
+                row.size(),
+                row.epoch(),
+                commit);
+    }
+
+    /** The owner's polls of both tables return its own writes. */
+    private void poll() {
+        List<Row> rows = new ArrayList<>();
+        changed.values()
+                .forEach(
+                        row ->
+                                rows.add(
+                                        new Row(
+                                                row.key(),
+                                                row.commit(),
+                                                "daemon-1-17-" + row.commit(),
+                                                Optional.of(RowJson.toJson(row)))));
+        byte[] page =
+                OwnerWorld.bytes(
+                        Map.of(
+                                "commit",
+                                commit,
+                                "rows",
+                                rows.stream()
+                                        .map(
+                                                row ->
+                                                        Map.of(
+                                                                "key",
+                                                                row.key(),
+                                                                "commit",
+                                                                row.commit(),
+                                                                "writer",
+                                                                row.writer(),
+                                                                "value",
+                                                                row.value().orElseThrow()))
+                                        .toList()));
+        List<JobRow> seen = new ArrayList<>();
+        changedJobs.forEach(key -> seen.add(jobs.get(key)));
+        counts.storeBytes += page.length + 2 * Heads.BYTES;
+        seen.forEach(row -> counts.storeBytes += OwnerWorld.bytes(RowJson.toJson(row)).length + 90);
+        changed.clear();
+        changedJobs.clear();
+        List<TaskRow> tasks = probe.run(() -> decode(page, rows));
+        handle(new PlacementEvent.TaskRowsSeen(HERE, tasks, false, commit));
+        handle(new PlacementEvent.JobsSeen(seen));
+    }
+
+    private static List<TaskRow> decode(byte[] page, List<Row> rows) {
+        try {
+            JSON.readTree(page);
+        } catch (IOException impossible) {
+            throw new UncheckedIOException(impossible);
+        }
+        return rows.stream().flatMap(row -> RowJson.task(row).stream()).toList();
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/peridotcourse/bench/RouterBench.java
@@ -0,0 +1,128 @@
+package org.peridotcourse.bench;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Queue;
+import java.util.Random;
+import java.util.Set;
+import org.peridotcourse.BackendId;
+import org.peridotcourse.CustomerId;
+import org.peridotcourse.DataCentreId;
+import org.peridotcourse.ServiceId;
+import org.peridotcourse.routing.BackendInfo;
+import org.peridotcourse.routing.BackendState;
+import org.peridotcourse.routing.CustomerInfo;
+import org.peridotcourse.routing.EntryHosts;
+import org.peridotcourse.routing.Reply;
+import org.peridotcourse.routing.RequestInfo;
+import org.peridotcourse.routing.RequestKind;
+import org.peridotcourse.routing.RequestRouter;
+import org.peridotcourse.routing.RoutingAction;
+import org.peridotcourse.routing.RoutingSettings;
+
+/** The router of one entry host with backend servers that answer every request after 5 ms. */
+final class RouterBench {
+    private static final DataCentreId HERE = DataCentreId.of("dc-1");
+    private static final int CUSTOMERS = 440;
+    private static final int SERVERS_PER_SERVICE = 45;
+
+    private final RequestRouter router;
+    private final int services;
+    private final Queue<RoutingAction.Forward> forwarded = new ArrayDeque<>();
+    private long now = 1_000;
+    private long requests;
+    private boolean answering = true;
+
+    /** Creates a router that knows a number of backend servers and shares them with others. */
+    RouterBench(int servers, int entryHosts) {
+        services = Math.max(1, servers / SERVERS_PER_SERVICE);
+        router = new RequestRouter(HERE, "r-1", RoutingSettings.defaults(), new Random(1));
+        router.updateEntryHosts(now, new EntryHosts(entryHosts, 0));
+        List<CustomerInfo> customers = new ArrayList<>();
+        for (int i = 0; i < CUSTOMERS; i++) {
+            customers.add(
+                    new CustomerInfo(
+                            CustomerId.of("customer-" + i), 100, 100_000, 1_000_000, Set.of()));
+        }
+        router.updateCustomers(now, customers);
+        List<BackendInfo> backends = new ArrayList<>();
+        for (int i = 0; i < servers; i++) {
+            int dataCentre = 1 + i / services % 5;
+            backends.add(
+                    new BackendInfo(
+                            BackendId.of("backend-" + i),
+                            ServiceId.of("service-" + i % services),
+                            DataCentreId.of("dc-" + dataCentre),
+                            dataCentre <= 3 ? "r-1" : "r-2",
+                            8,
+                            64,
+                            BackendState.LIVE));
+        }
+        perform(router.updateBackends(now, backends));
+    }
+
+    /** Returns the CPU time for each of a number of requests, in microseconds. */
+    double cpuMicrosPerRequest(int count) {
+        Probe probe = new Probe();
+        probe.run(() -> exchange(count));
+        return probe.cpuMicros() / count;
+    }
+
+    private int exchange(int count) {
+        for (int i = 0; i < count; i++) {
+            offer();
+            if (i % 5 == 4) {
+                now += 5;
+                answerAll();
+            }
+            if (i % 10 == 9) {
+                perform(router.onTick(now));
+            }
+        }
+        now += 5;
+        answerAll();
+        return count;
+    }
+
+    /** Lets a number of requests wait and returns how many do. */
+    int queue(int count) {
+        answering = false;
+        for (int i = 0; i < count; i++) {
+            offer();
+        }
+        return router.queuedCount();
+    }
+
+    private void offer() {
+        long number = requests++;
+        // Services and customers are chosen by different strides, so that all pairs occur.
+        RequestInfo info =
+                new RequestInfo(
+                        "daemon-1-" + number,
+                        CustomerId.of("customer-" + number % CUSTOMERS),
+                        ServiceId.of("service-" + number % services),
+                        RequestKind.IDEMPOTENT,
+                        Optional.empty(),
+                        now + 60_000);
+        perform(router.offer(now, info));
+    }
+
+    private void answerAll() {
+        for (int left = forwarded.size(); left > 0; left--) {
+            RoutingAction.Forward forward = forwarded.remove();
+            perform(router.onReply(now, forward.request(), forward.attempt(), Reply.of(200)));
+        }
+    }
+
+    private void perform(List<RoutingAction> actions) {
+        for (RoutingAction action : actions) {
+            if (action instanceof RoutingAction.Connect connect && answering) {
+                perform(router.onConnected(now, connect.connection()));
+            } else if (action instanceof RoutingAction.Forward forward) {
+                forwarded.add(forward);
+            }
+        }
+    }
+}
--- a/daemon/src/main/java/org/peridotcourse/daemon/placement/RowJson.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/placement/RowJson.java
@@ -22,18 +22,30 @@
  * <p>A malformed row gives an empty result, so that one bad row cannot stop the others. It holds no
  * state and is thread-safe.
  */
-final class RowJson {
+public final class RowJson {
     private RowJson() {}
 
     static Optional<JobRow> job(Row row) {
         return row.value().flatMap(value -> guarded(() -> job(row, value)));
     }
 
-    static Optional<TaskRow> task(Row row) {
+    /**
+     * Decodes a row of the table {@code tasks}.
+     *
+     * @param row the row
+     * @return the task, or empty if the row was removed or is malformed
+     */
+    public static Optional<TaskRow> task(Row row) {
         return row.value().flatMap(value -> guarded(() -> task(row, value)));
     }
 
-    static ObjectNode toJson(JobRow row) {
+    /**
+     * Encodes a row of the table {@code jobs}.
+     *
+     * @param row the job
+     * @return the value of the row
+     */
+    public static ObjectNode toJson(JobRow row) {
         JobRow.Spec spec = row.spec();
         ObjectNode json = JsonNodeFactory.instance.objectNode();
         json.put("workload", spec.workload().value());
@@ -54,7 +66,13 @@
         return json;
     }
 
-    static ObjectNode toJson(TaskRow row) {
+    /**
+     * Encodes a row of the table {@code tasks}.
+     *
+     * @param row the task
+     * @return the value of the row
+     */
+    public static ObjectNode toJson(TaskRow row) {
         ObjectNode json = JsonNodeFactory.instance.objectNode();
         json.put("state", row.state().code());
         json.put("attempt", row.attempt());
--- a/daemon/src/main/java/org/peridotcourse/daemon/placement/WorkerJson.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/placement/WorkerJson.java
@@ -24,13 +24,19 @@
  *
  * <p>It holds no state and is thread-safe.
  */
-final class WorkerJson {
+public final class WorkerJson {
     private static final ObjectMapper JSON = new ObjectMapper();
 
     private WorkerJson() {}
 
-    /** Encodes a request of several commands for a group of workers. */
-    static byte[] commands(String group, SendCommands send) {
+    /**
+     * Encodes a request of several commands for a group of workers.
+     *
+     * @param group the group whose epoch counts
+     * @param send the commands
+     * @return the body in JSON
+     */
+    public static byte[] commands(String group, SendCommands send) {
         ObjectNode body = JSON.createObjectNode();
         body.put("group", group);
         body.put("epoch", send.epoch());
@@ -58,8 +64,14 @@
                                         results(json.path("results"))));
     }
 
-    /** Decodes a report, or returns empty if it is malformed. */
-    static Optional<WorkerReport> report(WorkerId worker, byte[] body) {
+    /**
+     * Decodes a report.
+     *
+     * @param worker the worker that sent it
+     * @param body the body in JSON
+     * @return the report, or empty if it is malformed
+     */
+    public static Optional<WorkerReport> report(WorkerId worker, byte[] body) {
         try {
             return tree(body)
                     .filter(json -> json.path("clock").isNumber())
--- a/standins/src/main/java/org/peridotcourse/standins/LoadMain.java
+++ b/standins/src/main/java/org/peridotcourse/standins/LoadMain.java
@@ -35,6 +35,7 @@
     private final String run;
     private final long deadlineMillis;
     private final long bytes;
+    private final boolean direct;
 
     private LoadMain(CommandLineOptions options) {
         this.entries = options.texts("entry");
@@ -42,6 +43,7 @@
         this.run = options.text("run", "load-" + ProcessHandle.current().pid());
         this.deadlineMillis = options.number("deadline-ms", 2000);
         this.bytes = options.number("bytes", 0);
+        this.direct = options.text("direct", "no").equals("yes");
     }
 
     /**
@@ -63,6 +65,7 @@
                         .with("bytes", "padding of the responses of the stand-in")
                         .with("seed", "seed of the arrivals")
                         .with("run", "prefix of request keys")
+                        .with("direct", "yes when the entry address is a backend server's")
                         .parse("load", arguments);
         if (!options.has("entry")) {
             System.err.println("load: --entry is missing");
@@ -146,6 +149,9 @@
             return;
         }
         String outcome = response.headers().firstValue("Peridot-Outcome").orElse("no-outcome");
+        if (direct && response.statusCode() == 200) {
+            outcome = "answered";
+        }
         JsonNode body = body(response);
         if (outcome.equals("answered") && response.statusCode() == 200) {
             if (!body.path("query").path("nonce").asText().equals(nonce)) {
