--- /dev/null
+++ b/bench/src/main/java/org/peridotcourse/bench/ControlBench.java
@@ -0,0 +1,232 @@
+package org.peridotcourse.bench;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+import org.apache.thrift.TBase;
+import org.apache.thrift.TException;
+import org.apache.thrift.TSerializer;
+import org.apache.thrift.protocol.TCompactProtocol;
+import org.peridotcourse.DaemonId;
+import org.peridotcourse.DataCentreId;
+import org.peridotcourse.Result;
+import org.peridotcourse.daemon.control.AcceptorDuty;
+import org.peridotcourse.daemon.control.ConfigDuty;
+import org.peridotcourse.daemon.control.LeaseKeeper;
+import org.peridotcourse.daemon.control.Membership;
+import org.peridotcourse.daemon.control.SnapshotHolder;
+import org.peridotcourse.daemon.log.DecisionRing;
+import org.peridotcourse.daemon.log.EventLog;
+import org.peridotcourse.daemon.peer.PeerLink;
+import org.peridotcourse.membership.Peer;
+import org.peridotcourse.wire.ExchangeReply;
+import org.peridotcourse.wire.ExchangeRequest;
+
+/** Acceptor, two readers and a follower of one data centre on a virtual clock. */
+final class ControlBench {
+    private static final String CUSTOMER =
+            "{\"weight\":200,\"max-in-flight\":500,\"quota-milli-cores\":64000}";
+    private static final String WORKLOAD =
+            "{\"class\":\"latency-critical\",\"service\":\"despacho\",\"deadline-ms\":1500}";
+
+    /** Cost of one step of a duty. */
+    record Cost(double micros, double bytes, double calls) {}
+
+    final MemoryTable table = new MemoryTable();
+    long exchangeBytes;
+
+    /** CPU time of the first step of the acceptor, which judges all rows. */
+    double loadMicros;
+
+    private final List<String> customers = new ArrayList<>();
+    private final List<Member> members = new ArrayList<>();
+    private final EventLog log = quietLog();
+    private LeaseKeeper lease;
+    private AcceptorDuty acceptor;
+    private long now = 100_000;
+    private int edits;
+
+    /** One daemon's part. */
+    private static final class Member {
+        SnapshotHolder config = new SnapshotHolder();
+        Membership membership;
+        ConfigDuty duty;
+    }
+
+    /** Creates the daemons and lets all of them learn a number of rows. */
+    ControlBench(int rows) {
+        for (int i = 0; i < rows / 4; i++) {
+            customers.add("customer-" + i);
+        }
+        table.put("datacentres", List.of("dc-1", "dc-2"), "{\"region\":\"r-1\"}");
+        table.put("customers", customers, CUSTOMER);
+        for (int i = 0; i < 3; i++) {
+            String name = "/service-" + i;
+            String value = WORKLOAD.replace("despacho", "despacho-" + i);
+            table.put("workloads", customers.stream().map(c -> c + name).toList(), value);
+        }
+        for (int i = 1; i <= 3; i++) {
+            members.add(member("daemon-" + i));
+        }
+        Peer self = members.get(0).membership.self();
+        lease =
+                new LeaseKeeper(
+                        table,
+                        AcceptorDuty.LEASE_KEY,
+                        self,
+                        LeaseKeeper.Terms.of(9_000),
+                        () -> now,
+                        log);
+        acceptor = new AcceptorDuty(table, lease, self, () -> now, log);
+        lease.step(now);
+        Probe probe = new Probe();
+        probe.run(() -> step(0));
+        loadMicros = probe.cpuMicros();
+        for (int i = 0; i < 30; i++) {
+            second();
+        }
+    }
+
+    static EventLog quietLog() {
+        Logger.getLogger("org.peridotcourse").setLevel(Level.OFF);
+        return new EventLog(System.getLogger("org.peridotcourse"), new DecisionRing(16));
+    }
+
+    private Member member(String name) {
+        Member member = new Member();
+        String address = "10.20.30.4" + name.substring(name.length() - 1) + ":9000";
+        Peer self =
+                new Peer(DaemonId.of(name), DataCentreId.of("dc-1"), address, 1_700_000_000_000L);
+        member.membership = new Membership(self, member.config, log);
+        member.duty =
+                new ConfigDuty(
+                        table, link(), member.membership, member.config, address, () -> now, log);
+        return member;
+    }
+
+    private PeerLink link() {
+        return (address, request) -> {
+            exchangeBytes += framed(request);
+            for (Member other : members) {
+                if (other.membership.self().address().equals(address)) {
+                    ExchangeReply reply = other.membership.answer(now, request);
+                    exchangeBytes += framed(reply);
+                    return Result.ok(reply);
+                }
+            }
+            throw new IllegalArgumentException(address);
+        };
+    }
+
+    /** Returns the bytes of a message with frame and call head. */
+    static long framed(TBase<?, ?> message) {
+        try {
+            // Length of the frame, and the head of a call named "exchange" with its argument.
+            return 4
+                    + 14
+                    + new TSerializer(new TCompactProtocol.Factory()).serialize(message).length;
+        } catch (TException impossible) {
+            throw new IllegalArgumentException(impossible);
+        }
+    }
+
+    private void second() {
+        now += 1_000;
+        lease.step(now);
+        acceptor.step(now);
+        members.forEach(member -> member.duty.step(now));
+    }
+
+    /** Returns the version that the last daemon has, which proves that all have followed. */
+    boolean haveFollowed() {
+        long version = members.get(0).config.snapshot().version();
+        return version > 0
+                && members.stream().allMatch(m -> m.config.snapshot().version() == version);
+    }
+
+    /** Lets an operator edit one row. */
+    void edit() {
+        String customer = customers.get(edits % customers.size());
+        table.put("customers", List.of(customer), CUSTOMER.replace("200", "" + (1 + edits % 900)));
+        edits++;
+    }
+
+    /**
+     * Measures one duty over a number of seconds.
+     *
+     * @param role 0 for the acceptor, 1 for a reader, 3 for a follower
+     * @param seconds how long
+     * @param editing whether a row changes each second
+     * @return the cost per second
+     */
+    Cost measure(int role, int seconds, boolean editing) {
+        Probe probe = new Probe();
+        long bytes = 0;
+        long calls = 0;
+        for (int i = 0; i < seconds; i++) {
+            if (editing) {
+                edit();
+            }
+            now += 1_000;
+            for (int each = 0; each <= 3; each++) {
+                int duty = each;
+                table.resetCounts();
+                exchangeBytes = 0;
+                if (each == role) {
+                    probe.run(() -> step(duty));
+                    bytes += table.bytes + exchangeBytes;
+                    calls += table.reads + table.writes + (exchangeBytes > 0 ? 1 : 0);
+                } else {
+                    step(each);
+                }
+            }
+        }
+        return new Cost(
+                probe.cpuMicros() / seconds, (double) bytes / seconds, (double) calls / seconds);
+    }
+
+    private boolean step(int duty) {
+        if (duty == 0) {
+            lease.step(now);
+            acceptor.step(now);
+        } else {
+            members.get(duty - 1).duty.step(now);
+        }
+        return true;
+    }
+
+    /** Returns the bytes of the acceptor's state, which is not usable afterwards. */
+    long acceptorBytes() {
+        long with = Probe.liveBytes();
+        acceptor = null;
+        return with - Probe.liveBytes();
+    }
+
+    /** Returns the bytes of a follower's configuration; the bench is not usable afterwards. */
+    long followerBytes() {
+        long with = Probe.liveBytes();
+        members.remove(2);
+        return with - Probe.liveBytes();
+    }
+
+    /** Returns an exchange in which nothing is new. */
+    ExchangeRequest quietRequest() throws IOException {
+        ExchangeRequest[] seen = new ExchangeRequest[1];
+        PeerLink spy =
+                (address, request) -> {
+                    seen[0] = request;
+                    return link().exchange(address, request);
+                };
+        Member third = members.get(2);
+        new ConfigDuty(table, spy, third.membership, third.config, "10.20.30.43:80", () -> now, log)
+                .step(now);
+        return seen[0];
+    }
+
+    /** Answers an exchange as the first daemon. */
+    ExchangeReply answer(ExchangeRequest request) {
+        return members.get(0).membership.answer(now, request);
+    }
+}
--- a/bench/src/main/java/org/peridotcourse/bench/OwnerBench.java
+++ b/bench/src/main/java/org/peridotcourse/bench/OwnerBench.java
@@ -5,6 +5,7 @@
 import java.io.UncheckedIOException;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -55,7 +56,7 @@
         long workerCalls;
         long workerBytes;
         long starts;
-        long lastStartMillis;
+        long longestStartMillis;
         double cpuMicros;
 
         /** CPU time of single decisions in nanoseconds. */
@@ -80,6 +81,8 @@
     private long commit = 10;
     private long startedAt;
     private long submitted;
+    private long noted;
+    private final Queue<Long> submittedMillis = new ArrayDeque<>();
 
     /** Creates an owner that holds its lease, with workers and with replicas of services. */
     OwnerBench(int workers, int serviceTasks) {
@@ -146,6 +149,8 @@
         counts = new Counts();
         probe.reset();
         startedAt = world.starts();
+        noted = startedAt;
+        submittedMillis.clear();
     }
 
     /** Submits jobs of 50 tasks. */
@@ -167,6 +172,10 @@
             rows.add(row);
         }
         due.add(new PlacementEvent.JobsSeen(rows));
+        if (submittedMillis.isEmpty()) {
+            noted = world.starts();
+        }
+        submittedMillis.addAll(Collections.nCopies(tasks, now));
     }
 
     /** Lets all tasks finish whose job has this prefix. */
@@ -216,8 +225,17 @@
         List<PlacementAction> actions = probe.run(() -> owner.handle(now, event));
         counts.decisions.recordValue(Math.max(1, probe.cpuNanos() - before));
         actions.forEach(this::perform);
-        if (world.starts() > startsBefore) {
-            counts.lastStartMillis = now;
+        if (world.starts() > startsBefore && !submittedMillis.isEmpty()) {
+            noteDelays();
+        }
+    }
+
+    /** Tasks of a peak start nearly in the order of submission, so it is enough to count them. */
+    private void noteDelays() {
+        for (long left = world.starts() - noted; left > 0 && !submittedMillis.isEmpty(); left--) {
+            noted++;
+            long delay = now - submittedMillis.remove();
+            counts.longestStartMillis = Math.max(counts.longestStartMillis, delay);
         }
     }
 
@@ -237,7 +255,7 @@
                             send.number(),
                             now,
                             List.copyOf(
-                                    java.util.Collections.nCopies(
+                                    Collections.nCopies(
                                             results, PlacementEvent.CommandResult.OK))));
         } else if (action instanceof PlacementAction.FetchReport fetch) {
             counts.workerCalls++;
--- a/bench/src/main/java/org/peridotcourse/bench/OwnerWorld.java
+++ b/bench/src/main/java/org/peridotcourse/bench/OwnerWorld.java
@@ -6,7 +6,6 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
-import java.util.List;
 import java.util.Map;
 import org.peridotcourse.TaskId;
 import org.peridotcourse.WorkerId;
@@ -94,9 +93,4 @@
     private Map<TaskId, Running> tasks(WorkerId worker) {
         return workers.computeIfAbsent(worker, id -> new LinkedHashMap<>());
     }
-
-    /** Returns the names of the workers that have tasks. */
-    List<WorkerId> busy() {
-        return workers.keySet().stream().sorted().toList();
-    }
 }
--- a/bench/src/main/java/org/peridotcourse/bench/Probe.java
+++ b/bench/src/main/java/org/peridotcourse/bench/Probe.java
@@ -62,9 +62,10 @@
 
     /** Returns the bytes of live objects. */
     static long liveBytes() {
-        // The second collection frees what reference handling of the first one has released.
-        System.gc();
-        System.gc();
+        // A soft reference that was used since the last collection outlives the next one.
+        for (int i = 0; i < 4; i++) {
+            System.gc();
+        }
         return ManagementFactory.getMemoryMXBean().getHeapMemoryUsage().getUsed();
     }
 }
