Prove the promises by scenarios on separate processes

The scenario language has checks of joined records (count, distinct, exclusive), the load client's result, raw bytes, time limits and wall-clock marks. Ports come from below the range of outgoing connections, because a port that the system had chosen was once taken by a connection before the process bound it. Transcripts leave out the steps of included files.

--- a/testkit/src/main/java/org/peridotcourse/testkit/scenario/HttpStep.java
+++ b/testkit/src/main/java/org/peridotcourse/testkit/scenario/HttpStep.java
@@ -17,8 +17,8 @@
  *
  * <p>The words of a request are {@code METHOD URL [-H Name=Value]... [-d BODY]}. Conditions are
  * {@code status N}, {@code header NAME VALUE}, {@code json POINTER OPERATOR VALUE} with the
- * operators {@code ==}, {@code !=}, {@code >=}, {@code <=}, {@code has TEXT}, {@code lacks TEXT}
- * and {@code failed}. It is thread-safe.
+ * operators {@code ==}, {@code !=}, {@code >=}, {@code <=}, {@code has TEXT}, {@code lacks TEXT},
+ * {@code failed}, {@code within MILLIS} and those of {@link Records}. It is thread-safe.
  */
 final class HttpStep {
     private static final ObjectMapper JSON = new ObjectMapper();
@@ -31,7 +31,11 @@
                     .build();
 
     /** An answer, or status 0 and the error's text. */
-    record Answer(int status, HttpResponse<String> response, String body) {
+    record Answer(int status, HttpResponse<String> response, String body, long millis) {
+        static Answer of(String body) {
+            return new Answer(200, null, body, 0);
+        }
+
         String header(String name) {
             return response == null ? "" : response.headers().firstValue(name).orElse("");
         }
@@ -50,9 +54,14 @@
             }
         }
         builder.method(words.get(0), body);
+        long begin = System.nanoTime();
         return client.sendAsync(builder.build(), HttpResponse.BodyHandlers.ofString())
-                .thenApply(response -> new Answer(response.statusCode(), response, response.body()))
-                .exceptionally(error -> new Answer(0, null, "no answer"));
+                .thenApply(response -> answer(response, System.nanoTime() - begin))
+                .exceptionally(error -> new Answer(0, null, "no answer", 0));
+    }
+
+    private static Answer answer(HttpResponse<String> response, long nanos) {
+        return new Answer(response.statusCode(), response, response.body(), nanos / 1_000_000);
     }
 
     static boolean holds(Answer answer, List<String> condition) {
@@ -62,6 +71,10 @@
             case "has" -> answer.body().contains(condition.get(1));
             case "lacks" -> !answer.body().contains(condition.get(1));
             case "failed" -> answer.status() == 0;
+            case "within" -> answer.millis() <= Long.parseLong(condition.get(1));
+            case "count" -> Records.count(answer.body(), condition);
+            case "distinct" -> Records.distinct(answer.body(), condition);
+            case "exclusive" -> Records.exclusive(answer.body());
             case "json" -> compare(value(answer, condition.get(1)), condition);
             default -> false;
         };
--- a/testkit/src/main/java/org/peridotcourse/testkit/scenario/ScenarioRunner.java
+++ b/testkit/src/main/java/org/peridotcourse/testkit/scenario/ScenarioRunner.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.nio.file.Files;
@@ -10,6 +11,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.locks.LockSupport;
 import org.peridotcourse.testkit.scenario.HttpStep.Answer;
 
@@ -20,12 +22,16 @@
  * <<}, {@code start NAME PROGRAM ARGUMENT...}, {@code output NAME SECONDS TEXT}, {@code signal NAME
  * SIGNAL}, {@code exit NAME SECONDS CODE}, {@code call METHOD URL ... => CONDITION}, {@code await
  * SECONDS METHOD URL ... => CONDITION}, {@code async LABEL METHOD URL ...}, {@code join LABEL =>
- * CONDITION}, {@code save NAME POINTER METHOD URL}, {@code pause MILLIS}, {@code say TEXT}. {@code
- * ${NAME}} stands for a port, a file, or a saved value. Use one runner for one scenario; close it
- * to end every process that it started. Not thread-safe.
+ * CONDITION}, {@code save NAME POINTER METHOD URL}, {@code records SECONDS POINTER URL... =>
+ * CONDITION}, {@code result NAME SECONDS => CONDITION}, {@code raw ADDRESS SECONDS TEXT =>
+ * CONDITION}, {@code mark NAME}, {@code repeat NAME COUNT TEXT}, {@code pause MILLIS}, {@code say
+ * TEXT}. {@code ${NAME}} stands for a port, a file, or a saved value. Use one runner for one
+ * scenario; close it to end every process that it started. Not thread-safe.
  */
 public final class ScenarioRunner implements AutoCloseable {
     private static final long POLL_NANOS = 50_000_000;
+    private static final int FIRST_PORT = 10_000;
+    private static final int LAST_PORT = 32_000;
 
     private final Path root;
     private final Path scenarios;
@@ -35,6 +41,8 @@
     private final Map<String, CompletableFuture<Answer>> pending = new LinkedHashMap<>();
     private final HttpStep http = new HttpStep();
     private final StringBuilder transcript = new StringBuilder();
+    private String shown = "";
+    private int included;
 
     /**
      * Creates a runner.
@@ -88,27 +96,50 @@
 
     private void perform(Step raw) {
         Step step = new Step(raw.line(), expand(raw.text()), raw.block());
+        shown = shown(raw.text());
         List<String> words = step.arguments();
         switch (step.verb()) {
-            case "include" -> run(words.get(0));
+            case "include" -> include(words.get(0));
             case "port" -> words.forEach(name -> names.put(name, Integer.toString(freePort())));
             case "let" -> names.put(words.get(0), words.get(1));
             case "file" -> writeFile(words.get(0), step.block());
             case "start" -> start(words);
             case "output" -> awaitOutput(step, words);
-            case "signal" -> processes.get(words.get(0)).signal(words.get(1));
+            case "signal" -> {
+                processes.get(words.get(0)).signal(words.get(1));
+                note(shown);
+            }
             case "exit" -> checkExit(step, words);
             case "call" -> check(step, words, http.send(words).join());
             case "await" -> awaitAnswer(step, words);
-            case "async" -> pending.put(words.get(0), http.send(words.subList(1, words.size())));
+            case "async" -> {
+                pending.put(words.get(0), http.send(words.subList(1, words.size())));
+                note(shown);
+            }
             case "join" -> check(step, words, pending.remove(words.get(0)).join());
             case "save" -> save(words);
+            case "records" -> awaitRecords(step, words);
+            case "result" -> checkResult(step, words);
+            case "raw" -> {
+                int millis = (int) (Double.parseDouble(words.get(1)) * 1_000);
+                check(step, words, RawStep.send(words.get(0), millis, words.get(2)));
+            }
+            case "mark" -> names.put(words.get(0), Long.toString(System.currentTimeMillis()));
+            case "repeat" ->
+                    names.put(words.get(0), words.get(2).repeat(Integer.parseInt(words.get(1))));
             case "pause" -> LockSupport.parkNanos(Long.parseLong(words.get(0)) * 1_000_000);
-            case "say" -> note(String.join(" ", words));
+            case "say" -> transcript.append(String.join(" ", words)).append('\n');
             default -> throw new ScenarioFailure(step, "unknown verb");
         }
     }
 
+    /** Included files are the surroundings of the story, so only what they say is shown. */
+    private void include(String file) {
+        included++;
+        run(file);
+        included--;
+    }
+
     private void start(List<String> words) {
         String name = words.get(0);
         List<String> command =
@@ -145,7 +176,7 @@
                 throw new ScenarioFailure(step, answer.status() + " " + answer.body());
             }
         }
-        record(step, answer);
+        record(answer);
     }
 
     private void awaitAnswer(Step step, List<String> words) {
@@ -154,7 +185,7 @@
         while (true) {
             Answer answer = http.send(request).join();
             if (step.conditions().stream().allMatch(c -> HttpStep.holds(answer, c))) {
-                record(step, answer);
+                record(answer);
                 return;
             }
             if (System.nanoTime() > end) {
@@ -164,25 +195,55 @@
         }
     }
 
+    /** Joins the arrays of several records, and repeats that until the conditions hold. */
+    private void awaitRecords(Step step, List<String> words) {
+        long end = deadline(words.get(0));
+        while (true) {
+            List<String> bodies =
+                    words.subList(2, words.size()).stream()
+                            .map(url -> http.send(List.of("GET", url)).join().body())
+                            .toList();
+            Answer joined = Answer.of(Records.join(bodies, words.get(1)));
+            if (step.conditions().stream().allMatch(c -> HttpStep.holds(joined, c))) {
+                record(joined);
+                return;
+            }
+            if (System.nanoTime() > end) {
+                throw new ScenarioFailure(step, joined.body());
+            }
+            LockSupport.parkNanos(POLL_NANOS);
+        }
+    }
+
+    /** Checks the JSON line that the load client prints at its end. */
+    private void checkResult(Step step, List<String> words) {
+        RunningProcess process = processes.get(words.get(0));
+        process.exitCode((long) (Double.parseDouble(words.get(1)) * 1_000));
+        String output = process.output();
+        String line = output.substring(Math.max(0, output.indexOf("{\"sent\""))).strip();
+        check(step, words, Answer.of(line));
+    }
+
     private void save(List<String> words) {
         Answer answer = http.send(words.subList(2, words.size())).join();
         names.put(words.get(0), HttpStep.value(answer, words.get(1)));
     }
 
-    private void record(Step step, Answer answer) {
+    private void record(Answer answer) {
         String outcome = answer.header("Peridot-Outcome");
-        note(step.text() + (outcome.isEmpty() ? "" : "  [" + outcome + "]"));
+        note(shown + (outcome.isEmpty() ? "" : "  [" + outcome + "]"));
+    }
+
+    /** Values differ in each run, so the transcript has their names. */
+    private static String shown(String text) {
+        return text.replaceAll("(http://)?127[.]0[.]0[.]1:[$][{]([^}]+)[}]", "$2")
+                .replaceAll("[$][{]([^}]+)[}]", "$1");
     }
 
-    /** Ports differ in each run, so the transcript names them. */
     private void note(String line) {
-        String text = line;
-        for (Map.Entry<String, String> name : names.entrySet()) {
-            if (name.getValue().length() > 3) {
-                text = text.replace(name.getValue(), name.getKey());
-            }
+        if (included == 0) {
+            transcript.append("    ").append(line).append('\n');
         }
-        transcript.append(text).append('\n');
     }
 
     private void writeFile(String name, List<String> block) {
@@ -207,11 +268,24 @@
         return System.nanoTime() + (long) (Double.parseDouble(seconds) * 1e9);
     }
 
-    private static int freePort() {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return socket.getLocalPort();
-        } catch (IOException e) {
-            throw new UncheckedIOException(e);
+    /**
+     * Ports below the range of outgoing connections: a port that the system chose may become the
+     * local port of a connection before the process binds it.
+     */
+    private int freePort() {
+        while (true) {
+            int port = ThreadLocalRandom.current().nextInt(FIRST_PORT, LAST_PORT);
+            if (names.containsValue(Integer.toString(port))) {
+                continue;
+            }
+            try (ServerSocket socket =
+                    new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+                return socket.getLocalPort();
+            } catch (BindException e) {
+                continue;
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            }
         }
     }
 
