--- a/core/src/main/java/org/peridotcourse/placement/Outbox.java
+++ b/core/src/main/java/org/peridotcourse/placement/Outbox.java
@@ -71,9 +71,10 @@
 
     /** Extends the leases on a worker. */
     void renew(long nowMillis, Worker worker) {
-        // The margin covers the drift over one lease, which counts from the worker's clock reading:
-        // with an older reading the worker would still run when its lease counts as expired.
-        long readMillis = Math.min(nowMillis, worker.clock.receivedMillis());
+        // The margin covers the drift since the worker's clock reading. An older reading than that
+        // of the last report would let the worker run on when its lease counts as expired.
+        long readMillis =
+                Math.min(nowMillis, worker.clock.receivedMillis() + book.settings.reportMillis());
         long batch =
                 Math.min(
                         readMillis + OwnerSettings.BATCH_LEASE_MILLIS,
