Bound the bytes of responses in memory

Only request bodies counted against entry.max-buffered. Responses now count from their arrival until the caller has read them. Without room for 64 KiB more, new requests are refused with not-run, buffers-full; a response that does not fit is dropped as broken (502). Requests that already wait are still forwarded.

A caller that reads less than 16 KiB of its response within entry.read-timeout is closed and its bytes are counted back. An orderly close waits for the queue, so such a connection is terminated. A planned stop no longer closes a connection whose response is not sent completely.

The heap of a process with -Xmx24m was not measured.

--- a/core/src/main/java/org/peridotcourse/routing/NotRunReason.java
+++ b/core/src/main/java/org/peridotcourse/routing/NotRunReason.java
@@ -40,6 +40,8 @@
     CALLER_GONE(503, "caller-gone", "the caller closed its connection", false),
     /** A bounded ring between threads is full. */
     RING_FULL(503, "ring-full", "the entry host is overloaded", true),
+    /** The bodies in memory have reached their limit. */
+    BUFFERS_FULL(503, "buffers-full", "the entry host has no memory for the response", true),
     /** The entry host stops. */
     STOPPING(503, "stopping", "the entry host stops", true);
 
--- a/daemon/src/main/java/org/peridotcourse/daemon/entry/BackendLinks.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/entry/BackendLinks.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.CompletionException;
 import java.util.function.Consumer;
 import org.peridotcourse.BackendId;
+import org.peridotcourse.daemon.http.ByteBudget;
 import org.peridotcourse.daemon.http.ChannelException;
 import org.peridotcourse.daemon.http.ChannelFactory;
 import org.peridotcourse.daemon.http.ChannelFailure;
@@ -23,6 +24,7 @@
     private final ChannelFactory channels;
     private final Consumer<Runnable> post;
     private final Listener listener;
+    private volatile ByteBudget budget = ByteBudget.UNLIMITED;
     private final Map<Long, Link> links = new HashMap<>();
     private Map<BackendId, InetSocketAddress> addresses = Map.of();
 
@@ -70,6 +72,11 @@
      */
     record Attempt(String request, int number, long connection, BackendId backend) {}
 
+    /** Sets what bounds the bytes of responses on connections that are opened from now on. */
+    void limitBytes(ByteBudget limit) {
+        budget = limit;
+    }
+
     int size() {
         return links.size();
     }
@@ -86,7 +93,7 @@
             post.accept(() -> onOpened(connection, link, null));
             return;
         }
-        channels.connect(address)
+        channels.connect(address, budget)
                 .whenComplete(
                         (channel, error) -> post.accept(() -> onOpened(connection, link, channel)));
     }
@@ -176,6 +183,8 @@
         }
         link.busy = false;
         if (error == null) {
+            // From here on, the caller's connection counts the bytes.
+            link.channel.releaseAnswer();
             if (!reusable) {
                 link.channel.close();
             }
--- a/daemon/src/main/java/org/peridotcourse/daemon/entry/BodyFilter.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/entry/BodyFilter.java
@@ -47,7 +47,8 @@
             return refuse(context, state, NotRunReason.BODY_TOO_LARGE, 0);
         }
         if (!state.reserve(size, budget)) {
-            return refuse(context, state, NotRunReason.RING_FULL, EntryHandler.RETRY_AFTER_MILLIS);
+            return refuse(
+                    context, state, NotRunReason.BUFFERS_FULL, EntryHandler.RETRY_AFTER_MILLIS);
         }
         if (content.isLast()) {
             return context.getInvokeAction();
--- a/daemon/src/main/java/org/peridotcourse/daemon/entry/CallerConnection.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/entry/CallerConnection.java
@@ -4,6 +4,7 @@
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.memory.Buffers;
+import org.glassfish.grizzly.nio.NIOConnection;
 
 /**
  * What the entry host knows of one connection of a caller: whether a request is arriving, being
@@ -13,12 +14,25 @@
     /** Time for a caller to read a refusal before its connection is closed. */
     private static final long LINGER_MILLIS = 500;
 
+    /** Bytes within the read time-out by which a caller shows that it reads its response. */
+    private static final int READ_STEP = 16 * 1024;
+
     private final Connection<?> connection;
     private Phase phase = Phase.IDLE;
     private long since;
     private int headBytes;
     private int reserved;
     private Runnable gone;
+    private boolean closed;
+
+    /** Bytes of responses that are not written to the connection yet. */
+    private int unwritten;
+
+    /** Bytes of responses that wait in the connection's queue for the caller to read. */
+    private int unsent;
+
+    private int unsentMark;
+    private long unsentSince;
 
     CallerConnection(Connection<?> connection, long now) {
         this.connection = connection;
@@ -42,7 +56,7 @@
     }
 
     synchronized boolean isIdleFor(long now, long millis) {
-        return phase == Phase.IDLE && now - since >= millis;
+        return phase == Phase.IDLE && unwritten + unsent == 0 && now - since >= millis;
     }
 
     /** Returns the number of bytes that arrived since the current head began. */
@@ -102,6 +116,57 @@
         return true;
     }
 
+    /** Counts the body of a response until the caller has read it. */
+    synchronized void onAnswer(int bytes, BodyBudget budget) {
+        if (!closed) {
+            unwritten += bytes;
+            budget.count(bytes);
+        }
+    }
+
+    /** Notes that a response went into the connection's queue. */
+    synchronized void onWritten(int bytes, BodyBudget budget, long now) {
+        if (closed) {
+            return;
+        }
+        if (unsent == 0) {
+            unsentSince = now;
+        }
+        unwritten -= bytes;
+        unsent += bytes;
+        unsentMark = unsent;
+        settle(budget, now);
+    }
+
+    /**
+     * Gives the bytes that the caller has read back to the budget. Only steps of some size restart
+     * the time, since a caller that reads single bytes holds memory as well.
+     */
+    private void settle(BodyBudget budget, long now) {
+        int left =
+                Math.min(unsent, ((NIOConnection) connection).getAsyncWriteQueue().spaceInBytes());
+        budget.release(unsent - left);
+        unsent = left;
+        if (unsentMark - left >= READ_STEP) {
+            unsentMark = left;
+            unsentSince = now;
+        }
+    }
+
+    /** Closes the connection of a caller that does not read its responses; true if it did. */
+    synchronized boolean closeIfUnread(BodyBudget budget, long now, long readTimeout) {
+        if (closed || unsent == 0) {
+            return false;
+        }
+        settle(budget, now);
+        if (unsent == 0 || now - unsentSince < readTimeout) {
+            return false;
+        }
+        // An orderly close would wait until the caller has read what is queued.
+        connection.terminateSilently();
+        return true;
+    }
+
     private void release(BodyBudget budget) {
         budget.release(reserved);
         reserved = 0;
@@ -111,6 +176,10 @@
         Runnable listener;
         synchronized (this) {
             release(budget);
+            budget.release(unwritten + unsent);
+            unwritten = 0;
+            unsent = 0;
+            closed = true;
             listener = gone;
             gone = null;
         }
@@ -158,8 +227,8 @@
     }
 
     private void closeAfter(long age, long limit) {
-        if (age >= limit) {
-            connection.closeSilently();
+        if (age >= limit && unwritten + unsent == 0) {
+            connection.terminateSilently();
         }
     }
 }
--- a/daemon/src/main/java/org/peridotcourse/daemon/entry/CallerExchange.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/entry/CallerExchange.java
@@ -83,6 +83,7 @@
         if (!answered.compareAndSet(false, true)) {
             return;
         }
+        state.onAnswer(answer.body().length, budget);
         NIOConnection connection = (NIOConnection) request.getContext().getConnection();
         connection
                 .getSelectorRunner()
@@ -119,5 +120,6 @@
             state.close();
         }
         response.resume();
+        state.onWritten(answer.body().length, budget, clock.getAsLong());
     }
 }
--- a/daemon/src/main/java/org/peridotcourse/daemon/entry/CallerGuard.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/entry/CallerGuard.java
@@ -54,6 +54,10 @@
         return connections.size();
     }
 
+    long buffered() {
+        return budget.used();
+    }
+
     @Override
     public NextAction handleAccept(FilterChainContext context) throws IOException {
         Connection<?> connection = context.getConnection();
@@ -117,6 +121,7 @@
         long now = clock.getAsLong();
         int refused = 0;
         for (CallerConnection state : connections) {
+            state.closeIfUnread(budget, now, readTimeoutMillis);
             if (state.sweep(now, readTimeoutMillis, IDLE_TIMEOUT_MILLIS, refusal)) {
                 refused++;
             }
--- a/daemon/src/main/java/org/peridotcourse/daemon/entry/EntryServer.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/entry/EntryServer.java
@@ -92,6 +92,11 @@
         return guard.sweep(() -> Answers.notRun(ids.next(), NotRunReason.SLOW_CALLER, 0));
     }
 
+    /** Returns the bytes of requests and responses in memory. */
+    long buffered() {
+        return guard.buffered();
+    }
+
     /** Asks callers to close their connections after the next response. */
     public void closeConnections() {
         handler.closeConnections();
--- a/daemon/src/main/java/org/peridotcourse/daemon/entry/EntryService.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/entry/EntryService.java
@@ -102,6 +102,8 @@
                         settings.number(SettingKey.MAX_CONNECTIONS),
                         settings.millis(SettingKey.READ_TIMEOUT));
         BodyBudget budget = new BodyBudget(settings.number(SettingKey.MAX_BUFFERED));
+        router.limitBytes(budget);
+        around.metrics().gauge("peridot_buffered_bytes", budget::used);
         EntryHandler handler = new EntryHandler(requestIds, router, jobs, budget, around.clock());
         return new EntryServer(
                 settings.address(SettingKey.ENTRY_ADDRESS),
@@ -148,6 +150,11 @@
         return router.held() + router.ringSize() + keys.pending() + jobs.pending();
     }
 
+    /** Returns the bytes of requests and responses in memory. */
+    long buffered() {
+        return server.buffered();
+    }
+
     /**
      * Starts the threads and opens the port.
      *
--- a/daemon/src/main/java/org/peridotcourse/daemon/entry/RouterDuty.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/entry/RouterDuty.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.peridotcourse.BackendId;
@@ -20,6 +21,7 @@
 import org.peridotcourse.routing.ClaimResult;
 import org.peridotcourse.routing.CustomerInfo;
 import org.peridotcourse.routing.EntryHosts;
+import org.peridotcourse.routing.NotRunReason;
 import org.peridotcourse.routing.RequestKind;
 import org.peridotcourse.routing.RequestRouter;
 import org.peridotcourse.routing.RoutingAction;
@@ -56,6 +58,7 @@
     private volatile int heldCount;
     private volatile int linkCount;
     private volatile EntryView view = EntryView.EMPTY;
+    private volatile BooleanSupplier exhausted = () -> false;
     private volatile Runnable sweep = () -> {};
     private long nextSweep;
 
@@ -133,6 +136,12 @@
         sweep = action;
     }
 
+    /** Bounds the bytes of responses, and refuses requests while there is no room for more. */
+    void limitBytes(BodyBudget budget) {
+        links.limitBytes(budget);
+        exhausted = budget::isExhausted;
+    }
+
     /**
      * Replaces what is known of customers and services.
      *
@@ -265,6 +274,9 @@
 
     private void begin(CallerRequest request, Caller caller, long startNanos) {
         Optional<Failure> refusal = view.refusal(request.customer(), request.service());
+        if (refusal.isEmpty() && exhausted.getAsBoolean()) {
+            refusal = Optional.of(NotRunReason.BUFFERS_FULL);
+        }
         if (refusal.isPresent()) {
             actions.refuse(request, caller, refusal.get(), startNanos);
             return;
--- a/daemon/src/main/java/org/peridotcourse/daemon/http/ChannelFactory.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/http/ChannelFactory.java
@@ -60,12 +60,24 @@
      * @return a future of the channel; it fails with {@link ChannelFailure#CONNECT_FAILED}
      */
     public CompletableFuture<HttpChannel> connect(InetSocketAddress address) {
+        return connect(address, ByteBudget.UNLIMITED);
+    }
+
+    /**
+     * Opens a connection whose answers count against a budget.
+     *
+     * @param address the other side
+     * @param budget bounds the bytes of answers; one that exceeds it counts as broken
+     * @return a future of the channel; it fails with {@link ChannelFailure#CONNECT_FAILED}
+     */
+    public CompletableFuture<HttpChannel> connect(InetSocketAddress address, ByteBudget budget) {
         CompletableFuture<HttpChannel> opened = new CompletableFuture<>();
         CompletionHandler<Connection> handler =
                 new EmptyCompletionHandler<>() {
                     @Override
                     public void completed(Connection connection) {
-                        HttpChannel channel = new HttpChannel(connection, address, maxBodyBytes);
+                        HttpChannel channel =
+                                new HttpChannel(connection, address, maxBodyBytes, budget);
                         ChannelFilter.attach(connection, channel);
                         if (!opened.complete(channel)) {
                             channel.close();
--- a/daemon/src/main/java/org/peridotcourse/daemon/http/HttpChannel.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/http/HttpChannel.java
@@ -28,6 +28,7 @@
     private final Connection<?> connection;
     private final InetSocketAddress address;
     private final int maxBodyBytes;
+    private final ByteBudget budget;
 
     private CompletableFuture<HttpReply> pending;
     private ByteArrayOutputStream body;
@@ -35,8 +36,14 @@
     private boolean closed;
     private boolean keepAlive = true;
     private long bytesRead;
+    private long reserved;
 
-    HttpChannel(Connection<?> connection, InetSocketAddress address, int maxBodyBytes) {
+    HttpChannel(
+            Connection<?> connection,
+            InetSocketAddress address,
+            int maxBodyBytes,
+            ByteBudget budget) {
+        this.budget = budget;
         this.connection = connection;
         this.address = address;
         this.maxBodyBytes = maxBodyBytes;
@@ -100,6 +107,7 @@
                         new ChannelException(ChannelFailure.CLOSED_BEFORE_SEND));
                 return reply;
             }
+            releaseAnswer();
             pending = reply;
             body = new ByteArrayOutputStream();
         }
@@ -116,6 +124,15 @@
         finish(reason);
     }
 
+    /**
+     * Gives the bytes of the last answer back to the budget. The caller calls it when it has taken
+     * the answer over; the next request and the end of the channel do the same.
+     */
+    public synchronized void releaseAnswer() {
+        budget.release(reserved);
+        reserved = 0;
+    }
+
     /** Closes the connection. An outstanding request fails with {@code ABANDONED}. */
     public void close() {
         finish(ChannelFailure.ABANDONED);
@@ -185,9 +202,10 @@
     private boolean append(Buffer part) {
         int size = part.remaining();
         bytesRead += size;
-        if (body.size() + size > maxBodyBytes) {
+        if (body.size() + size > maxBodyBytes || !budget.take(size)) {
             return false;
         }
+        reserved += size;
         byte[] bytes = new byte[size];
         part.get(bytes);
         body.write(bytes, 0, size);
@@ -227,6 +245,7 @@
         CompletableFuture<HttpReply> failed;
         synchronized (this) {
             closed = true;
+            releaseAnswer();
             idleCloseListener = null;
             failed = pending;
             pending = null;
--- a/daemon/src/main/java/org/peridotcourse/daemon/settings/SettingKey.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/settings/SettingKey.java
@@ -53,14 +53,14 @@
             1_024,
             1 << 22,
             "Largest body of a backend server's answer; a larger one counts as broken (502)."),
-    /** Bytes of all requests in memory. */
+    /** Bytes of all requests and responses in memory. */
     MAX_BUFFERED(
             "entry.max-buffered",
             SettingType.SIZE,
             "6MiB",
             1 << 20,
             1 << 28,
-            "Bodies of all requests in memory; beyond it, requests with a body are refused (503)."),
+            "Bodies of requests and responses in memory; beyond it, requests are refused (503)."),
     /** Largest number of callers' connections. */
     MAX_CONNECTIONS(
             "entry.max-connections",
--- /dev/null
+++ b/daemon/src/test/java/org/peridotcourse/daemon/entry/BufferedBytesTest.java
@@ -0,0 +1,71 @@
+package org.peridotcourse.daemon.entry;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Guards against responses that nobody reads and that fill the memory of the entry host. */
+class BufferedBytesTest {
+    private static final String LARGE = "GET /r/shop/despacho/large HTTP/1.1\r\nHost: a\r\n\r\n";
+
+    @Test
+    void callersThatDoNotReadAreClosedAndTheirBytesCountedBack() throws Exception {
+        String large = "z".repeat(1_000_000);
+        try (FakeBackend backend = new FakeBackend();
+                EntryFixture entry = new EntryFixture("e1", new FakeTableStore()).with(backend)) {
+            backend.script(
+                    (request, out) ->
+                            FakeBackend.send(
+                                    out,
+                                    request,
+                                    200,
+                                    "",
+                                    request.line().contains("large") ? large : "small"));
+            List<Socket> unread = new ArrayList<>();
+            try {
+                for (int i = 0; i < 12; i++) {
+                    Socket socket = new Socket();
+                    unread.add(socket);
+                    socket.setReceiveBufferSize(4096);
+                    socket.connect(new InetSocketAddress("127.0.0.1", entry.service.port()));
+                    // The system's own buffers take several responses of a connection.
+                    socket.getOutputStream()
+                            .write(LARGE.repeat(12).getBytes(StandardCharsets.US_ASCII));
+                }
+                EntryFixture.await(
+                        "requests are refused", () -> isBounded(entry) && refused(entry) > 0);
+                EntryFixture.await("a caller is closed", () -> entry.service.callers() < 12);
+                EntryFixture.await("bytes are counted back", () -> entry.service.buffered() == 0);
+                assertEquals("small", entry.get(EntryFixture.PATH).body());
+            } finally {
+                for (Socket socket : unread) {
+                    socket.close();
+                }
+            }
+        }
+    }
+
+    private static long refused(EntryFixture entry) {
+        return entry.counter(
+                "peridot_requests_total",
+                "kind",
+                "idempotent",
+                "outcome",
+                "not-run",
+                "reason",
+                "buffers-full");
+    }
+
+    private static boolean isBounded(EntryFixture entry) {
+        // Responses that are passed on while others arrive may exceed the 6 MiB by one each.
+        long bytes = entry.service.buffered();
+        assertTrue(bytes < 8 << 20, "buffered " + bytes);
+        return true;
+    }
+}
