--- a/core/src/main/java/org/peridotcourse/RequestKey.java
+++ b/core/src/main/java/org/peridotcourse/RequestKey.java
@@ -1,36 +1,51 @@
 package org.peridotcourse;
 
-import org.peridotcourse.base.StringId;
+import java.util.regex.Pattern;
+import org.peridotcourse.base.InvalidIdException;
 
 /**
  * Names a request for the purpose of running it at most once.
  *
  * <p>Instances are immutable and thread-safe.
  *
- * @param value the text of the identifier
+ * @param value 1 to 64 letters, digits, dots, underscores or hyphens
  */
 public record RequestKey(String value) implements Comparable<RequestKey> {
+    private static final Pattern KEY = Pattern.compile("[A-Za-z0-9._-]{1,64}");
+
     /**
      * Checks the text.
      *
-     * @throws org.peridotcourse.base.InvalidIdException if the text is not an identifier of one
-     *     part
+     * @throws InvalidIdException if the text is not a request key
      */
     public RequestKey {
-        StringId.check(value);
+        if (!isValid(value)) {
+            throw new InvalidIdException(value);
+        }
     }
 
     /**
-     * Returns the identifier with the given text.
+     * Returns the key with the given text.
      *
-     * @param value an identifier of one part
-     * @return the identifier
-     * @throws org.peridotcourse.base.InvalidIdException if the text is not valid
+     * @param value the text
+     * @return the key
+     * @throws InvalidIdException if the text is not valid
      */
     public static RequestKey of(String value) {
         return new RequestKey(value);
     }
 
+    /**
+     * Tells whether a text is a request key. Unlike an identifier, it may start with any of its
+     * characters.
+     *
+     * @param text the text, may be null
+     * @return true if it is valid
+     */
+    public static boolean isValid(String text) {
+        return text != null && KEY.matcher(text).matches();
+    }
+
     @Override
     public int compareTo(RequestKey other) {
         return value.compareTo(other.value);
--- a/daemon/src/main/java/org/peridotcourse/daemon/entry/RequestParser.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/entry/RequestParser.java
@@ -21,7 +21,6 @@
  */
 final class RequestParser {
     private static final Set<String> METHODS = Set.of("GET", "POST");
-    private static final Pattern KEY = Pattern.compile("[A-Za-z0-9._-]{1,64}");
     private static final Pattern NUMBER = Pattern.compile("[0-9]{1,9}");
     private static final long MIN_DEADLINE = 10;
     private static final long MAX_DEADLINE = 60_000;
@@ -64,7 +63,7 @@
             return malformed("Peridot-Kind must be idempotent, non-idempotent or watch");
         }
         Optional<String> key = single(headers, Headers.KEY);
-        if (key.isPresent() && !(KEY.matcher(key.get()).matches() && isKeyId(key.get()))) {
+        if (key.isPresent() && !RequestKey.isValid(key.get())) {
             return malformed("Peridot-Key must be 1 to 64 letters, digits, '.', '_' or '-'");
         }
         Optional<String> deadline = single(headers, Headers.DEADLINE);
@@ -112,11 +111,6 @@
         return Optional.empty();
     }
 
-    /** A request key is also an identifier, which starts with a letter or digit. */
-    private static boolean isKeyId(String key) {
-        return StringId.isValid(key);
-    }
-
     private static RequestKind defaultKind(String method) {
         return method.equals("GET") ? RequestKind.IDEMPOTENT : RequestKind.NON_IDEMPOTENT;
     }
