Refuse job names that are reserved for replicas of services

A job whose name begins with 'service.' would be taken for a group of replicas. PUT, GET and DELETE of such a name get 400 malformed.

--- a/daemon/src/main/java/org/peridotcourse/daemon/entry/JobRequest.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/entry/JobRequest.java
@@ -35,6 +35,9 @@
     /** A row must stay small enough for the table service. */
     private static final int MAX_PAYLOAD = 64 * 1024;
 
+    /** Start of the names under which the placement owner keeps replicas of services. */
+    private static final String RESERVED = "service.";
+
     private JobRequest() {}
 
     /**
@@ -55,6 +58,9 @@
         if (parts.length != 4 || !StringId.isValid(parts[2]) || !StringId.isValid(parts[3])) {
             return malformed("the path must be /jobs/<customer>/<job>");
         }
+        if (parts[3].startsWith(RESERVED)) {
+            return malformed("job names that begin with " + RESERVED + " are reserved");
+        }
         return Result.ok(new Name(CustomerId.of(parts[2]), parts[3]));
     }
 
--- a/daemon/src/test/java/org/peridotcourse/daemon/entry/JobDutyTest.java
+++ b/daemon/src/test/java/org/peridotcourse/daemon/entry/JobDutyTest.java
@@ -69,6 +69,8 @@
             assertEquals("400 malformed", put("/jobs/shop/j1", body), body);
         }
         assertEquals("400 malformed", put("/jobs/shop", JOB));
+        // A job under such a name would be taken for the replicas of a service.
+        assertEquals("400 malformed", put("/jobs/shop/service.despacho", JOB));
         assertEquals("400 malformed", call("PATCH", "/jobs/shop/j1", JOB));
         assertEquals("404 unknown-customer", put("/jobs/nobody/j1", JOB));
         assertEquals(0, store.writes());
