Keep connections open after a 503, test leaving callers and watches

Grizzly's statusDropsConnection closes a connection after each 503, so every refused caller reconnects. The codec restores keep-alive for 503 responses to requests that were read whole, unless the caller asked for a close or the daemon stops. 400, 500 and the refusals of unreadable requests still close.

New tests show that a caller that leaves while its request waits frees its place, and that a planned stop cuts no watch segment. Both needed no change.

--- a/daemon/src/main/java/org/peridotcourse/daemon/entry/CallerCodec.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/entry/CallerCodec.java
@@ -6,6 +6,8 @@
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.filterchain.FilterChainContext;
 import org.glassfish.grizzly.http.HttpHeader;
+import org.glassfish.grizzly.http.HttpRequestPacket;
+import org.glassfish.grizzly.http.HttpResponsePacket;
 import org.glassfish.grizzly.http.HttpServerFilter;
 import org.glassfish.grizzly.http.KeepAlive;
 import org.glassfish.grizzly.http.util.MimeHeaders;
@@ -20,6 +22,7 @@
  */
 final class CallerCodec extends HttpServerFilter {
     private static final int MAX_HEADERS = 200;
+    private static final String KEEP_OPEN = "peridotcourse.keep-open";
 
     private final int maxHead;
     private final BiFunction<NotRunReason, String, CallerAnswer> refusals;
@@ -65,6 +68,25 @@
         super.onHttpHeadersParsed(head, headers, context);
     }
 
+    /** Lets a connection stay open after a response that Grizzly would close it for. */
+    static void keepOpen(HttpRequestPacket request) {
+        request.setAttribute(KEEP_OPEN, Boolean.TRUE);
+    }
+
+    /**
+     * Grizzly closes a connection after each 503, but a refused caller that has to connect again
+     * makes an overload worse. The request was read whole, so the next one begins after it.
+     */
+    @Override
+    protected void onInitialLineEncoded(HttpHeader head, FilterChainContext context) {
+        super.onInitialLineEncoded(head, context);
+        HttpResponsePacket response = (HttpResponsePacket) head;
+        if (response.getStatus() == 503 && response.getRequest().getAttribute(KEEP_OPEN) != null) {
+            response.getProcessingState().setKeepAlive(true);
+            response.getHeaders().removeHeader("Connection");
+        }
+    }
+
     @Override
     protected void onHttpHeaderError(HttpHeader head, FilterChainContext context, Throwable cause)
             throws IOException {
--- a/daemon/src/main/java/org/peridotcourse/daemon/entry/CallerExchange.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/entry/CallerExchange.java
@@ -111,6 +111,8 @@
                         });
         if (closing) {
             response.setHeader("Connection", "close");
+        } else if (request.getRequest().getProcessingState().isKeepAlive()) {
+            CallerCodec.keepOpen(request.getRequest());
         }
         response.setContentLength(answer.body().length);
         state.endWork(budget, clock.getAsLong());
--- a/daemon/src/test/java/org/peridotcourse/daemon/entry/EntryStopTest.java
+++ b/daemon/src/test/java/org/peridotcourse/daemon/entry/EntryStopTest.java
@@ -6,7 +6,10 @@
 import java.net.http.HttpResponse;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -60,6 +63,46 @@
         }
     }
 
+    @Test
+    void stopCutsNoWatchSegment() throws Exception {
+        try (FakeBackend backend = new FakeBackend();
+                EntryFixture entry = new EntryFixture("e1", new FakeTableStore()).with(backend)) {
+            CountDownLatch end = new CountDownLatch(1);
+            backend.script(
+                    (request, out) -> {
+                        end.await(10, TimeUnit.SECONDS);
+                        return FakeBackend.send(out, request, 200, "", "cursor-7");
+                    });
+            CompletableFuture<HttpResponse<String>> watch =
+                    CompletableFuture.supplyAsync(() -> watch(entry));
+            EntryFixture.await("the watch runs", () -> backend.received().size() == 1);
+            entry.service.prepareStop();
+            entry.service.closePort();
+            // Longer than the grace after which connections without a request are closed.
+            long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(1_500);
+            EntryFixture.await(
+                    "the segment outlasts the grace",
+                    () -> entry.service.closeIdle() >= 0 && System.nanoTime() > until);
+            assertEquals(1, entry.service.closeIdle(), "the connection of the watch stays");
+            end.countDown();
+            HttpResponse<String> segment = watch.get(10, TimeUnit.SECONDS);
+            assertEquals(200, segment.statusCode());
+            assertEquals("cursor-7", segment.body());
+            EntryFixture.await(
+                    "the stop ends",
+                    () -> entry.service.closeIdle() == 0 && entry.service.pending() == 0);
+        }
+    }
+
+    private static HttpResponse<String> watch(EntryFixture entry) {
+        try {
+            return entry.get(
+                    EntryFixture.PATH, "Peridot-Kind", "watch", "Peridot-Segment-Ms", "10000");
+        } catch (Exception cut) {
+            throw new CompletionException(cut);
+        }
+    }
+
     /** Calls until the load balancer has seen that the host is not ready. */
     private static void call(
             EntryFixture entry,
--- a/daemon/src/test/java/org/peridotcourse/daemon/entry/RequestPathTest.java
+++ b/daemon/src/test/java/org/peridotcourse/daemon/entry/RequestPathTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.net.Socket;
 import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -129,6 +130,18 @@
                 () -> statusAndOutcome("x").equals("503 not-run"));
     }
 
+    @Test
+    void refusalKeepsTheConnectionOpenUnlessTheCallerWantsItClosed() throws Exception {
+        // Refused callers that have to connect again would make an overload worse.
+        backend.close();
+        EntryFixture.await(
+                "requests are refused", () -> statusAndOutcome("x").equals("503 not-run"));
+        String head = "GET " + EntryFixture.PATH + " HTTP/1.1\r\nHost: a\r\n";
+        String found = entry.raw((head + "\r\n").repeat(3) + head + "Connection: close\r\n\r\n");
+        assertEquals(5, found.split("HTTP/1.1 503", -1).length, found);
+        assertEquals(2, found.split("Connection: close", -1).length, found);
+    }
+
     @Test
     void answersAtTheDeadlineAndNeverDeliversTheLateResponse() throws Exception {
         CountDownLatch release = new CountDownLatch(1);
@@ -192,6 +205,43 @@
         }
     }
 
+    @Test
+    void callerThatLeavesWhileItsRequestWaitsFreesItsPlace() throws Exception {
+        CountDownLatch end = new CountDownLatch(1);
+        backend.script(
+                (request, out) -> {
+                    end.await(10, TimeUnit.SECONDS);
+                    return FakeBackend.ok(request, out);
+                });
+        List<Socket> callers = new ArrayList<>();
+        try {
+            for (int i = 0; i < 9; i++) {
+                Socket caller = entry.open();
+                callers.add(caller);
+                caller.getOutputStream()
+                        .write(
+                                ("POST "
+                                                + EntryFixture.PATH
+                                                + " HTTP/1.1\r\nHost: a\r\n"
+                                                + "Peridot-Deadline-Ms: 60000\r\n\r\n")
+                                        .getBytes(StandardCharsets.US_ASCII));
+                int held = i + 1;
+                EntryFixture.await("request is held", () -> entry.service.pending() == held);
+            }
+            EntryFixture.await("all slots are taken", () -> backend.received().size() == 8);
+            callers.get(8).close();
+            EntryFixture.await("its place is free", () -> entry.service.pending() == 8);
+            end.countDown();
+            EntryFixture.await("the others end", () -> entry.service.pending() == 0);
+            assertEquals(8, backend.received().size(), "forwarded for a caller that left");
+        } finally {
+            end.countDown();
+            for (Socket caller : callers) {
+                caller.close();
+            }
+        }
+    }
+
     @Test
     void watchesTakeConnectionsButNoSlots() throws Exception {
         CountDownLatch end = new CountDownLatch(1);
