--- a/daemon/src/main/java/org/peridotcourse/daemon/entry/CallerExchange.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/entry/CallerExchange.java
@@ -83,6 +83,7 @@
         if (!answered.compareAndSet(false, true)) {
             return;
         }
+        state.onAnswer(answer.body().length, budget);
         NIOConnection connection = (NIOConnection) request.getContext().getConnection();
         connection
                 .getSelectorRunner()
@@ -110,6 +111,8 @@
                         });
         if (closing) {
             response.setHeader("Connection", "close");
+        } else if (request.getRequest().getProcessingState().isKeepAlive()) {
+            CallerCodec.keepOpen(request.getRequest());
         }
         response.setContentLength(answer.body().length);
         state.endWork(budget, clock.getAsLong());
@@ -119,5 +122,6 @@
             state.close();
         }
         response.resume();
+        state.onWritten(answer.body().length, budget, clock.getAsLong());
     }
 }
