Measure capacity again with a challenge a second; lower the bound of callers' connections

Cause: lease challenges fell to 1/s; 4,000 connections of callers do not fit a heap of 24 MB (the daemon ended with OutOfMemoryError at 1,138 connections on a machine with a load of 29 to 37). Change: the sheet counts one challenge a second; entry.max-connections defaults to 600.

--- a/bench/src/main/java/org/peridotcourse/bench/CapacitySheet.java
+++ b/bench/src/main/java/org/peridotcourse/bench/CapacitySheet.java
@@ -6,7 +6,7 @@
 /** Computes the figures at the two-year size from the measured lines. Confined to one thread. */
 final class CapacitySheet {
     /** Steps of the placement duty's store thread that read a lease row that another holds. */
-    private static final double PLACEMENT_CHALLENGES = 10;
+    private static final double PLACEMENT_CHALLENGES = 1;
 
     /** A read of a lease row: heads, and the row with its value. */
     private static final double LEASE_BYTES = Heads.BYTES + 200;
@@ -158,7 +158,7 @@
                 "lease challengers",
                 "two lease rows",
                 challenger(PLACEMENT_CHALLENGES + 1),
-                "HTTP read of a row, 10/s for placement, 1/s for the acceptor",
+                "HTTP read of a row, 1/s each for placement and for the acceptor",
                 LEASES);
         role(
                 "entry of requests",
--- a/daemon/src/main/java/org/peridotcourse/daemon/settings/SettingKey.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/settings/SettingKey.java
@@ -65,7 +65,7 @@
     MAX_CONNECTIONS(
             "entry.max-connections",
             SettingType.COUNT,
-            "4000",
+            "600",
             16,
             100_000,
             "Open connections of callers; further ones are closed at once."),
