Hold the catalogue entry of each event in one record

Cause: six enums of events repeated the same four fields and accessors. Change: EventInfo holds number, name, level and description; Event reads them from it. Inline package names became imports.

--- a/daemon/src/main/java/org/peridotcourse/daemon/ProcessEvent.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/ProcessEvent.java
@@ -2,6 +2,7 @@
 
 import java.lang.System.Logger.Level;
 import org.peridotcourse.daemon.log.Event;
+import org.peridotcourse.daemon.log.EventInfo;
 
 /** Log records about the process itself. Constants are immutable and thread-safe. */
 public enum ProcessEvent implements Event {
@@ -33,35 +34,14 @@
     STOP_STEP_FAILED(
             9006, "stop.failed", Level.WARNING, "A step of the stop failed; fields step, fault");
 
-    private final int number;
-    private final String title;
-    private final Level level;
-    private final String description;
+    private final EventInfo info;
 
     ProcessEvent(int number, String title, Level level, String description) {
-        this.number = number;
-        this.title = title;
-        this.level = level;
-        this.description = description;
+        this.info = new EventInfo(number, title, level, description);
     }
 
     @Override
-    public int number() {
-        return number;
-    }
-
-    @Override
-    public String title() {
-        return title;
-    }
-
-    @Override
-    public Level level() {
-        return level;
-    }
-
-    @Override
-    public String description() {
-        return description;
+    public EventInfo info() {
+        return info;
     }
 }
--- a/daemon/src/main/java/org/peridotcourse/daemon/control/ConfigEvent.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/control/ConfigEvent.java
@@ -2,6 +2,7 @@
 
 import java.lang.System.Logger.Level;
 import org.peridotcourse.daemon.log.Event;
+import org.peridotcourse.daemon.log.EventInfo;
 
 /** Log records of configuration and leases. Constants are immutable and thread-safe. */
 public enum ConfigEvent implements Event {
@@ -57,35 +58,14 @@
             Level.ERROR,
             "A step ended with an unexpected exception; fields thread, duty, error");
 
-    private final int number;
-    private final String title;
-    private final Level level;
-    private final String description;
+    private final EventInfo info;
 
     ConfigEvent(int number, String title, Level level, String description) {
-        this.number = number;
-        this.title = title;
-        this.level = level;
-        this.description = description;
+        this.info = new EventInfo(number, title, level, description);
     }
 
     @Override
-    public int number() {
-        return number;
-    }
-
-    @Override
-    public String title() {
-        return title;
-    }
-
-    @Override
-    public Level level() {
-        return level;
-    }
-
-    @Override
-    public String description() {
-        return description;
+    public EventInfo info() {
+        return info;
     }
 }
--- a/daemon/src/main/java/org/peridotcourse/daemon/entry/RequestEvent.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/entry/RequestEvent.java
@@ -2,6 +2,7 @@
 
 import java.lang.System.Logger.Level;
 import org.peridotcourse.daemon.log.Event;
+import org.peridotcourse.daemon.log.EventInfo;
 
 /** Log records about callers' requests. Constants are immutable and thread-safe. */
 public enum RequestEvent implements Event {
@@ -112,35 +113,14 @@
             Level.DEBUG,
             "The caller closed its connection before the response; fields request");
 
-    private final int number;
-    private final String title;
-    private final Level level;
-    private final String description;
+    private final EventInfo info;
 
     RequestEvent(int number, String title, Level level, String description) {
-        this.number = number;
-        this.title = title;
-        this.level = level;
-        this.description = description;
+        this.info = new EventInfo(number, title, level, description);
     }
 
     @Override
-    public int number() {
-        return number;
-    }
-
-    @Override
-    public String title() {
-        return title;
-    }
-
-    @Override
-    public Level level() {
-        return level;
-    }
-
-    @Override
-    public String description() {
-        return description;
+    public EventInfo info() {
+        return info;
     }
 }
--- a/daemon/src/main/java/org/peridotcourse/daemon/http/ChannelFailure.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/http/ChannelFailure.java
@@ -1,5 +1,6 @@
 package org.peridotcourse.daemon.http;
 
+import java.util.Locale;
 import org.peridotcourse.Failure;
 
 /**
@@ -41,7 +42,7 @@
 
     @Override
     public String code() {
-        return name().toLowerCase(java.util.Locale.ROOT).replace('_', '-');
+        return name().toLowerCase(Locale.ROOT).replace('_', '-');
     }
 
     @Override
--- a/daemon/src/main/java/org/peridotcourse/daemon/http/HttpChannel.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/http/HttpChannel.java
@@ -2,6 +2,7 @@
 
 import java.io.ByteArrayOutputStream;
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
@@ -217,7 +218,7 @@
         MimeHeaders mime = head.getHeaders();
         for (int i = 0; i < mime.size(); i++) {
             String name = mime.getName(i).toString().toLowerCase(Locale.ROOT);
-            headers.computeIfAbsent(name, key -> new java.util.ArrayList<>(1))
+            headers.computeIfAbsent(name, key -> new ArrayList<>(1))
                     .add(mime.getValue(i).toString());
         }
         List<String> connectionHeader = headers.getOrDefault("connection", List.of());
--- a/daemon/src/main/java/org/peridotcourse/daemon/log/Event.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/log/Event.java
@@ -10,31 +10,46 @@
  * 9000 process. Implementations are immutable and thread-safe.
  */
 public interface Event {
+    /**
+     * Returns what the catalogue says of this event.
+     *
+     * @return number, name, level and description
+     */
+    EventInfo info();
+
     /**
      * Returns the number, unique among all events and never reused.
      *
      * @return the number
      */
-    int number();
+    default int number() {
+        return info().number();
+    }
 
     /**
      * Returns the short name, such as {@code request.routed}.
      *
      * @return area and past participle, joined by a dot
      */
-    String title();
+    default String title() {
+        return info().title();
+    }
 
     /**
      * Returns the level at which records of this kind are written.
      *
      * @return the level
      */
-    Level level();
+    default Level level() {
+        return info().level();
+    }
 
     /**
      * Returns what the record says and which fields it has, for the catalogue.
      *
      * @return one sentence
      */
-    String description();
+    default String description() {
+        return info().description();
+    }
 }
--- a/daemon/src/main/java/org/peridotcourse/daemon/peer/PeerEvent.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/peer/PeerEvent.java
@@ -2,6 +2,7 @@
 
 import java.lang.System.Logger.Level;
 import org.peridotcourse.daemon.log.Event;
+import org.peridotcourse.daemon.log.EventInfo;
 
 /** Log records of the link between daemons. Constants are immutable and thread-safe. */
 public enum PeerEvent implements Event {
@@ -44,35 +45,14 @@
             Level.INFO,
             "This daemon began or ceased to read the configuration; fields reader, readers");
 
-    private final int number;
-    private final String title;
-    private final Level level;
-    private final String description;
+    private final EventInfo info;
 
     PeerEvent(int number, String title, Level level, String description) {
-        this.number = number;
-        this.title = title;
-        this.level = level;
-        this.description = description;
+        this.info = new EventInfo(number, title, level, description);
     }
 
     @Override
-    public int number() {
-        return number;
-    }
-
-    @Override
-    public String title() {
-        return title;
-    }
-
-    @Override
-    public Level level() {
-        return level;
-    }
-
-    @Override
-    public String description() {
-        return description;
+    public EventInfo info() {
+        return info;
     }
 }
--- a/daemon/src/main/java/org/peridotcourse/daemon/placement/PlacementLogEvent.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/placement/PlacementLogEvent.java
@@ -2,6 +2,7 @@
 
 import java.lang.System.Logger.Level;
 import org.peridotcourse.daemon.log.Event;
+import org.peridotcourse.daemon.log.EventInfo;
 
 /** Log records of placement. Constants are immutable and thread-safe. */
 public enum PlacementLogEvent implements Event {
@@ -39,35 +40,14 @@
             Level.ERROR,
             "A step of a placement thread failed; the thread goes on; fields thread, error");
 
-    private final int number;
-    private final String title;
-    private final Level level;
-    private final String description;
+    private final EventInfo info;
 
     PlacementLogEvent(int number, String title, Level level, String description) {
-        this.number = number;
-        this.title = title;
-        this.level = level;
-        this.description = description;
+        this.info = new EventInfo(number, title, level, description);
     }
 
     @Override
-    public int number() {
-        return number;
-    }
-
-    @Override
-    public String title() {
-        return title;
-    }
-
-    @Override
-    public Level level() {
-        return level;
-    }
-
-    @Override
-    public String description() {
-        return description;
+    public EventInfo info() {
+        return info;
     }
 }
--- a/daemon/src/main/java/org/peridotcourse/daemon/placement/RowJson.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/placement/RowJson.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.Optional;
+import java.util.function.Supplier;
 import org.peridotcourse.DataCentreId;
 import org.peridotcourse.JobId;
 import org.peridotcourse.Resources;
@@ -144,7 +145,7 @@
                 row.commit());
     }
 
-    private static <T> Optional<T> guarded(java.util.function.Supplier<T> parser) {
+    private static <T> Optional<T> guarded(Supplier<T> parser) {
         try {
             return Optional.of(parser.get());
         } catch (IllegalArgumentException | StringIndexOutOfBoundsException malformed) {
--- a/daemon/src/main/java/org/peridotcourse/daemon/platform/PlatformEvent.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/platform/PlatformEvent.java
@@ -2,6 +2,7 @@
 
 import java.lang.System.Logger.Level;
 import org.peridotcourse.daemon.log.Event;
+import org.peridotcourse.daemon.log.EventInfo;
 
 /** Log records of the platform client. Constants are immutable and thread-safe. */
 public enum PlatformEvent implements Event {
@@ -24,35 +25,14 @@
             Level.WARNING,
             "An answer does not follow the protocol; fields address, call, status, detail");
 
-    private final int number;
-    private final String title;
-    private final Level level;
-    private final String description;
+    private final EventInfo info;
 
     PlatformEvent(int number, String title, Level level, String description) {
-        this.number = number;
-        this.title = title;
-        this.level = level;
-        this.description = description;
+        this.info = new EventInfo(number, title, level, description);
     }
 
     @Override
-    public int number() {
-        return number;
-    }
-
-    @Override
-    public String title() {
-        return title;
-    }
-
-    @Override
-    public Level level() {
-        return level;
-    }
-
-    @Override
-    public String description() {
-        return description;
+    public EventInfo info() {
+        return info;
     }
 }
