Join and report duty threads in one place

Cause: four duties repeated how a consumer thread is woken and joined, and three how a fault is recorded. Two of the three read the first element of a stack trace that the virtual machine may leave out; the exception would have ended the thread of jobs or of request keys. Conclusion: behaviour is otherwise unchanged.

--- a/daemon/src/main/java/org/peridotcourse/daemon/ProcessEvent.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/ProcessEvent.java
@@ -3,6 +3,7 @@
 import java.lang.System.Logger.Level;
 import org.peridotcourse.daemon.log.Event;
 import org.peridotcourse.daemon.log.EventInfo;
+import org.peridotcourse.daemon.log.EventLog;
 
 /** Log records about the process itself. Constants are immutable and thread-safe. */
 public enum ProcessEvent implements Event {
@@ -40,6 +41,23 @@
         this.info = new EventInfo(number, title, level, description);
     }
 
+    /**
+     * Writes a {@link #DUTY_FAULT} record. The virtual machine leaves out the trace of exceptions
+     * that are thrown often, so there may be no place to name.
+     *
+     * @param log receives the record
+     * @param duty the name of the duty
+     * @param fault what the duty threw
+     */
+    public static void recordFault(EventLog log, String duty, RuntimeException fault) {
+        StackTraceElement[] trace = fault.getStackTrace();
+        log.event(DUTY_FAULT)
+                .with("duty", duty)
+                .with("fault", fault)
+                .with("at", trace.length > 0 ? trace[0] : "unknown")
+                .write();
+    }
+
     @Override
     public EventInfo info() {
         return info;
--- a/daemon/src/main/java/org/peridotcourse/daemon/entry/JobDuty.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/entry/JobDuty.java
@@ -83,12 +83,7 @@
     @Override
     public void close() {
         running = false;
-        ring.wake();
-        try {
-            thread.join(TimeUnit.SECONDS.toMillis(2));
-        } catch (InterruptedException interrupted) {
-            Thread.currentThread().interrupt();
-        }
+        ring.join(thread, TimeUnit.SECONDS.toMillis(2));
     }
 
     private void loop() {
@@ -103,11 +98,7 @@
             try {
                 handle(work);
             } catch (RuntimeException fault) {
-                log.event(ProcessEvent.DUTY_FAULT)
-                        .with("duty", "jobs")
-                        .with("fault", fault)
-                        .with("at", fault.getStackTrace()[0])
-                        .write();
+                ProcessEvent.recordFault(log, "jobs", fault);
                 work.caller().answer(JobFailure.STORE_UNSETTLED.toAnswer(work.call().id()));
             }
         }
--- a/daemon/src/main/java/org/peridotcourse/daemon/entry/KeyDuty.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/entry/KeyDuty.java
@@ -180,12 +180,7 @@
     @Override
     public void close() {
         running = false;
-        ring.wake();
-        try {
-            thread.join(TimeUnit.SECONDS.toMillis(2));
-        } catch (InterruptedException interrupted) {
-            Thread.currentThread().interrupt();
-        }
+        ring.join(thread, TimeUnit.SECONDS.toMillis(2));
     }
 
     private void loop() {
@@ -212,11 +207,7 @@
                     writeAll();
                 }
             } catch (RuntimeException fault) {
-                log.event(ProcessEvent.DUTY_FAULT)
-                        .with("duty", "keys")
-                        .with("fault", fault)
-                        .with("at", fault.getStackTrace()[0])
-                        .write();
+                ProcessEvent.recordFault(log, "keys", fault);
             }
         }
     }
--- a/daemon/src/main/java/org/peridotcourse/daemon/entry/RouterDuty.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/entry/RouterDuty.java
@@ -239,12 +239,7 @@
     @Override
     public void close() {
         running = false;
-        ring.wake();
-        try {
-            thread.join(TimeUnit.SECONDS.toMillis(2));
-        } catch (InterruptedException interrupted) {
-            Thread.currentThread().interrupt();
-        }
+        ring.join(thread, TimeUnit.SECONDS.toMillis(2));
     }
 
     long now() {
@@ -330,7 +325,7 @@
                     ring.await(nextTick - now());
                 }
             } catch (RuntimeException fault) {
-                report(fault);
+                ProcessEvent.recordFault(log, "router", fault);
             }
         }
         links.closeAll();
@@ -351,13 +346,4 @@
         long longest = held.isEmpty() ? IDLE_TICK_MILLIS : BUSY_TICK_MILLIS;
         return Math.max(now + 1, Math.min(router.nextTickMillis(now), now + longest));
     }
-
-    private void report(RuntimeException fault) {
-        StackTraceElement[] trace = fault.getStackTrace();
-        log.event(ProcessEvent.DUTY_FAULT)
-                .with("duty", "router")
-                .with("fault", fault)
-                .with("at", trace.length > 0 ? trace[0] : "unknown")
-                .write();
-    }
 }
--- a/daemon/src/main/java/org/peridotcourse/daemon/placement/PlacementDuty.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/placement/PlacementDuty.java
@@ -37,6 +37,9 @@
 
     private static final int STORE_RING = 1024;
 
+    /** How long a stop waits for each of the two threads. */
+    private static final long STOP_MILLIS = 5_000;
+
     /** How long a lease lasts without a confirmed write. */
     private static final long LEASE_MILLIS = 9_000;
 
@@ -133,23 +136,13 @@
     @Override
     public void close() {
         running = false;
-        events.wake();
-        join(placementThread);
+        events.join(placementThread, STOP_MILLIS);
         standing = Standing.NONE;
         releasing = true;
-        storeWork.wake();
-        join(storeThread);
+        storeWork.join(storeThread, STOP_MILLIS);
         calls.close();
     }
 
-    private static void join(Thread thread) {
-        try {
-            thread.join(TimeUnit.SECONDS.toMillis(5));
-        } catch (InterruptedException interrupted) {
-            Thread.currentThread().interrupt();
-        }
-    }
-
     private boolean report(Object event) {
         if (!running || events.tryReport(event)) {
             return true;
--- a/daemon/src/main/java/org/peridotcourse/daemon/ring/EventRing.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/ring/EventRing.java
@@ -109,4 +109,19 @@
             LockSupport.unpark(thread);
         }
     }
+
+    /**
+     * Ends the wait of the consumer and waits until its thread has ended.
+     *
+     * @param consumer the thread, which must have been told to end
+     * @param millis the longest time to wait
+     */
+    public void join(Thread consumer, long millis) {
+        wake();
+        try {
+            consumer.join(millis);
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+        }
+    }
 }
