--- /dev/null
+++ b/core/src/main/java/org/peridotcourse/dispatch/ClusterConfig.java
@@ -0,0 +1,124 @@
+package org.peridotcourse.dispatch;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * One version of the operator's configuration: queues, where callers find them, and services.
+ *
+ * <p>Instances are immutable and thread-safe.
+ */
+public final class ClusterConfig {
+    /** No queue; in force until the first configuration is known. */
+    public static final ClusterConfig NONE = new ClusterConfig(0, List.of(), List.of());
+
+    private final long version;
+    private final List<Route> routes;
+    private final Map<String, QueueRules> queues = new HashMap<>();
+    private final Map<String, Service> services = new HashMap<>();
+
+    private ClusterConfig(long version, List<Route> routes, List<Service> services) {
+        this.version = version;
+        this.routes = List.copyOf(routes);
+        routes.forEach(route -> queues.put(route.queue().name(), route.queue()));
+        services.forEach(service -> this.services.put(service.name(), service));
+    }
+
+    /**
+     * Returns a configuration.
+     *
+     * @param version increases with each change
+     * @param routes where callers find the queues
+     * @param services the services
+     * @return the configuration
+     */
+    public static ClusterConfig of(long version, List<Route> routes, List<Service> services) {
+        return new ClusterConfig(version, routes, services);
+    }
+
+    /**
+     * Where callers find a queue.
+     *
+     * @param host the host name that calls carry
+     * @param prefix the beginning of the path, with a slash at the end
+     * @param queue the queue
+     */
+    public record Route(String host, String prefix, QueueRules queue) {}
+
+    /**
+     * A service that runs tasks.
+     *
+     * @param name the name
+     * @param rejectsOverload whether its workers refuse what does not fit
+     */
+    public record Service(String name, boolean rejectsOverload) {}
+
+    /**
+     * Returns the version.
+     *
+     * @return 0 before the first configuration
+     */
+    public long version() {
+        return version;
+    }
+
+    /**
+     * Tells whether a configuration is known.
+     *
+     * @return false for {@link #NONE}
+     */
+    public boolean isKnown() {
+        return version > 0;
+    }
+
+    /**
+     * Returns the routes.
+     *
+     * @return the routes in the operator's order
+     */
+    public List<Route> routes() {
+        return routes;
+    }
+
+    /**
+     * Returns a queue.
+     *
+     * @param name its name
+     * @return the queue, or empty if there is none
+     */
+    public Optional<QueueRules> queue(String name) {
+        return Optional.ofNullable(queues.get(name));
+    }
+
+    /**
+     * Returns a service.
+     *
+     * @param name its name
+     * @return the service, or empty if there is none
+     */
+    public Optional<Service> service(String name) {
+        return Optional.ofNullable(services.get(name));
+    }
+
+    /**
+     * Finds the route of a call: same host, longest prefix.
+     *
+     * @param host the host that the call names, possibly with a port
+     * @param path the path of the call
+     * @return the route, or empty if there is none
+     */
+    public Optional<Route> match(String host, String path) {
+        int colon = host.indexOf(':');
+        String name = colon < 0 ? host : host.substring(0, colon);
+        Route best = null;
+        for (Route route : routes) {
+            boolean fits = route.host().equalsIgnoreCase(name) && path.startsWith(route.prefix());
+            if (fits && (best == null || route.prefix().length() > best.prefix().length())) {
+                best = route;
+            }
+        }
+        return Optional.ofNullable(best);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/peridotcourse/dispatch/DispatchOwner.java
@@ -0,0 +1,423 @@
+package org.peridotcourse.dispatch;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+
+/**
+ * Decides for one ownership where and when tasks run.
+ *
+ * <p>Feed it with what happens and with the present time, then call {@link #decide} and carry out
+ * the orders. Store what {@link #takeChanges} returns and report it by {@link #onStored}; only then
+ * does a lease call acknowledge the ends behind it. Monotonic times are of one process. Confined to
+ * one thread.
+ */
+public final class DispatchOwner {
+    /** How often rates are compared and slow runs are looked for. */
+    private static final long WATCH_MILLIS = 200;
+
+    private final OwnerState state;
+    private final JobBook jobs;
+    private final RunBook runs;
+    private final ReportReader reports;
+    private final WorkerChoice choice;
+    private final Planner planner;
+    private final RunWatch watch;
+    private final FillPacing pacing;
+    private long watchedAt;
+
+    /**
+     * Creates the state of a new ownership.
+     *
+     * @param term the ownership
+     * @param sink takes decisions for the log
+     */
+    public DispatchOwner(OwnerTerm term, Decision.Sink sink) {
+        this.state = new OwnerState(term, sink);
+        this.jobs = new JobBook(state);
+        this.runs = new RunBook(state, jobs);
+        this.reports = new ReportReader(state, jobs, runs);
+        this.choice = new WorkerChoice(state);
+        this.planner = new Planner(state, choice, runs);
+        this.watch = new RunWatch(state, runs, choice, planner);
+        this.pacing = new FillPacing(state);
+    }
+
+    /**
+     * Returns the ownership.
+     *
+     * @return the term
+     */
+    public OwnerTerm term() {
+        return state.term;
+    }
+
+    /**
+     * Tells whether a worker has refused an order because it has seen a later owner.
+     *
+     * @return true once this owner must stop
+     */
+    public boolean isDeposed() {
+        return state.deposed;
+    }
+
+    /**
+     * Tells whether all runs of earlier owners are known.
+     *
+     * @return false while inherited jobs wait
+     */
+    public boolean isCensusComplete() {
+        return state.censusComplete;
+    }
+
+    /**
+     * Returns the workers to which lease calls go.
+     *
+     * @return their ids
+     */
+    public List<String> workers() {
+        return new ArrayList<>(state.workers.keySet());
+    }
+
+    /**
+     * Returns the workers that may run tasks of this owner.
+     *
+     * @return what they said of themselves
+     */
+    public List<WorkerInfo> fleet() {
+        List<WorkerInfo> fleet = new ArrayList<>();
+        state.workers.values().forEach(worker -> fleet.add(worker.info));
+        return fleet;
+    }
+
+    /**
+     * Returns the number of accepted jobs of each queue of which no task has started, leaving
+     * timed jobs aside.
+     *
+     * @return numbers by name of the queue
+     */
+    public Map<String, Integer> pending() {
+        Map<String, Integer> pending = new HashMap<>();
+        for (Job job : state.jobs.values()) {
+            if (job.isActive() && !job.begun && !job.spec.schedule().isTimed()) {
+                pending.merge(job.acceptedUnder.name(), 1, Integer::sum);
+            }
+        }
+        return pending;
+    }
+
+    /**
+     * Returns figures for gauges.
+     *
+     * @param now the present time
+     * @return the figures
+     */
+    public OwnerFigures figures(long now) {
+        return OwnerFigures.of(state, choice, now);
+    }
+
+    /**
+     * Takes a configuration.
+     *
+     * @param config the configuration
+     */
+    public void onConfig(ClusterConfig config) {
+        state.config = config;
+    }
+
+    /**
+     * Takes the data centres in which nothing may start.
+     *
+     * @param dataCentres their names
+     */
+    public void onEvacuated(Set<String> dataCentres) {
+        state.evacuated = Set.copyOf(dataCentres);
+    }
+
+    /**
+     * Takes what a worker says of itself in the list of workers.
+     *
+     * @param info the worker
+     * @param now the present time
+     */
+    public void onWorker(WorkerInfo info, long now) {
+        Worker worker = state.workers.get(info.id());
+        if (worker == null) {
+            boolean newer = state.censusComplete;
+            long over = newer ? now : state.term.earlierRunsUntil();
+            state.workers.put(info.id(), new Worker(info, over));
+            return;
+        }
+        worker.info = info;
+        worker.listed = true;
+    }
+
+    /**
+     * Takes the news that a worker left the list of workers.
+     *
+     * @param id its id
+     * @param now the present time
+     */
+    public void onWorkerGone(String id, long now) {
+        Worker worker = state.workers.get(id);
+        if (worker != null && worker.listed) {
+            worker.listed = false;
+            worker.unlistedAt = now;
+        }
+    }
+
+    /**
+     * Takes a job.
+     *
+     * @param entry the job as stored
+     * @param inherited true if an earlier owner may have started tasks
+     * @param now the present time
+     * @param wallNow the present wall-clock time
+     */
+    public void onJob(JobEntry entry, boolean inherited, long now, long wallNow) {
+        jobs.add(entry, inherited, now, wallNow);
+    }
+
+    /**
+     * Takes a stored cancellation.
+     *
+     * @param job the id of the job
+     * @param now the present time
+     */
+    public void onCancel(String job, long now) {
+        jobs.cancel(job, now);
+    }
+
+    /**
+     * Tells whether a job has ended, as far as this owner knows.
+     *
+     * @param job the id of the job
+     * @return true if its last state is stored
+     */
+    public boolean isEnded(String job) {
+        return jobs.isEnded(job);
+    }
+
+    /**
+     * Forgets a job whose rows were removed from the store.
+     *
+     * @param job the id of the job
+     */
+    public void forget(String job) {
+        jobs.forget(job);
+    }
+
+    /**
+     * Returns the next lease call to a worker. A worker that does not answer gets no longer lease.
+     *
+     * @param id the id of the worker
+     * @param waitMillis how long the worker may wait for an end
+     * @param now the present time
+     * @return the call, or empty if the worker is not known
+     */
+    public Optional<LeaseCall> leaseCall(String id, long waitMillis, long now) {
+        Worker worker = state.workers.get(id);
+        if (worker == null) {
+            return Optional.empty();
+        }
+        boolean unstored = worker.seenEnd > worker.storedEnd;
+        boolean renews = worker.hasClock() && worker.reachable;
+        OptionalLong lease =
+                renews
+                        ? OptionalLong.of(worker.grant(now, state.term.times()))
+                        : OptionalLong.empty();
+        return Optional.of(
+                new LeaseCall(
+                        worker.info,
+                        state.term.epoch(),
+                        lease,
+                        worker.storedEnd,
+                        unstored || !renews ? 0 : waitMillis));
+    }
+
+    /**
+     * Tells whether ends of a worker wait to be stored, so that a lease call returns at once.
+     *
+     * @param id the id of the worker
+     * @return true if the next call should wait for the store
+     */
+    public boolean hasUnstoredEnds(String id) {
+        Worker worker = state.workers.get(id);
+        return worker != null && worker.seenEnd > worker.storedEnd;
+    }
+
+    /**
+     * Tells whether a worker runs filling tasks beside serving ones, so that reports matter.
+     *
+     * @param id the id of the worker
+     * @return true if reports should come often
+     */
+    public boolean isMixed(String id) {
+        Worker worker = state.workers.get(id);
+        return worker != null && worker.fillMilliCores > 0 && worker.sensitiveRuns() > 0;
+    }
+
+    /**
+     * Takes the answer to a lease call.
+     *
+     * @param id the id of the worker
+     * @param report the answer
+     * @param sentAt when the call was sent
+     * @param now the present time
+     */
+    public void onReport(String id, WorkerReport report, long sentAt, long now) {
+        Worker worker = state.workers.get(id);
+        if (worker != null) {
+            reports.read(worker, report, sentAt, now);
+            pacing.onReport(worker, now);
+        }
+    }
+
+    /**
+     * Takes the news that a lease call has no report.
+     *
+     * @param id the id of the worker
+     * @param reply why
+     * @param now the present time
+     */
+    public void onNoReport(String id, OrderReply reply, long now) {
+        Worker worker = state.workers.get(id);
+        if (worker == null) {
+            return;
+        }
+        if (reply == OrderReply.STALE_EPOCH) {
+            runs.depose(worker);
+            return;
+        }
+        if (worker.reachable) {
+            worker.reachable = false;
+            state.log(
+                    Decision.Kind.WORKER_LOST,
+                    id,
+                    worker,
+                    "reply="
+                            + reply
+                            + " silent="
+                            + (now - worker.lastReportAt)
+                            + " runs="
+                            + worker.runs.size()
+                            + " leasesOverIn="
+                            + (worker.leaseOverAt - now));
+        }
+    }
+
+    /**
+     * Takes the answer to an order.
+     *
+     * @param order the order
+     * @param reply the answer
+     * @param now the present time
+     */
+    public void onReply(Order order, OrderReply reply, long now) {
+        runs.onReply(order, reply, now);
+        if (order instanceof Order.Pace && reply != OrderReply.ACCEPTED) {
+            Worker worker = state.workers.get(order.worker().id());
+            Run run =
+                    worker == null
+                            ? null
+                            : worker.runs.get(new Run.Key(order.task(), order.attempt()));
+            if (run != null) {
+                FillPacing.onFailed(run);
+            }
+        }
+    }
+
+    /**
+     * Decides what to do now.
+     *
+     * @param now the present time
+     * @return orders to send, in this order
+     */
+    public List<Order> decide(long now) {
+        if (state.deposed) {
+            return List.of();
+        }
+        jobs.openDue(now);
+        runs.expire(now);
+        dropWorkers(now);
+        updateCensus(now);
+        if (now - watchedAt >= WATCH_MILLIS) {
+            watchedAt = now;
+            choice.refresh();
+            watch.look(now);
+            jobs.forgetEnded();
+        }
+        planner.plan(now);
+        runs.sendStops(now);
+        return state.takeOrders();
+    }
+
+    /**
+     * Returns what must be stored.
+     *
+     * @param now the present time
+     * @param wallNow the present wall-clock time
+     * @return the batch, possibly empty
+     */
+    public RecordBatch takeChanges(long now, long wallNow) {
+        return jobs.takeChanges(now, wallNow);
+    }
+
+    /**
+     * Takes note that a batch is stored.
+     *
+     * @param batch the batch
+     */
+    public void onStored(RecordBatch batch) {
+        jobs.onStored(batch);
+    }
+
+    /**
+     * Takes note that a batch is not stored and must be taken again.
+     *
+     * @param batch the batch
+     */
+    public void onNotStored(RecordBatch batch) {
+        jobs.onNotStored(batch);
+    }
+
+    private void dropWorkers(long now) {
+        List<Worker> leaving = new ArrayList<>();
+        for (Worker worker : state.workers.values()) {
+            boolean away = !worker.listed && now - worker.unlistedAt >= WorkerChoice.UNLISTED_MILLIS;
+            if (away && worker.runs.isEmpty() && now >= worker.leaseOverAt) {
+                leaving.add(worker);
+            }
+        }
+        leaving.forEach(worker -> state.workers.remove(worker.id));
+    }
+
+    private void updateCensus(long now) {
+        if (state.censusComplete) {
+            return;
+        }
+        for (Worker worker : state.workers.values()) {
+            if (!worker.counted && now < worker.leaseOverAt) {
+                return;
+            }
+        }
+        if (state.workers.isEmpty() && now < state.term.earlierRunsUntil()) {
+            return;
+        }
+        state.censusComplete = true;
+        state.log(
+                Decision.Kind.CENSUS_COMPLETE,
+                "epoch-" + state.term.epoch(),
+                null,
+                "workers="
+                        + state.workers.size()
+                        + " jobs="
+                        + state.jobs.size()
+                        + " after="
+                        + (now - state.term.beganAt()));
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/peridotcourse/dispatch/Job.java
@@ -0,0 +1,121 @@
+package org.peridotcourse.dispatch;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+/** A job that has not ended, with its progress. Confined to one thread. */
+final class Job {
+    final String id;
+    final JobSpec spec;
+    final QueueRules acceptedUnder;
+
+    /** Monotonic time of the acceptance, by the clock of this process. */
+    final long acceptedAt;
+
+    /** True if a previous owner may have started tasks. */
+    final boolean inherited;
+
+    final List<Occurrence> occurrences = new ArrayList<>(1);
+
+    JobState state;
+
+    /** True once a task has started. */
+    boolean begun;
+
+    /** True while the stored record is older than this state. */
+    boolean changed;
+
+    long endedAt;
+
+    private final int attemptFloor;
+    private int opened;
+
+    Job(JobEntry entry, long acceptedAt, boolean inherited, int attemptFloor) {
+        this.id = entry.id();
+        this.spec = entry.spec();
+        this.acceptedUnder = entry.queue();
+        this.acceptedAt = acceptedAt;
+        this.inherited = inherited;
+        this.attemptFloor = attemptFloor;
+        this.state = entry.record().state();
+        this.begun = state != JobState.QUEUED;
+    }
+
+    /** Opens the occurrences that are due, and applies stored progress to them. */
+    void openDue(long now, long firstDueAt) {
+        Schedule schedule = spec.schedule();
+        while (opened < schedule.occurrences()) {
+            long dueAt = firstDueAt + opened * schedule.intervalMillis();
+            if (now < dueAt) {
+                return;
+            }
+            occurrences.add(new Occurrence(this, opened, dueAt, attemptFloor, now));
+            opened++;
+        }
+    }
+
+    /** Opens occurrences up to a given one, whose progress is already known. */
+    Optional<Task> openTask(TaskRef ref, long now, long firstDueAt) {
+        long interval = spec.schedule().intervalMillis();
+        while (opened <= ref.occurrence() && opened < spec.schedule().occurrences()) {
+            long dueAt = firstDueAt + opened * interval;
+            occurrences.add(new Occurrence(this, opened, dueAt, attemptFloor, now));
+            opened++;
+        }
+        return task(ref);
+    }
+
+    Optional<Task> task(TaskRef ref) {
+        for (Occurrence occurrence : occurrences) {
+            if (occurrence.number == ref.occurrence()) {
+                return taskIn(occurrence, ref);
+            }
+        }
+        return Optional.empty();
+    }
+
+    private static Optional<Task> taskIn(Occurrence occurrence, TaskRef ref) {
+        if (ref.step() >= occurrence.steps.length) {
+            return Optional.empty();
+        }
+        Task[] tasks = occurrence.steps[ref.step()].tasks;
+        return ref.index() < tasks.length ? Optional.of(tasks[ref.index()]) : Optional.empty();
+    }
+
+    boolean isComplete() {
+        if (opened < spec.schedule().occurrences()) {
+            return false;
+        }
+        for (Occurrence occurrence : occurrences) {
+            if (!occurrence.isDone()) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    boolean isActive() {
+        return !state.isFinal();
+    }
+
+    void end(JobState last, long now) {
+        state = last;
+        endedAt = now;
+        changed = true;
+    }
+
+    List<JobRecord.TaskRecord> taskRecords() {
+        List<JobRecord.TaskRecord> records = new ArrayList<>();
+        for (Occurrence occurrence : occurrences) {
+            for (Step step : occurrence.steps) {
+                for (Task task : step.tasks) {
+                    if (task.hasProgress()) {
+                        records.add(task.toRecord());
+                    }
+                }
+            }
+        }
+        return records;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/peridotcourse/dispatch/JobSpec.java
@@ -0,0 +1,128 @@
+package org.peridotcourse.dispatch;
+
+import java.util.List;
+import org.peridotcourse.Failure;
+import org.peridotcourse.Result;
+
+/**
+ * What a caller hands in: a payload for every task, steps in an order, and a schedule.
+ *
+ * <p>Instances are immutable and thread-safe.
+ *
+ * @param payload the text that each start carries
+ * @param steps the steps; a step names only earlier ones as its predecessors
+ * @param schedule when the steps run
+ */
+public record JobSpec(String payload, List<StepSpec> steps, Schedule schedule) {
+    /** Largest number of tasks of one step; larger steps do not fit a progress row. */
+    public static final int MAX_TASKS_PER_STEP = 10_000;
+
+    /** Tells why a job cannot be accepted. Constants are immutable and thread-safe. */
+    public enum Fault implements Failure {
+        /** The body is not a job. */
+        MALFORMED("the body does not describe a job"),
+        /** There is no step. */
+        NO_STEPS("a job has at least one step"),
+        /** The number of tasks of a step is out of range. */
+        TASK_COUNT("a step has 1 to " + MAX_TASKS_PER_STEP + " tasks"),
+        /** A predecessor is not an earlier step. */
+        ORDER("a step comes after earlier steps only"),
+        /** A resource is negative. */
+        RESOURCES("resources are not negative");
+
+        private final String message;
+
+        Fault(String message) {
+            this.message = message;
+        }
+
+        @Override
+        public String code() {
+            return "job-" + name().toLowerCase(java.util.Locale.ROOT).replace('_', '-');
+        }
+
+        @Override
+        public String message() {
+            return message;
+        }
+    }
+
+    /**
+     * Copies the steps.
+     *
+     * @param payload the text that each start carries
+     * @param steps the steps
+     * @param schedule when the steps run
+     */
+    public JobSpec {
+        steps = List.copyOf(steps);
+    }
+
+    /**
+     * Checks the job.
+     *
+     * @return this job, or the first {@link Fault}
+     */
+    public Result<JobSpec> checked() {
+        if (steps.isEmpty()) {
+            return Result.failed(Fault.NO_STEPS);
+        }
+        for (int i = 0; i < steps.size(); i++) {
+            StepSpec step = steps.get(i);
+            if (step.count() < 1 || step.count() > MAX_TASKS_PER_STEP) {
+                return Result.failed(Fault.TASK_COUNT);
+            }
+            int number = i;
+            if (step.after().stream().anyMatch(before -> before < 0 || before >= number)) {
+                return Result.failed(Fault.ORDER);
+            }
+            if (step.need().milliCores() < 0 || step.need().memoryMib() < 0) {
+                return Result.failed(Fault.RESOURCES);
+            }
+        }
+        return Result.ok(this);
+    }
+
+    /**
+     * Tells whether some step runs until the job is cancelled.
+     *
+     * @return true for a job that does not complete by itself
+     */
+    public boolean isLasting() {
+        return steps.stream().anyMatch(StepSpec::isLasting);
+    }
+
+    /**
+     * Returns the estimated duration of the steps from a given one to the end, along the longest
+     * chain.
+     *
+     * @param from the number of the first step
+     * @return milliseconds
+     */
+    public long chainMillis(int from) {
+        long[] longest = new long[steps.size()];
+        long chain = 0;
+        for (int i = steps.size() - 1; i >= 0; i--) {
+            longest[i] += steps.get(i).estimateMillis();
+            for (int before : steps.get(i).after()) {
+                longest[before] = Math.max(longest[before], longest[i]);
+            }
+            chain = Math.max(chain, longest[i]);
+        }
+        return from <= 0 ? chain : longest[from];
+    }
+
+    /**
+     * Returns the estimated work of one occurrence.
+     *
+     * @return processor time in core milliseconds
+     */
+    public double coreMillis() {
+        double sum = 0;
+        for (StepSpec step : steps) {
+            double cores = step.need().milliCores() / 1e3;
+            sum += cores * step.count() * step.estimateMillis();
+        }
+        return sum;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/peridotcourse/dispatch/LeaseTimes.java
@@ -0,0 +1,36 @@
+package org.peridotcourse.dispatch;
+
+/**
+ * Length of the workers' leases and the error of their clocks.
+ *
+ * <p>Instances are immutable and thread-safe.
+ *
+ * @param leaseMillis length of a lease from its grant
+ * @param longestLeaseMillis the longest lease that a worker keeps
+ */
+public record LeaseTimes(long leaseMillis, long longestLeaseMillis) {
+    /** A worker's clock may be 2% slow. */
+    private static final double SLOWEST_CLOCK = 0.98;
+
+    /** Covers the time from the end of a lease until the worker has killed everything. */
+    private static final long KILL_MILLIS = 150;
+
+    /**
+     * Returns how long a lease lasts at most by the clock of this process.
+     *
+     * @param millis its length on the worker's clock
+     * @return milliseconds
+     */
+    public long longestMillis(long millis) {
+        return Math.round(millis / SLOWEST_CLOCK) + KILL_MILLIS;
+    }
+
+    /**
+     * Returns how long any lease lasts at most by the clock of this process.
+     *
+     * @return milliseconds
+     */
+    public long longestMillis() {
+        return longestMillis(longestLeaseMillis);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/peridotcourse/dispatch/Occurrence.java
@@ -0,0 +1,34 @@
+package org.peridotcourse.dispatch;
+
+import java.util.List;
+
+/** One run through the steps of a job. Confined to one thread. */
+final class Occurrence {
+    final Job job;
+    final int number;
+
+    /** Monotonic time before which nothing starts. */
+    final long dueAt;
+
+    final Step[] steps;
+
+    Occurrence(Job job, int number, long dueAt, int attemptFloor, long now) {
+        this.job = job;
+        this.number = number;
+        this.dueAt = dueAt;
+        List<StepSpec> specs = job.spec.steps();
+        this.steps = new Step[specs.size()];
+        for (int i = 0; i < steps.length; i++) {
+            steps[i] = new Step(this, i, specs.get(i), attemptFloor, now);
+        }
+    }
+
+    boolean isDone() {
+        for (Step step : steps) {
+            if (step.remaining > 0) {
+                return false;
+            }
+        }
+        return true;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/peridotcourse/dispatch/OwnerFigures.java
@@ -0,0 +1,46 @@
+package org.peridotcourse.dispatch;
+
+/**
+ * Figures of an owner for gauges.
+ *
+ * <p>Instances are immutable and thread-safe.
+ *
+ * @param jobs jobs that have not ended
+ * @param waitingTasks tasks whose turn has come and that wait for a worker
+ * @param runs runs that may be active
+ * @param usableWorkers workers that may get tasks
+ * @param workers all known workers
+ * @param usedShare share of the usable workers' processors that is reserved
+ */
+public record OwnerFigures(
+        int jobs, int waitingTasks, int runs, int usableWorkers, int workers, double usedShare) {
+    /** Figures of a host that owns nothing. */
+    public static final OwnerFigures NONE = new OwnerFigures(0, 0, 0, 0, 0, 0);
+
+    static OwnerFigures of(OwnerState state, WorkerChoice choice, long now) {
+        int runs = 0;
+        int usable = 0;
+        long used = 0;
+        long capacity = 0;
+        for (Worker worker : state.workers.values()) {
+            runs += worker.runs.size();
+            if (choice.isUsable(worker, now)) {
+                usable++;
+                used += worker.used().milliCores();
+                capacity += worker.info.capacity().milliCores();
+            }
+        }
+        int waiting = 0;
+        int active = 0;
+        for (Job job : state.jobs.values()) {
+            active += job.isActive() ? 1 : 0;
+            for (Occurrence occurrence : job.occurrences) {
+                for (Step step : occurrence.steps) {
+                    waiting += job.isActive() && step.isOpen() ? step.waiting(now) : 0;
+                }
+            }
+        }
+        double share = capacity == 0 ? 0 : (double) used / capacity;
+        return new OwnerFigures(active, waiting, runs, usable, state.workers.size(), share);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/peridotcourse/dispatch/OwnerState.java
@@ -0,0 +1,58 @@
+package org.peridotcourse.dispatch;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/** The state that the parts of {@link DispatchOwner} share. Confined to one thread. */
+final class OwnerState {
+    final OwnerTerm term;
+    final Map<String, Job> jobs = new LinkedHashMap<>();
+    final Map<String, Worker> workers = new LinkedHashMap<>();
+    private final Decision.Sink sink;
+    private List<Order> orders = new ArrayList<>();
+
+    ClusterConfig config = ClusterConfig.NONE;
+    Set<String> evacuated = Set.of();
+
+    /** True once every worker that may run tasks of an earlier owner is accounted for. */
+    boolean censusComplete;
+
+    boolean deposed;
+
+    OwnerState(OwnerTerm term, Decision.Sink sink) {
+        this.term = term;
+        this.sink = sink;
+    }
+
+    /** The rules of a job's queue: the present ones, or those of its acceptance. */
+    QueueRules rules(Job job) {
+        return config.queue(job.acceptedUnder.name()).orElse(job.acceptedUnder);
+    }
+
+    Optional<Task> task(TaskRef ref) {
+        Job job = jobs.get(ref.job());
+        return job == null ? Optional.empty() : job.task(ref);
+    }
+
+    void order(Order order) {
+        orders.add(order);
+    }
+
+    List<Order> takeOrders() {
+        List<Order> taken = orders;
+        orders = new ArrayList<>();
+        return taken;
+    }
+
+    void log(Decision.Kind kind, String subject, Worker worker, String detail) {
+        sink.decided(new Decision(kind, subject, worker == null ? "" : worker.id, detail));
+    }
+
+    void log(Decision.Kind kind, Run run, String detail) {
+        log(kind, run.task.ref + "#" + run.attempt, run.worker, detail);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/peridotcourse/dispatch/Planner.java
@@ -0,0 +1,129 @@
+package org.peridotcourse.dispatch;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+/** Starts waiting tasks on workers with room. Confined to one thread. */
+final class Planner {
+    /** Starts of one round; the rest follows at once, after the answers of the first ones. */
+    private static final int STARTS_PER_ROUND = 64;
+
+    private final OwnerState state;
+    private final StepOrder order;
+    private final WorkerChoice choice;
+    private final RunBook runs;
+    private final Preemption preemption;
+
+    Planner(OwnerState state, WorkerChoice choice, RunBook runs) {
+        this.state = state;
+        this.order = new StepOrder(state);
+        this.choice = choice;
+        this.runs = runs;
+        this.preemption = new Preemption(state, choice, runs);
+    }
+
+    /** Starts what has room; true if more could start at once. */
+    boolean plan(long now) {
+        int started = 0;
+        for (Step step : order.waiting(now)) {
+            if (started >= STARTS_PER_ROUND) {
+                return true;
+            }
+            int before = started;
+            started += step.spec.isGang() ? startGang(step, now) : startTasks(step, now);
+            if (started == before) {
+                preemption.consider(step, now);
+            }
+        }
+        return false;
+    }
+
+    private int startTasks(Step step, long now) {
+        int started = 0;
+        boolean plain = step.spec.maxPerWorker() == 0;
+        for (Task task : step.tasks) {
+            if (!task.isWaiting() || task.notBefore > now) {
+                continue;
+            }
+            Optional<Worker> worker = choice.choose(task, now);
+            if (worker.isPresent()) {
+                runs.start(task, worker.get(), now, "start");
+                started++;
+            } else if (plain) {
+                // The other tasks need the same room.
+                return started;
+            }
+        }
+        return started;
+    }
+
+    /** Starts all members of a gang under one number, or none. */
+    private int startGang(Step step, long now) {
+        int attempt = 0;
+        for (Task task : step.tasks) {
+            if (!task.isWaiting() || task.notBefore > now) {
+                return 0;
+            }
+            attempt = Math.max(attempt, task.lastAttempt + 1);
+        }
+        shareCheckpoint(step);
+        List<Run> started = new ArrayList<>();
+        List<Worker> places = new ArrayList<>();
+        for (Task task : step.tasks) {
+            Optional<Worker> worker = choice.choose(task, now);
+            if (worker.isEmpty()) {
+                break;
+            }
+            places.add(worker.get());
+            started.add(reserve(task, worker.get(), attempt, now));
+        }
+        started.forEach(Planner::giveBack);
+        if (places.size() < step.tasks.length) {
+            return 0;
+        }
+        for (int i = 0; i < step.tasks.length; i++) {
+            runs.start(step.tasks[i], places.get(i), attempt, Optional.empty(), now, "gang");
+        }
+        return step.tasks.length;
+    }
+
+    /** The newest checkpoint of any member is valid for all of them. */
+    private static void shareCheckpoint(Step step) {
+        String newest = "";
+        for (Task task : step.tasks) {
+            if (task.checkpoint.compareTo(newest) > 0) {
+                newest = task.checkpoint;
+            }
+        }
+        for (Task task : step.tasks) {
+            task.checkpoint = newest;
+        }
+    }
+
+    private static Run reserve(Task task, Worker worker, int attempt, long now) {
+        Run run = new Run(task, attempt, worker, now);
+        worker.add(run);
+        task.runs.add(run);
+        return run;
+    }
+
+    private static void giveBack(Run run) {
+        run.worker.remove(run);
+        run.task.runs.remove(run);
+    }
+
+    /** Starts a second copy of a task of a step that allows it. */
+    boolean startCopy(Run slow, long now, String why) {
+        Task task = slow.task;
+        if (!task.step.spec.isSpeculative() || task.runs.size() > 1 || !task.job().isActive()) {
+            return false;
+        }
+        if (task.job().inherited && !state.censusComplete) {
+            return false;
+        }
+        Optional<Worker> worker = choice.choose(task, now);
+        worker.ifPresent(found -> runs.start(task, found, now, why));
+        return worker.isPresent();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/peridotcourse/dispatch/Preemption.java
@@ -0,0 +1,107 @@
+package org.peridotcourse.dispatch;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import org.peridotcourse.Resources;
+
+/**
+ * Makes room for a task of a higher priority that has waited, at the least loss of work. Confined
+ * to one thread.
+ */
+final class Preemption {
+    /** Tasks end often enough that room usually appears within this time. */
+    static final long PATIENCE_MILLIS = 400;
+
+    /** Room that is being made must be used before more is made. */
+    private static final long PAUSE_MILLIS = 150;
+
+    private final OwnerState state;
+    private final WorkerChoice choice;
+    private final RunBook runs;
+    private long nextAt;
+
+    Preemption(OwnerState state, WorkerChoice choice, RunBook runs) {
+        this.state = state;
+        this.choice = choice;
+        this.runs = runs;
+    }
+
+    void consider(Step step, long now) {
+        if (now < nextAt || step.spec.isFilling()) {
+            return;
+        }
+        Task task = longestWaiting(step, now);
+        if (task == null || now - task.waitingSince < PATIENCE_MILLIS) {
+            return;
+        }
+        List<Run> best = List.of();
+        double bestLoss = Double.MAX_VALUE;
+        int priority = state.rules(step.job()).priority();
+        for (Worker worker : state.workers.values()) {
+            if (!choice.mayRun(worker, task, now)) {
+                continue;
+            }
+            List<Run> victims = victims(worker, step.spec, priority);
+            double loss = victims.stream().mapToDouble(run -> loss(run, now)).sum();
+            if (!victims.isEmpty() && loss < bestLoss) {
+                best = victims;
+                bestLoss = loss;
+            }
+        }
+        if (!best.isEmpty()) {
+            nextAt = now + PAUSE_MILLIS;
+            best.forEach(run -> runs.stop(run, StopReason.PREEMPTED, now));
+        }
+    }
+
+    private static Task longestWaiting(Step step, long now) {
+        Task longest = null;
+        for (Task task : step.tasks) {
+            boolean waits = task.isWaiting() && task.notBefore <= now;
+            if (waits && (longest == null || task.waitingSince < longest.waitingSince)) {
+                longest = task;
+            }
+        }
+        return longest;
+    }
+
+    /** Returns runs of a lower priority whose stop makes room, or none if that is not enough. */
+    private List<Run> victims(Worker worker, StepSpec step, int priority) {
+        List<Run> lower = new ArrayList<>();
+        Resources leaving = Resources.ZERO;
+        for (Run run : worker.runs.values()) {
+            if (run.isStopping()) {
+                leaving = leaving.plus(run.spec().reserved());
+            } else if (isVictim(run, priority)) {
+                lower.add(run);
+            }
+        }
+        lower.sort(Comparator.comparing(run -> !run.spec().isCheckpointing()));
+        List<Run> chosen = new ArrayList<>();
+        Resources capacity = worker.info.capacity();
+        Resources needed = worker.used().minus(leaving).plus(step.reserved());
+        for (Run run : lower) {
+            if (needed.isWithin(capacity)) {
+                break;
+            }
+            needed = needed.minus(run.spec().reserved());
+            chosen.add(run);
+        }
+        return needed.isWithin(capacity) ? chosen : List.of();
+    }
+
+    private boolean isVictim(Run run, int priority) {
+        return state.rules(run.task.job()).priority() > priority
+                && !run.spec().isLasting()
+                && !run.spec().isGang();
+    }
+
+    /** Work that a stop loses, in core milliseconds. */
+    private static double loss(Run run, long now) {
+        if (run.spec().isCheckpointing()) {
+            return 1;
+        }
+        return run.spec().need().milliCores() / 1e3 * (now - run.orderedAt);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/peridotcourse/dispatch/RunWatch.java
@@ -0,0 +1,131 @@
+package org.peridotcourse.dispatch;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * Finds runs that stand still, are much slower than they could be elsewhere, or are on a worker
+ * that leaves, and moves them. Confined to one thread.
+ */
+final class RunWatch {
+    /** A run at this age without progress stands still; reports come twice in this time. */
+    static final long STALL_MILLIS = 1_700;
+
+    /** A lasting task that is not at work this long after its start stands still. */
+    static final long LASTING_STALL_MILLIS = 3_500;
+
+    /** A worker with this many runs standing still is blamed. */
+    private static final int STALLED_RUNS = 2;
+
+    /** A move must save this factor over staying. */
+    private static final double WORTH_MOVING = 1.6;
+
+    /** Time that a stop, a start and a resumption take. */
+    private static final long MOVE_MILLIS = 700;
+
+    /** A speculative task gets a copy at this multiple of its estimate. */
+    private static final double COPY_AFTER = 2.0;
+
+    private static final long COPY_AFTER_MILLIS = 500;
+
+    /** A draining worker is left this long before its time is up. */
+    private static final long LEAVE_MARGIN_MILLIS = 400;
+
+    private final OwnerState state;
+    private final RunBook runs;
+    private final WorkerChoice choice;
+    private final Planner planner;
+
+    RunWatch(OwnerState state, RunBook runs, WorkerChoice choice, Planner planner) {
+        this.state = state;
+        this.runs = runs;
+        this.choice = choice;
+        this.planner = planner;
+    }
+
+    void look(long now) {
+        for (Worker worker : state.workers.values()) {
+            if (!worker.reachable) {
+                copySpeculative(worker, now);
+                continue;
+            }
+            if (worker.info.draining()) {
+                leave(worker, now);
+            }
+            moveStalled(worker, now);
+            moveSlow(worker, now);
+        }
+    }
+
+    private void copySpeculative(Worker worker, long now) {
+        for (Run run : new ArrayList<>(worker.runs.values())) {
+            planner.startCopy(run, now, "copy-of-lost");
+        }
+    }
+
+    private void leave(Worker worker, long now) {
+        if (worker.info.drainMillis().isEmpty()) {
+            return;
+        }
+        long left = worker.info.drainMillis().getAsLong() - LEAVE_MARGIN_MILLIS;
+        for (Run run : new ArrayList<>(worker.runs.values())) {
+            boolean ends = !run.spec().isLasting() && run.remainingMillis(now) <= left;
+            if (run.confirmed && !run.isStopping() && !ends) {
+                runs.stop(run, StopReason.WORKER_LEAVES, now);
+            }
+        }
+    }
+
+    private void moveStalled(Worker worker, long now) {
+        List<Run> stalled = new ArrayList<>();
+        for (Run run : worker.runs.values()) {
+            if (isStalled(run, now)) {
+                stalled.add(run);
+            }
+        }
+        if (stalled.isEmpty()) {
+            return;
+        }
+        if (stalled.size() >= STALLED_RUNS || stalled.size() == worker.runs.size()) {
+            if (!worker.health.isQuarantined(now)) {
+                worker.health.onStall(now);
+                runs.quarantined(worker, "stalled-runs=" + stalled.size());
+            }
+            stalled.forEach(run -> runs.stop(run, StopReason.STALLED, now));
+        }
+    }
+
+    private static boolean isStalled(Run run, long now) {
+        if (!run.confirmed || run.isStopping() || run.worker.lastReportAt <= run.percentAt) {
+            return false;
+        }
+        long still = run.worker.lastReportAt - run.percentAt;
+        if (run.spec().isLasting()) {
+            return run.percent < 100 && still >= LASTING_STALL_MILLIS;
+        }
+        return !run.spec().isFilling() && !run.spec().isGang() && still >= STALL_MILLIS;
+    }
+
+    private void moveSlow(Worker worker, long now) {
+        boolean slow = choice.isSlow(worker);
+        for (Run run : new ArrayList<>(worker.runs.values())) {
+            if (run.isStopping() || run.spec().isLasting() || run.spec().isGang()) {
+                continue;
+            }
+            long age = now - run.orderedAt;
+            long estimate = run.spec().estimateMillis();
+            if (age > COPY_AFTER * estimate + COPY_AFTER_MILLIS) {
+                planner.startCopy(run, now, "copy-of-slow");
+            }
+            if (slow && !run.spec().isFilling() && isWorthMoving(run, now)) {
+                runs.stop(run, StopReason.SLOW, now);
+            }
+        }
+    }
+
+    private static boolean isWorthMoving(Run run, long now) {
+        double left = run.spec().isCheckpointing() ? (100 - run.percent) / 100.0 : 1;
+        double elsewhere = left * run.spec().estimateMillis() + MOVE_MILLIS;
+        return run.remainingMillis(now) > WORTH_MOVING * elsewhere;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/peridotcourse/dispatch/Step.java
@@ -0,0 +1,82 @@
+package org.peridotcourse.dispatch;
+
+/** One step of an occurrence. Confined to one thread. */
+final class Step {
+    final Occurrence occurrence;
+    final int number;
+    final StepSpec spec;
+    final Task[] tasks;
+
+    /** Tasks that are not done. */
+    int remaining;
+
+    Step(Occurrence occurrence, int number, StepSpec spec, int attemptFloor, long now) {
+        this.occurrence = occurrence;
+        this.number = number;
+        this.spec = spec;
+        this.tasks = new Task[spec.count()];
+        this.remaining = tasks.length;
+        String job = occurrence.job.id;
+        for (int i = 0; i < tasks.length; i++) {
+            TaskRef ref = new TaskRef(job, occurrence.number, number, i);
+            tasks[i] = new Task(ref, this, attemptFloor, now);
+        }
+    }
+
+    Job job() {
+        return occurrence.job;
+    }
+
+    /** Tells whether all earlier steps are done and some task is not. */
+    boolean isOpen() {
+        if (remaining == 0) {
+            return false;
+        }
+        for (int before : spec.after()) {
+            if (occurrence.steps[before].remaining > 0) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    int waiting(long now) {
+        int count = 0;
+        for (Task task : tasks) {
+            if (task.isWaiting() && task.notBefore <= now) {
+                count++;
+            }
+        }
+        return count;
+    }
+
+    int activeOn(Worker worker) {
+        int count = 0;
+        for (Task task : tasks) {
+            for (Run run : task.runs) {
+                if (run.worker == worker) {
+                    count++;
+                }
+            }
+        }
+        return count;
+    }
+
+    /** Marks a task as done; a gang is done with its first member. */
+    void markDone(Task task) {
+        if (spec.isGang()) {
+            for (Task member : tasks) {
+                markOne(member);
+            }
+        } else {
+            markOne(task);
+        }
+    }
+
+    private void markOne(Task task) {
+        if (!task.done) {
+            task.done = true;
+            remaining--;
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/peridotcourse/dispatch/Task.java
@@ -0,0 +1,68 @@
+package org.peridotcourse.dispatch;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+/** One task of an occurrence and its runs. Confined to one thread. */
+final class Task {
+    final TaskRef ref;
+    final Step step;
+
+    /** Runs that may be active, usually at most one. */
+    final List<Run> runs = new ArrayList<>(1);
+
+    final List<Integer> failedAttempts = new ArrayList<>(0);
+    final Set<String> failedOn = new HashSet<>(2);
+
+    boolean done;
+    String checkpoint = "";
+    int lastAttempt;
+    long waitingSince;
+
+    /** No start before this time. */
+    long notBefore;
+
+    Task(TaskRef ref, Step step, int attemptFloor, long now) {
+        this.ref = ref;
+        this.step = step;
+        this.lastAttempt = attemptFloor;
+        this.waitingSince = now;
+    }
+
+    Job job() {
+        return step.occurrence.job;
+    }
+
+    boolean isWaiting() {
+        return !done && runs.isEmpty();
+    }
+
+    boolean isActive() {
+        return !runs.isEmpty();
+    }
+
+    /** Tells whether some run is neither being stopped nor in doubt. */
+    boolean isAtWork() {
+        for (Run run : runs) {
+            if (run.isWanted()) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    boolean isKnownFailure(int attempt) {
+        return failedAttempts.contains(attempt);
+    }
+
+    JobRecord.TaskRecord toRecord() {
+        return new JobRecord.TaskRecord(
+                ref.occurrence(), ref.step(), ref.index(), done, failedAttempts, checkpoint);
+    }
+
+    boolean hasProgress() {
+        return done || !failedAttempts.isEmpty() || !checkpoint.isEmpty();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/peridotcourse/dispatch/TaskRef.java
@@ -0,0 +1,54 @@
+package org.peridotcourse.dispatch;
+
+import java.util.Optional;
+
+/**
+ * Names one task: job, occurrence, step and index, all counted from 0.
+ *
+ * <p>Instances are immutable and thread-safe.
+ *
+ * @param job the id of the job
+ * @param occurrence the occurrence of a repeated job, 0 for other jobs
+ * @param step the number of the step
+ * @param index the number of the task within its step
+ */
+public record TaskRef(String job, int occurrence, int step, int index) {
+    private static final int PARTS = 4;
+
+    /**
+     * Reads the form that {@link #toString} writes.
+     *
+     * @param text the text
+     * @return the name, or empty if the text has another form
+     */
+    public static Optional<TaskRef> parse(String text) {
+        String[] parts = text.split("\\.", -1);
+        if (parts.length != PARTS || parts[0].isEmpty()) {
+            return Optional.empty();
+        }
+        try {
+            return Optional.of(
+                    new TaskRef(
+                            parts[0],
+                            Integer.parseUnsignedInt(parts[1]),
+                            Integer.parseUnsignedInt(parts[2]),
+                            Integer.parseUnsignedInt(parts[3])));
+        } catch (NumberFormatException malformed) {
+            return Optional.empty();
+        }
+    }
+
+    /**
+     * Returns the name of the step, as {@code job.occurrence.step}.
+     *
+     * @return the name
+     */
+    public String toStepName() {
+        return job + '.' + occurrence + '.' + step;
+    }
+
+    @Override
+    public String toString() {
+        return toStepName() + '.' + index;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/peridotcourse/dispatch/Worker.java
@@ -0,0 +1,129 @@
+package org.peridotcourse.dispatch;
+
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import org.peridotcourse.Resources;
+
+/** What the owner knows of one worker. Confined to one thread. */
+final class Worker {
+    final String id;
+    final WorkerHealth health = new WorkerHealth();
+    final Map<Run.Key, Run> runs = new LinkedHashMap<>();
+
+    /** Runs that belong to no known task, with the time of their next stop. */
+    final Map<Run.Key, Long> strays = new HashMap<>();
+
+    WorkerInfo info;
+
+    /** False once the worker has left the list of workers. */
+    boolean listed = true;
+
+    long unlistedAt;
+
+    /** True once it has reported to this owner. */
+    boolean counted;
+
+    boolean reachable;
+    long lastReportAt;
+    long life;
+
+    /** Number of the last end that was applied, and of the last one that is stored. */
+    long seenEnd;
+
+    long storedEnd;
+
+    /** No start before this time. */
+    long avoidUntil;
+
+    /** Share at which filling tasks work here, 0 to 100. */
+    int fillPace = 100;
+
+    long fillPaceAt;
+
+    /** Processor that filling tasks would like to use. */
+    long fillMilliCores;
+
+    /** Monotonic time after which no run of this worker is alive without a renewal. */
+    long leaseOverAt;
+
+    private boolean hasClock;
+    private long clock;
+    private long clockAt;
+    private Resources used = Resources.ZERO;
+
+    Worker(WorkerInfo info, long leaseOverAt) {
+        this.id = info.id();
+        this.info = info;
+        this.life = info.bornMillis();
+        this.leaseOverAt = leaseOverAt;
+    }
+
+    Resources used() {
+        return used;
+    }
+
+    boolean hasClock() {
+        return hasClock;
+    }
+
+    boolean fits(StepSpec step) {
+        return used.plus(step.reserved()).isWithin(info.capacity());
+    }
+
+    /** Processor that serving and plain tasks leave. */
+    long spareMilliCores() {
+        return Math.max(0, info.capacity().milliCores() - used.milliCores());
+    }
+
+    void add(Run run) {
+        runs.put(run.key(), run);
+        used = used.plus(run.spec().reserved());
+        if (run.spec().isFilling()) {
+            fillMilliCores += run.spec().need().milliCores();
+        }
+    }
+
+    void remove(Run run) {
+        if (runs.remove(run.key()) == null) {
+            return;
+        }
+        used = used.minus(run.spec().reserved());
+        if (run.spec().isFilling()) {
+            fillMilliCores -= run.spec().need().milliCores();
+        }
+    }
+
+    /** Takes a reading of the worker's clock; it was taken no later than its receipt. */
+    void readClock(long reading, long receivedAt) {
+        hasClock = true;
+        clock = reading;
+        clockAt = receivedAt;
+    }
+
+    long lastClock() {
+        return clock;
+    }
+
+    void forgetClock() {
+        hasClock = false;
+    }
+
+    /** Returns the end of a new lease on the worker's clock, and notes when it is over here. */
+    long grant(long now, LeaseTimes times) {
+        long length = now - clockAt + times.leaseMillis();
+        leaseOverAt = Math.max(leaseOverAt, clockAt + times.longestMillis(length));
+        return clock + length;
+    }
+
+    /** Serving tasks with a bound of their response time. */
+    int sensitiveRuns() {
+        int count = 0;
+        for (Run run : runs.values()) {
+            if (run.spec().targetMillis() > 0) {
+                count++;
+            }
+        }
+        return count;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/peridotcourse/dispatch/WorkerChoice.java
@@ -0,0 +1,150 @@
+package org.peridotcourse.dispatch;
+
+import java.util.Optional;
+
+/**
+ * Chooses the worker of a task: one that may run it and has room, with the least expected delay
+ * and interference. Confined to one thread.
+ */
+final class WorkerChoice {
+    /** A worker that progresses this much slower than most is used last. */
+    static final double SLOW_FACTOR = 2.5;
+
+    /** Serving tasks with a response time bound that share one worker before others are used. */
+    private static final int SENSITIVE_PER_WORKER = 2;
+
+    /** A worker that left the list is given time to return, as after an outage of the store. */
+    static final long UNLISTED_MILLIS = 3_000;
+
+    private static final double SUSPECT_COST = 4;
+    private static final double SLOW_COST = 6;
+    private static final double RETRY_THERE_COST = 8;
+    private static final double FAR_COST = 3;
+    private static final double OTHER_RACK_COST = 2;
+    private static final double SAME_JOB_COST = 0.02;
+    private static final double FILL_BESIDE_SENSITIVE_COST = 2;
+    private static final double CROWD_COST = 0.5;
+
+    private final OwnerState state;
+    private double usualSlowness = 1;
+
+    WorkerChoice(OwnerState state) {
+        this.state = state;
+    }
+
+    /** Measures anew how fast workers usually progress. */
+    void refresh() {
+        double[] rates =
+                state.workers.values().stream()
+                        .filter(worker -> worker.health.hasRate())
+                        .mapToDouble(worker -> worker.health.slowness())
+                        .sorted()
+                        .toArray();
+        usualSlowness = rates.length == 0 ? 1 : rates[rates.length / 2];
+    }
+
+    boolean isSlow(Worker worker) {
+        return worker.health.hasRate()
+                && worker.health.slowness() > SLOW_FACTOR * usualSlowness;
+    }
+
+    /** Returns the best worker for a task, or empty if none has room now. */
+    Optional<Worker> choose(Task task, long now) {
+        Worker best = null;
+        double bestCost = Double.MAX_VALUE;
+        for (Worker worker : state.workers.values()) {
+            if (!mayRun(worker, task, now) || !worker.fits(task.step.spec)) {
+                continue;
+            }
+            double cost = cost(worker, task);
+            if (cost < bestCost) {
+                best = worker;
+                bestCost = cost;
+            }
+        }
+        return Optional.ofNullable(best);
+    }
+
+    /** Tells whether a worker may run a task, leaving aside its room. */
+    boolean mayRun(Worker worker, Task task, long now) {
+        StepSpec spec = task.step.spec;
+        WorkerInfo info = worker.info;
+        if (!isUsable(worker, now) || !info.service().equals(serviceOf(task.job()))) {
+            return false;
+        }
+        if (spec.requiredLabel().isPresent()
+                && !info.labels().contains(spec.requiredLabel().get())) {
+            return false;
+        }
+        if (spec.maxPerWorker() > 0 && task.step.activeOn(worker) >= spec.maxPerWorker()) {
+            return false;
+        }
+        for (Run run : task.runs) {
+            if (run.worker == worker) {
+                return false;
+            }
+        }
+        return !worker.health.isOnProbation() || worker.runs.isEmpty();
+    }
+
+    boolean isUsable(Worker worker, long now) {
+        return worker.reachable
+                && worker.counted
+                && worker.hasClock()
+                && (worker.listed || now - worker.unlistedAt < UNLISTED_MILLIS)
+                && !worker.info.draining()
+                && worker.avoidUntil <= now
+                && !worker.health.isQuarantined(now)
+                && !state.evacuated.contains(worker.info.dataCentre());
+    }
+
+    private String serviceOf(Job job) {
+        return state.rules(job).service();
+    }
+
+    private double cost(Worker worker, Task task) {
+        StepSpec spec = task.step.spec;
+        double cost = load(worker, spec);
+        if (worker.health.isSuspect()) {
+            cost += SUSPECT_COST;
+        }
+        if (isSlow(worker)) {
+            cost += SLOW_COST;
+        }
+        if (task.failedOn.contains(worker.id)) {
+            cost += RETRY_THERE_COST;
+        }
+        if (spec.preferredRack().isPresent()
+                && !worker.info.labels().contains(spec.preferredRack().get())) {
+            cost += FAR_COST;
+        }
+        if (spec.isRackLocal() && isOtherRack(worker, task.step)) {
+            cost += OTHER_RACK_COST;
+        }
+        return cost + SAME_JOB_COST * task.step.activeOn(worker);
+    }
+
+    private double load(Worker worker, StepSpec spec) {
+        double capacity = Math.max(1, worker.info.capacity().milliCores());
+        if (spec.isFilling()) {
+            double demand = worker.fillMilliCores + spec.need().milliCores();
+            double cost = demand / Math.max(1, worker.spareMilliCores());
+            return worker.sensitiveRuns() > 0 ? cost + FILL_BESIDE_SENSITIVE_COST : cost;
+        }
+        double load = (worker.used().milliCores() + spec.need().milliCores()) / capacity;
+        if (spec.targetMillis() > 0) {
+            int crowd = Math.max(0, worker.sensitiveRuns() + 1 - SENSITIVE_PER_WORKER);
+            load += CROWD_COST * crowd + worker.fillMilliCores / capacity;
+        }
+        return load;
+    }
+
+    private static boolean isOtherRack(Worker worker, Step step) {
+        for (Task task : step.tasks) {
+            for (Run run : task.runs) {
+                return !run.worker.info.rack().equals(worker.info.rack());
+            }
+        }
+        return false;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/CallDesk.java
@@ -0,0 +1,230 @@
+package org.peridotcourse.daemon.dispatch;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import org.peridotcourse.Result;
+import org.peridotcourse.daemon.entry.CallSink;
+import org.peridotcourse.daemon.entry.Caller;
+import org.peridotcourse.daemon.entry.CallerAnswer;
+import org.peridotcourse.daemon.entry.IncomingCall;
+import org.peridotcourse.daemon.http.ChannelFailure;
+import org.peridotcourse.daemon.ring.EventLoop;
+import org.peridotcourse.dispatch.ClusterConfig;
+
+/**
+ * Takes callers' calls, finds their queue, and passes calls on to another host while this one does
+ * not reach the store. {@link #submit} is thread-safe; all else is confined to the loop.
+ */
+final class CallDesk implements CallSink {
+    /** Time for another host to answer a call that was passed on. */
+    private static final long FORWARD_TIMEOUT_MILLIS = 1_000;
+
+    /** Hosts that are tried for one call. */
+    private static final int FORWARDS = 2;
+
+    private static final long RETRY_AFTER_MILLIS = 500;
+    private static final int SERVICE_UNAVAILABLE = 503;
+
+    private final EventLoop loop;
+    private final HostParts parts;
+    private final ConfigWatch config;
+    private final JobDesk jobs;
+    private final PeerLink peers;
+    private final HostDirectory directory;
+    private final OwnerElection election;
+    private int outstanding;
+    private int nextPeer;
+
+    CallDesk(
+            HostParts parts,
+            ConfigWatch config,
+            JobDesk jobs,
+            PeerLink peers,
+            HostDirectory directory,
+            OwnerElection election) {
+        this.loop = parts.loop();
+        this.parts = parts;
+        this.config = config;
+        this.jobs = jobs;
+        this.peers = peers;
+        this.directory = directory;
+        this.election = election;
+    }
+
+    /** One call until it is answered. */
+    private final class Handling {
+        final IncomingCall call;
+        final Caller caller;
+        final long since = loop.now();
+        final boolean forwarded;
+        String queue = "";
+        String job = "";
+        String kind = "";
+        String via = "store";
+
+        /** True if an earlier try may have taken effect. */
+        boolean inDoubt;
+
+        Handling(IncomingCall call, Caller caller) {
+            this.call = call;
+            this.caller = caller;
+            this.forwarded = call.header(PeerLink.FORWARDED.toLowerCase(Locale.ROOT)).isPresent();
+        }
+
+        void answer(JobAnswer answer) {
+            finish(parts.format().response(answer), answer.getClass().getSimpleName());
+        }
+
+        void finish(CallerAnswer response, String name) {
+            outstanding--;
+            caller.answer(response);
+            long millis = loop.now() - since;
+            parts.metrics().call(kind, name.toLowerCase(Locale.ROOT), millis);
+            parts.log()
+                    .event(DispatchEvent.CALL_ANSWERED)
+                    .with("request", call.id())
+                    .with("job", job)
+                    .with("queue", queue)
+                    .with("call", kind)
+                    .with("answer", name)
+                    .with("status", response.status())
+                    .with("config", config.config().version())
+                    .with("via", via)
+                    .with("millis", millis)
+                    .write();
+        }
+    }
+
+    @Override
+    public boolean submit(IncomingCall call, Caller caller) {
+        return loop.offer(() -> handle(call, caller));
+    }
+
+    /** Returns the number of calls without an answer. */
+    int outstanding() {
+        return outstanding;
+    }
+
+    private void handle(IncomingCall call, Caller caller) {
+        outstanding++;
+        Handling handling = new Handling(call, caller);
+        handling.kind = call.method().toLowerCase(Locale.ROOT);
+        ClusterConfig present = config.config();
+        if (!present.isKnown()) {
+            handling.answer(
+                    new JobAnswer.Refused(
+                            JobAnswer.Reason.NO_CONFIGURATION, RETRY_AFTER_MILLIS));
+            return;
+        }
+        String host =
+                call.header("x-forwarded-host").or(() -> call.header("host")).orElse("");
+        Optional<ClusterConfig.Route> route = present.match(host, call.path());
+        if (route.isEmpty()) {
+            handling.answer(new JobAnswer.NoQueue());
+            return;
+        }
+        handling.queue = route.get().queue().name();
+        Result<JobRequest> request = parts.format().request(call, route.get().prefix());
+        if (!(request instanceof Result.Ok<JobRequest> ok)) {
+            handling.answer(
+                    new JobAnswer.Malformed(request.failure().orElseThrow().message()));
+            return;
+        }
+        name(handling, ok.value());
+        carryOut(handling, route.get(), ok.value());
+    }
+
+    private static void name(Handling handling, JobRequest request) {
+        handling.kind = request.getClass().getSimpleName().toLowerCase(Locale.ROOT);
+        if (request instanceof JobRequest.Submit submit) {
+            handling.job = submit.id();
+        } else if (request instanceof JobRequest.Show show) {
+            handling.job = show.id();
+        } else if (request instanceof JobRequest.Cancel cancel) {
+            handling.job = cancel.id();
+        }
+    }
+
+    private void carryOut(Handling handling, ClusterConfig.Route route, JobRequest request) {
+        boolean needsStore = !(request instanceof JobRequest.CountPending);
+        List<InetSocketAddress> others = handling.forwarded ? List.of() : candidates();
+        if (needsStore && parts.health().isAway() && !others.isEmpty()) {
+            JobDesk.Away away = new JobDesk.Away(StoreTrouble.UNREACHABLE, false);
+            forward(handling, others, 0, away);
+            return;
+        }
+        jobs.handle(
+                route,
+                request,
+                outcome -> {
+                    if (outcome instanceof JobDesk.Answered answered) {
+                        handling.answer(answered.answer());
+                    } else {
+                        handling.inDoubt |= ((JobDesk.Away) outcome).mayHaveEffect();
+                        forward(handling, others, 0, (JobDesk.Away) outcome);
+                    }
+                });
+    }
+
+    /** The owner first, since it probably reaches the store; then others in turn. */
+    private List<InetSocketAddress> candidates() {
+        List<InetSocketAddress> chosen = new ArrayList<>();
+        if (!election.isOwner()) {
+            election.ownerName().flatMap(directory::holderAddress).ifPresent(chosen::add);
+        }
+        List<InetSocketAddress> others = directory.others();
+        for (int i = 0; i < others.size() && chosen.size() < FORWARDS; i++) {
+            InetSocketAddress other = others.get(nextPeer++ % others.size());
+            if (!chosen.contains(other)) {
+                chosen.add(other);
+            }
+        }
+        return chosen;
+    }
+
+    private void forward(
+            Handling handling, List<InetSocketAddress> others, int tries, JobDesk.Away away) {
+        if (tries >= others.size()) {
+            JobDesk.Away last = new JobDesk.Away(away.trouble(), handling.inDoubt);
+            handling.answer(last.toAnswer());
+            return;
+        }
+        InetSocketAddress peer = others.get(tries);
+        handling.via = peer.getHostString();
+        parts.log()
+                .event(DispatchEvent.CALL_FORWARDED)
+                .with("request", handling.call.id())
+                .with("job", handling.job)
+                .with("peer", peer.getHostString())
+                .with("reason", away.trouble().code())
+                .write();
+        peers.forward(
+                peer,
+                handling.call,
+                FORWARD_TIMEOUT_MILLIS,
+                new PeerLink.Forwarded() {
+                    @Override
+                    public void onAnswer(CallerAnswer answer) {
+                        if (answer.status() == SERVICE_UNAVAILABLE) {
+                            forward(handling, others, tries + 1, away);
+                        } else {
+                            handling.finish(answer, "forwarded");
+                        }
+                    }
+
+                    @Override
+                    public void onFailure(ChannelFailure failure) {
+                        handling.inDoubt |= failure.isHandedOver();
+                        parts.log()
+                                .event(DispatchEvent.PEER_LOST)
+                                .with("peer", peer.getHostString())
+                                .with("reason", failure.code())
+                                .write();
+                        forward(handling, others, tries + 1, away);
+                    }
+                });
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/DispatchHost.java
@@ -0,0 +1,300 @@
+package org.peridotcourse.daemon.dispatch;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+import org.peridotcourse.daemon.entry.CallServer;
+import org.peridotcourse.daemon.entry.CallSink;
+import org.peridotcourse.daemon.entry.Caller;
+import org.peridotcourse.daemon.entry.CallerAnswer;
+import org.peridotcourse.daemon.entry.IncomingCall;
+import org.peridotcourse.daemon.entry.RequestIds;
+import org.peridotcourse.daemon.http.HttpCaller;
+import org.peridotcourse.daemon.ring.EventLoop;
+import org.peridotcourse.dispatch.OwnerFigures;
+import org.peridotcourse.dispatch.OwnerTerm;
+
+/**
+ * One host of the job scheduler: serves callers, and takes the ownership when it can. It is
+ * thread-safe; {@link #start} and {@link #stop} may be called once.
+ */
+public final class DispatchHost {
+    private static final long SWEEP_MILLIS = 250;
+    private static final int SMALL_BODY = 16 * 1024;
+    private static final int SMALL_CONNECTIONS = 200;
+
+    /** Time until the load balancer sends no new connections. */
+    private static final long BALANCER_MILLIS = 2_300;
+
+    /** Part of the time for the stop that is kept for closing. */
+    private static final long CLOSE_MILLIS = 1_200;
+
+    private static final long POLL_MILLIS = 50;
+
+    /** An owner whose timers are this late for a while lets another host take over. */
+    private static final long LATE_MILLIS = 250;
+
+    private static final int LATE_SAMPLES = 6;
+    private static final long LAG_PERIOD_MILLIS = 200;
+    private static final long YIELD_MILLIS = 6_000;
+    private static final long FIGURES_MILLIS = 1_000;
+    private static final String TEXT = "text/plain; version=0.0.4";
+
+    private final HostParts parts;
+    private final EventLoop loop;
+    private final HostSettings settings;
+    private final HostDirectory directory;
+    private final ConfigWatch config;
+    private final OwnerElection election;
+    private final CallDesk calls;
+    private final RequestIds ids;
+    private final long incarnation;
+    private final List<CallServer> servers = new ArrayList<>();
+
+    private Optional<OwnerDuty> duty = Optional.empty();
+    private volatile boolean stopping;
+    private volatile boolean configKnown;
+    private volatile OwnerFigures figures = OwnerFigures.NONE;
+    private int lateSamples;
+
+    private DispatchHost(HostParts parts, HttpCaller http, long incarnation) {
+        this.parts = parts;
+        this.loop = parts.loop();
+        this.settings = parts.settings();
+        this.incarnation = incarnation;
+        this.ids = new RequestIds(settings.name(), incarnation);
+        PeerLink peers = new PeerLink(http, settings.name(), parts.format().operatorTable());
+        this.directory =
+                new HostDirectory(
+                        loop, parts.store(), parts.health(), parts.log(), settings, incarnation);
+        this.config =
+                new ConfigWatch(
+                        loop,
+                        parts.store(),
+                        parts.health(),
+                        parts.format(),
+                        peers,
+                        directory,
+                        parts.log());
+        this.election =
+                new OwnerElection(
+                        loop,
+                        parts.store(),
+                        parts.health(),
+                        directory,
+                        parts.log(),
+                        new Ownership());
+        JobDesk jobs = new JobDesk(parts, this::pendingOf);
+        this.calls = new CallDesk(parts, config, jobs, peers, directory, election);
+        config.onChange(this::onConfig);
+        loop.onRound(() -> duty.ifPresent(OwnerDuty::step));
+    }
+
+    /**
+     * Creates a host that is not started.
+     *
+     * @param around what the host uses
+     * @param http calls other hosts
+     * @param incarnation a number that no other run of this host has, larger than all before
+     * @return the host
+     */
+    public static DispatchHost of(HostParts around, HttpCaller http, long incarnation) {
+        return new DispatchHost(around, http, incarnation);
+    }
+
+    /** Begins and ends duties with the ownership. */
+    private final class Ownership implements OwnerElection.Listener {
+        @Override
+        public void onTaken(long epoch, long epochVersion, long earlierOrdersUntil) {
+            parts.metrics().ownership(true);
+            OwnerTerm term =
+                    new OwnerTerm(
+                            epoch,
+                            loop.now(),
+                            earlierOrdersUntil,
+                            settings.limits().leaseTimes());
+            OwnerDuty taken = new OwnerDuty(parts, election, config, term, epochVersion);
+            duty = Optional.of(taken);
+            taken.start();
+        }
+
+        @Override
+        public void onLost(String reason) {
+            parts.metrics().ownership(false);
+            duty.ifPresent(
+                    lost -> {
+                        lost.stop();
+                        parts.log()
+                                .event(DispatchEvent.OWNER_LOST)
+                                .with("epoch", lost.owner().term().epoch())
+                                .with("reason", reason)
+                                .write();
+                    });
+            duty = Optional.empty();
+        }
+    }
+
+    /**
+     * Opens the ports and starts to work.
+     *
+     * @throws IOException if a port cannot be opened
+     */
+    public void start() throws IOException {
+        long began = loop.now();
+        open(settings.callers(), settings.limits().maxBody(),
+                settings.limits().maxConnections(), calls);
+        open(settings.peers(), settings.limits().maxBody(), SMALL_CONNECTIONS, this::servePeer);
+        open(settings.readiness(), SMALL_BODY, SMALL_CONNECTIONS, this::serveReadiness);
+        if (settings.metrics().isPresent()) {
+            open(settings.metrics().get(), SMALL_BODY, SMALL_CONNECTIONS, this::serveMetrics);
+        }
+        addGauges();
+        loop.start();
+        loop.post(
+                () -> {
+                    config.start();
+                    directory.start();
+                    election.start();
+                    loop.every(SWEEP_MILLIS, () -> servers.forEach(CallServer::sweep));
+                    loop.every(LAG_PERIOD_MILLIS, this::watchLag);
+                    loop.every(FIGURES_MILLIS, this::refreshFigures);
+                });
+        parts.log()
+                .event(DispatchEvent.STARTED)
+                .with("host", settings.name())
+                .with("dataCentre", settings.dataCentre())
+                .with("callers", settings.callers())
+                .with("peers", settings.peers())
+                .with("incarnation", incarnation)
+                .with("millis", loop.now() - began)
+                .write();
+    }
+
+    /** Stops: not ready, ownership released, calls answered, connections closed. */
+    public void stop() {
+        long began = loop.now();
+        long deadline = began + settings.limits().stopMillis() - CLOSE_MILLIS;
+        stopping = true;
+        CountDownLatch released = new CountDownLatch(1);
+        loop.post(
+                () -> {
+                    parts.log()
+                            .event(DispatchEvent.STOPPING)
+                            .with("host", settings.name())
+                            .with("owner", election.isOwner())
+                            .write();
+                    election.release(true, Long.MAX_VALUE);
+                    released.countDown();
+                });
+        await(released);
+        pauseUntil(began + BALANCER_MILLIS);
+        servers.forEach(CallServer::closeConnections);
+        while (loop.now() < deadline && isBusy()) {
+            pauseUntil(loop.now() + POLL_MILLIS);
+        }
+        servers.forEach(CallServer::close);
+        loop.close();
+        parts.log()
+                .event(DispatchEvent.STOPPED)
+                .with("host", settings.name())
+                .with("millis", loop.now() - began)
+                .write();
+    }
+
+    private boolean isBusy() {
+        int open = 0;
+        for (CallServer server : servers) {
+            open += server.closeIdle();
+        }
+        return open > 0 || calls.outstanding() > 0;
+    }
+
+    private static void await(CountDownLatch latch) {
+        try {
+            latch.await(BALANCER_MILLIS, TimeUnit.MILLISECONDS);
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void pauseUntil(long deadline) {
+        for (long left = deadline - loop.now(); left > 0; left = deadline - loop.now()) {
+            LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(left));
+        }
+    }
+
+    private void open(InetSocketAddress address, int maxBody, int maxConnections, CallSink sink)
+            throws IOException {
+        servers.add(CallServer.open(address, maxBody, maxConnections, ids, loop::now, sink));
+    }
+
+    private boolean servePeer(IncomingCall call, Caller caller) {
+        if (call.path().equals(PeerLink.CONFIG_PATH)) {
+            return loop.offer(() -> PeerLink.serveConfig(config, call, caller));
+        }
+        return calls.submit(call, caller);
+    }
+
+    private boolean serveReadiness(IncomingCall call, Caller caller) {
+        caller.answer(parts.format().readiness(!stopping && configKnown));
+        return true;
+    }
+
+    private boolean serveMetrics(IncomingCall call, Caller caller) {
+        byte[] body =
+                parts.metrics().toText().getBytes(StandardCharsets.UTF_8);
+        caller.answer(new CallerAnswer(200, List.of(Map.entry("Content-Type", TEXT)), body));
+        return true;
+    }
+
+    private void onConfig() {
+        configKnown = config.config().isKnown();
+        duty.ifPresent(OwnerDuty::onConfig);
+    }
+
+    private int pendingOf(String queue) {
+        Map<String, Integer> counts =
+                duty.flatMap(OwnerDuty::pending).orElseGet(election::pending);
+        return counts.getOrDefault(queue, 0);
+    }
+
+    /** A host that has become slow is a bad owner. */
+    private void watchLag() {
+        lateSamples = loop.lagMillis() > LATE_MILLIS ? lateSamples + 1 : 0;
+        if (lateSamples >= LATE_SAMPLES && election.isOwner()) {
+            lateSamples = 0;
+            election.release(false, loop.now() + YIELD_MILLIS);
+        }
+    }
+
+    private void addGauges() {
+        DispatchMetrics metrics = parts.metrics();
+        metrics.gauge("peridot_config_version", () -> config.config().version());
+        metrics.gauge("peridot_owner", () -> election.isOwner() ? 1 : 0);
+        metrics.gauge("peridot_store_away", () -> parts.health().isAway() ? 1 : 0);
+        metrics.gauge("peridot_loop_lag_millis", loop::lagMillis);
+        metrics.gauge("peridot_calls_outstanding", calls::outstanding);
+        metrics.gauge("peridot_waiting_tasks", () -> figures().waitingTasks());
+        metrics.gauge("peridot_active_jobs", () -> figures().jobs());
+        metrics.gauge("peridot_active_runs", () -> figures().runs());
+        metrics.gauge("peridot_usable_workers", () -> figures().usableWorkers());
+        metrics.gauge("peridot_known_workers", () -> figures().workers());
+        metrics.gauge("peridot_used_share", () -> figures().usedShare());
+    }
+
+    private OwnerFigures figures() {
+        return figures;
+    }
+
+    /** Gauges are read on other threads, so the loop leaves the figures for them. */
+    private void refreshFigures() {
+        figures = duty.map(OwnerDuty::figures).orElse(OwnerFigures.NONE);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/DispatchMetrics.java
@@ -0,0 +1,89 @@
+package org.peridotcourse.daemon.dispatch;
+
+import java.util.Locale;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+import org.peridotcourse.daemon.metrics.DaemonMetrics;
+import org.peridotcourse.dispatch.Decision;
+import org.peridotcourse.dispatch.Order;
+import org.peridotcourse.dispatch.OrderReply;
+
+/** Counters and histograms of the job scheduler. It is thread-safe. */
+public final class DispatchMetrics {
+    private static final long MICROS = 1_000;
+
+    private final DaemonMetrics metrics;
+    private final LongSupplier clock;
+
+    /**
+     * Creates the metrics.
+     *
+     * @param clock monotonic milliseconds
+     */
+    public DispatchMetrics(LongSupplier clock) {
+        this.metrics = new DaemonMetrics(clock);
+        this.clock = clock;
+    }
+
+    /**
+     * Adds a gauge.
+     *
+     * @param name its name
+     * @param value returns the present value; it must be thread-safe
+     */
+    void gauge(String name, Supplier<Number> value) {
+        metrics.gauge(name, value);
+    }
+
+    void call(String kind, String answer, long millis) {
+        metrics.counter("peridot_calls_total", "call", kind, "answer", answer).inc();
+        metrics.latency("peridot_call_seconds", "call", kind)
+                .record(clock.getAsLong(), millis * MICROS);
+    }
+
+    void counter(Order order, OrderReply reply) {
+        String kind = order.getClass().getSimpleName().toLowerCase(Locale.ROOT);
+        metrics.counter("peridot_orders_total", "order", kind, "reply", code(reply.name())).inc();
+    }
+
+    void leaseReply(OrderReply reply, long millis) {
+        metrics.counter("peridot_lease_calls_total", "reply", code(reply.name())).inc();
+        metrics.latency("peridot_lease_call_seconds")
+                .record(clock.getAsLong(), millis * MICROS);
+    }
+
+    void decided(Decision decision) {
+        metrics.counter("peridot_decisions_total", "kind", code(decision.kind().name())).inc();
+    }
+
+    void storedMillis(long millis) {
+        metrics.latency("peridot_progress_write_seconds")
+                .record(clock.getAsLong(), millis * MICROS);
+    }
+
+    /**
+     * Notes a call to the store.
+     *
+     * @param call read, write or changes
+     * @param outcome how it ended
+     * @param millis its duration
+     */
+    public void storeCall(String call, String outcome, long millis) {
+        metrics.counter("peridot_store_calls_total", "call", call, "outcome", outcome).inc();
+        metrics.latency("peridot_store_call_seconds", "call", call)
+                .record(clock.getAsLong(), millis * MICROS);
+    }
+
+    void ownership(boolean taken) {
+        metrics.counter("peridot_ownership_changes_total", "change", taken ? "taken" : "lost")
+                .inc();
+    }
+
+    String toText() {
+        return metrics.toPrometheusText();
+    }
+
+    private static String code(String name) {
+        return name.toLowerCase(Locale.ROOT).replace('_', '-');
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/HostDirectory.java
@@ -0,0 +1,166 @@
+package org.peridotcourse.daemon.dispatch;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.peridotcourse.Result;
+import org.peridotcourse.daemon.log.EventLog;
+import org.peridotcourse.daemon.ring.EventLoop;
+
+/**
+ * The other hosts: registers this one in the store and reads the rows of the others. Confined to
+ * the loop.
+ */
+final class HostDirectory {
+    private static final long READ_PERIOD_MILLIS = 3_000;
+    private static final long RETRY_MILLIS = 300;
+    private static final long TIMEOUT_MILLIS = 1_500;
+
+    private final EventLoop loop;
+    private final RowStore store;
+    private final StoreHealth health;
+    private final EventLog log;
+    private final RowCodec.Host self;
+    private final Map<String, RowCodec.Host> hosts = new HashMap<>();
+    private final List<InetSocketAddress> seeds;
+
+    HostDirectory(
+            EventLoop loop,
+            RowStore store,
+            StoreHealth health,
+            EventLog log,
+            HostSettings settings,
+            long incarnation) {
+        this.loop = loop;
+        this.store = store;
+        this.health = health;
+        this.log = log;
+        this.seeds = settings.seeds();
+        String address =
+                settings.peers().getAddress().getHostAddress() + ":" + settings.peers().getPort();
+        this.self = new RowCodec.Host(settings.name(), address, incarnation);
+    }
+
+    void start() {
+        register();
+        read();
+    }
+
+    /** Returns the name under which this run of the host holds leases. */
+    String holderName() {
+        return holderName(self);
+    }
+
+    private static String holderName(RowCodec.Host host) {
+        return host.name() + "/" + host.incarnation();
+    }
+
+    /** Returns the address of the host that holds a lease, if that run of it is known. */
+    Optional<InetSocketAddress> holderAddress(String holder) {
+        return hosts.values().stream()
+                .filter(host -> holderName(host).equals(holder))
+                .findFirst()
+                .flatMap(HostDirectory::address);
+    }
+
+    /** Tells whether a run of a host has certainly ended, because a later one registered. */
+    boolean hasEnded(String holder) {
+        int slash = holder.lastIndexOf('/');
+        if (slash < 0) {
+            return false;
+        }
+        RowCodec.Host host = hosts.get(holder.substring(0, slash));
+        OptionalLong incarnation = parse(holder.substring(slash + 1));
+        return host != null
+                && incarnation.isPresent()
+                && host.incarnation() > incarnation.getAsLong();
+    }
+
+    private static OptionalLong parse(String number) {
+        try {
+            return OptionalLong.of(Long.parseLong(number));
+        } catch (NumberFormatException malformed) {
+            return OptionalLong.empty();
+        }
+    }
+
+    /** Returns the addresses of the other hosts, known ones before seeds. */
+    List<InetSocketAddress> others() {
+        List<InetSocketAddress> addresses = new ArrayList<>();
+        for (RowCodec.Host host : hosts.values()) {
+            if (!host.name().equals(self.name())) {
+                address(host).ifPresent(addresses::add);
+            }
+        }
+        for (InetSocketAddress seed : seeds) {
+            boolean own = address(self).filter(seed::equals).isPresent();
+            if (!own && !addresses.contains(seed)) {
+                addresses.add(seed);
+            }
+        }
+        return addresses;
+    }
+
+    private static Optional<InetSocketAddress> address(RowCodec.Host host) {
+        int colon = host.address().lastIndexOf(':');
+        OptionalLong port =
+                colon < 0 ? OptionalLong.empty() : parse(host.address().substring(colon + 1));
+        return port.isEmpty()
+                ? Optional.empty()
+                : Optional.of(
+                        new InetSocketAddress(
+                                host.address().substring(0, colon), (int) port.getAsLong()));
+    }
+
+    private void register() {
+        RowWrite write =
+                RowWrite.builder(Rows.PART)
+                        .put(Rows.HOSTS, self.name(), RowCodec.host(self))
+                        .build();
+        store.write(write, TIMEOUT_MILLIS, this::onRegistered);
+    }
+
+    private void onRegistered(RowOutcome outcome) {
+        if (outcome instanceof RowOutcome.NotDone notDone) {
+            health.onTrouble(notDone.trouble(), loop.now());
+            loop.after(RETRY_MILLIS, this::register);
+        } else if (outcome instanceof RowOutcome.Unknown unknown) {
+            health.onTrouble(unknown.trouble(), loop.now());
+            loop.after(RETRY_MILLIS, this::register);
+        } else {
+            health.onOk(loop.now());
+        }
+    }
+
+    private void read() {
+        store.read(RowRange.all(Rows.HOSTS, Rows.PART), TIMEOUT_MILLIS, this::onRead);
+    }
+
+    private void onRead(Result<RowSet> result) {
+        if (result instanceof Result.Ok<RowSet> ok) {
+            health.onOk(loop.now());
+            hosts.clear();
+            for (StoredRow row : ok.value().rows()) {
+                Result<RowCodec.Host> host = RowCodec.host(row);
+                if (host instanceof Result.Ok<RowCodec.Host> known) {
+                    hosts.put(row.key(), known.value());
+                } else {
+                    log.event(DispatchEvent.ROW_REFUSED)
+                            .with("table", Rows.HOSTS)
+                            .with("key", row.key())
+                            .with("version", row.version())
+                            .with("reason", host.failure().orElseThrow().message())
+                            .write();
+                }
+            }
+            loop.after(READ_PERIOD_MILLIS, this::read);
+        } else {
+            health.onTrouble((StoreTrouble) result.failure().orElseThrow(), loop.now());
+            loop.after(RETRY_MILLIS, this::read);
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/JobAnswer.java
@@ -0,0 +1,83 @@
+package org.peridotcourse.daemon.dispatch;
+
+import java.util.Locale;
+import org.peridotcourse.dispatch.JobState;
+
+/** What a caller is told. Implementations are immutable and thread-safe. */
+public sealed interface JobAnswer
+        permits JobAnswer.Accepted,
+                JobAnswer.Refused,
+                JobAnswer.Unsettled,
+                JobAnswer.State,
+                JobAnswer.Cancelled,
+                JobAnswer.Unknown,
+                JobAnswer.Pending,
+                JobAnswer.NoQueue,
+                JobAnswer.Malformed,
+                JobAnswer.OtherJob {
+    /** Why a call was not carried out. Constants are immutable and thread-safe. */
+    enum Reason {
+        /** This host has no configuration yet. */
+        NO_CONFIGURATION,
+        /** The store cannot be reached, neither from here nor from another host. */
+        STORE_AWAY,
+        /** This host has too many calls. */
+        TOO_MANY_CALLS;
+
+        /**
+         * Returns the code for logs and responses.
+         *
+         * @return lower-case words joined by hyphens
+         */
+        public String code() {
+            return name().toLowerCase(Locale.ROOT).replace('_', '-');
+        }
+    }
+
+    /** The job is stored. */
+    record Accepted() implements JobAnswer {}
+
+    /**
+     * The call has no effect, now or later.
+     *
+     * @param reason why
+     * @param retryAfterMillis when to come back
+     */
+    record Refused(Reason reason, long retryAfterMillis) implements JobAnswer {}
+
+    /** The call may have taken effect; the caller may repeat it. */
+    record Unsettled() implements JobAnswer {}
+
+    /**
+     * The state of a job.
+     *
+     * @param state the state
+     */
+    record State(JobState state) implements JobAnswer {}
+
+    /** The job is cancelled or has ended. */
+    record Cancelled() implements JobAnswer {}
+
+    /** There is no such job. */
+    record Unknown() implements JobAnswer {}
+
+    /**
+     * Jobs of a queue that have not begun.
+     *
+     * @param count the number
+     */
+    record Pending(int count) implements JobAnswer {}
+
+    /** There is no such queue. */
+    record NoQueue() implements JobAnswer {}
+
+    /**
+     * The call is not understood.
+     *
+     * @param message what is wrong
+     */
+    record Malformed(String message) implements JobAnswer {}
+
+    /** Another job has the id. */
+    record OtherJob() implements JobAnswer {}
+}
--- /dev/null
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/LeaseKeeping.java
@@ -0,0 +1,136 @@
+package org.peridotcourse.daemon.dispatch;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.peridotcourse.daemon.ring.EventLoop;
+import org.peridotcourse.dispatch.DispatchOwner;
+import org.peridotcourse.dispatch.LeaseCall;
+import org.peridotcourse.dispatch.OrderReply;
+import org.peridotcourse.dispatch.WorkerInfo;
+
+/** Keeps one lease call to each worker outstanding. Confined to the loop. */
+final class LeaseKeeping {
+    /** How long a worker waits for an end before it reports. */
+    private static final long WAIT_MILLIS = 1_000;
+
+    /** Reports come more often where filling tasks may disturb serving ones. */
+    private static final long MIXED_WAIT_MILLIS = 500;
+
+    /** Time for an answer beyond the wait. */
+    private static final long TIMEOUT_MILLIS = 700;
+
+    /** Pause before a worker without an answer is asked again. */
+    private static final long RETRY_MILLIS = 250;
+
+    /** A report that repeats ends is asked for this seldom while the store does not take them. */
+    private static final long UNSTORED_PAUSE_MILLIS = 400;
+
+    private final EventLoop loop;
+    private final HostParts parts;
+    private final DispatchOwner owner;
+    private final OwnerElection election;
+    private final Map<String, Line> lines = new HashMap<>();
+    private boolean workersKnown;
+    private boolean fleetKnown;
+    private boolean stopped;
+
+    /** The sequence of calls to one worker. */
+    private static final class Line {
+        boolean outstanding;
+        boolean listed = true;
+        long notBefore;
+        WorkerInfo info;
+    }
+
+    LeaseKeeping(HostParts parts, DispatchOwner owner, OwnerElection election) {
+        this.parts = parts;
+        this.loop = parts.loop();
+        this.owner = owner;
+        this.election = election;
+    }
+
+    void stop() {
+        stopped = true;
+    }
+
+    boolean isKnown(String worker) {
+        return lines.containsKey(worker);
+    }
+
+    void onWorker(WorkerInfo info, long now) {
+        Line line = lines.computeIfAbsent(info.id(), key -> new Line());
+        line.info = info;
+        line.listed = true;
+        owner.onWorker(info, now);
+    }
+
+    void onWorkerUnlisted(String id, long now) {
+        Line line = lines.get(id);
+        if (line != null) {
+            line.listed = false;
+            owner.onWorkerGone(id, now);
+        }
+    }
+
+    void onWorkersKnown() {
+        workersKnown = true;
+    }
+
+    void onFleetKnown() {
+        fleetKnown = true;
+    }
+
+    /** Ends are stored, so the calls that acknowledge them may go at once. */
+    void onStored() {
+        lines.values().forEach(line -> line.notBefore = 0);
+    }
+
+    /** Sends the calls that are due. */
+    void step(long now) {
+        if (!workersKnown || !fleetKnown) {
+            return;
+        }
+        lines.keySet().retainAll(owner.workers());
+        for (Map.Entry<String, Line> entry : lines.entrySet()) {
+            Line line = entry.getValue();
+            if (!line.outstanding && line.notBefore <= now) {
+                call(entry.getKey(), line, now);
+            }
+        }
+    }
+
+    private void call(String id, Line line, long now) {
+        long wait = owner.isMixed(id) ? MIXED_WAIT_MILLIS : WAIT_MILLIS;
+        Optional<LeaseCall> call = owner.leaseCall(id, wait, now);
+        if (call.isEmpty()) {
+            return;
+        }
+        line.outstanding = true;
+        parts.workers()
+                .lease(
+                        call.get(),
+                        TIMEOUT_MILLIS,
+                        reply -> {
+                            line.outstanding = false;
+                            if (!stopped && election.mayOrder(loop.now())) {
+                                onReply(id, line, reply, now);
+                            }
+                        });
+    }
+
+    private void onReply(String id, Line line, WorkerPort.LeaseReply reply, long sentAt) {
+        long now = loop.now();
+        parts.metrics().leaseReply(reply.reply(), now - sentAt);
+        if (reply.report().isPresent()) {
+            owner.onReport(id, reply.report().get(), sentAt, now);
+            line.notBefore = owner.hasUnstoredEnds(id) ? now + UNSTORED_PAUSE_MILLIS : 0;
+        } else {
+            owner.onNoReport(id, reply.reply(), now);
+            line.notBefore = now + RETRY_MILLIS;
+            if (reply.reply() == OrderReply.OTHER_LIFE || reply.reply() == OrderReply.NOT_SENT) {
+                parts.workers().forget(line.info);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/OwnerDuty.java
@@ -0,0 +1,322 @@
+package org.peridotcourse.daemon.dispatch;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.peridotcourse.Result;
+import org.peridotcourse.daemon.log.EventLog;
+import org.peridotcourse.daemon.ring.EventLoop;
+import org.peridotcourse.dispatch.Decision;
+import org.peridotcourse.dispatch.DispatchOwner;
+import org.peridotcourse.dispatch.JobEntry;
+import org.peridotcourse.dispatch.JobRecord;
+import org.peridotcourse.dispatch.Order;
+import org.peridotcourse.dispatch.OwnerFigures;
+import org.peridotcourse.dispatch.OwnerTerm;
+import org.peridotcourse.dispatch.WorkerInfo;
+
+/**
+ * One ownership of this host: reads the store, keeps the workers' leases, carries out the orders of
+ * {@link DispatchOwner} and stores progress. Confined to the loop.
+ */
+final class OwnerDuty {
+    /** Longest time between two rounds of decisions. */
+    private static final long TICK_MILLIS = 100;
+
+    private static final long ORDER_TIMEOUT_MILLIS = 600;
+    private static final long WORKERS_PAUSE_MILLIS = 300;
+    private static final long FEED_WAIT_MILLIS = 1_500;
+    private static final long FEED_TIMEOUT_MILLIS = 1_500;
+
+    private final EventLoop loop;
+    private final HostParts parts;
+    private final OwnerElection election;
+    private final ConfigWatch config;
+    private final DispatchOwner owner;
+    private final ProgressWriter progress;
+    private final LeaseKeeping leases;
+    private final EventLog log;
+    private final long startedAt;
+    private final List<TableFeed> feeds = new ArrayList<>();
+    private final Map<String, StoredRow> waitingJobs = new HashMap<>();
+
+    private Map<String, JobRecord> records = new HashMap<>();
+    private boolean progressRead;
+    private boolean jobsRead;
+    private boolean loaded;
+    private boolean stopped;
+
+    OwnerDuty(
+            HostParts parts,
+            OwnerElection election,
+            ConfigWatch config,
+            OwnerTerm term,
+            long epochVersion) {
+        this.parts = parts;
+        this.loop = parts.loop();
+        this.log = parts.log();
+        this.election = election;
+        this.config = config;
+        this.startedAt = loop.now();
+        this.owner = new DispatchOwner(term, this::logDecision);
+        this.progress = new ProgressWriter(parts, owner, epochVersion, election::onDeposed);
+        this.leases = new LeaseKeeping(parts, owner, election);
+        progress.onStored(leases::onStored);
+    }
+
+    void start() {
+        owner.onConfig(config.config());
+        owner.onEvacuated(config.evacuated());
+        readFleet();
+        feed(Rows.PROGRESS, Rows.PART, FEED_WAIT_MILLIS, 0, new ProgressRows(), true);
+        feed(parts.format().workerTable(), "", 0, WORKERS_PAUSE_MILLIS, new WorkerRows(), false);
+        loop.after(TICK_MILLIS, this::tick);
+    }
+
+    void stop() {
+        stopped = true;
+        feeds.forEach(TableFeed::stop);
+        leases.stop();
+        progress.stop();
+    }
+
+    DispatchOwner owner() {
+        return owner;
+    }
+
+    OwnerFigures figures() {
+        return owner.figures(loop.now());
+    }
+
+    void onConfig() {
+        owner.onConfig(config.config());
+        owner.onEvacuated(config.evacuated());
+    }
+
+    /** Decides and carries out, after each round of the loop. */
+    void step() {
+        if (stopped || !loaded) {
+            return;
+        }
+        long now = loop.now();
+        if (owner.isDeposed()) {
+            election.onDeposed("a worker has seen a later owner");
+            return;
+        }
+        if (!election.mayOrder(now)) {
+            return;
+        }
+        for (Order order : owner.decide(now)) {
+            parts.workers()
+                    .send(
+                            order,
+                            ORDER_TIMEOUT_MILLIS,
+                            reply -> {
+                                if (!stopped) {
+                                    parts.metrics().counter(order, reply);
+                                    owner.onReply(order, reply, loop.now());
+                                }
+                            });
+        }
+        progress.step(now);
+        leases.step(now);
+    }
+
+    private void tick() {
+        if (!stopped) {
+            loop.after(TICK_MILLIS, this::tick);
+        }
+    }
+
+    private void feed(
+            String table,
+            String part,
+            long waitMillis,
+            long pauseMillis,
+            TableFeed.Listener listener,
+            boolean once) {
+        TableFeed.Mode mode =
+                new TableFeed.Mode(table, part, waitMillis, pauseMillis, FEED_TIMEOUT_MILLIS);
+        TableFeed feed =
+                new TableFeed(loop, parts.store(), parts.health(), log, mode, listener, once);
+        feeds.add(feed);
+        feed.start();
+    }
+
+    private void readFleet() {
+        parts.store()
+                .read(
+                        RowRange.one(Rows.DUTIES, Rows.PART, Rows.FLEET_KEY),
+                        FEED_TIMEOUT_MILLIS,
+                        this::onFleet);
+    }
+
+    private void onFleet(Result<RowSet> result) {
+        if (stopped) {
+            return;
+        }
+        if (!(result instanceof Result.Ok<RowSet> ok)) {
+            parts.health()
+                    .onTrouble((StoreTrouble) result.failure().orElseThrow(), loop.now());
+            loop.after(TICK_MILLIS, this::readFleet);
+            return;
+        }
+        long now = loop.now();
+        for (StoredRow row : ok.value().rows()) {
+            Result<List<WorkerInfo>> fleet = RowCodec.fleet(row.value());
+            if (fleet instanceof Result.Ok<List<WorkerInfo>> known) {
+                progress.onFleetRead(known.value(), row.version());
+                for (WorkerInfo worker : known.value()) {
+                    if (!leases.isKnown(worker.id())) {
+                        leases.onWorker(worker, now);
+                        leases.onWorkerUnlisted(worker.id(), now);
+                    }
+                }
+            } else {
+                refuse(row, fleet.failure().orElseThrow().message());
+            }
+        }
+        leases.onFleetKnown();
+    }
+
+    /** Progress must be known before the jobs themselves. */
+    private final class ProgressRows implements TableFeed.Listener {
+        @Override
+        public void onRow(StoredRow row) {
+            Result<JobRecord> record = RowCodec.record(row.value());
+            if (record instanceof Result.Ok<JobRecord> ok) {
+                records.put(row.key(), ok.value());
+                progress.onProgressRead(row.key(), row.version(), ok.value());
+            } else {
+                refuse(row, record.failure().orElseThrow().message());
+            }
+        }
+
+        @Override
+        public void onGone(String key) {
+            // Only owners remove progress.
+        }
+
+        @Override
+        public void onCaughtUp() {
+            progressRead = true;
+            feed(Rows.JOBS, Rows.PART, FEED_WAIT_MILLIS, 0, new JobRows(), false);
+        }
+    }
+
+    /** Jobs that this owner has not seen; those of the first reading may have been started. */
+    private final class JobRows implements TableFeed.Listener {
+        @Override
+        public void onRow(StoredRow row) {
+            if (!jobsRead) {
+                waitingJobs.put(row.key(), row);
+                return;
+            }
+            addJob(row, JobRecord.NEW, false);
+        }
+
+        @Override
+        public void onGone(String key) {
+            // Jobs are removed by their owner after their end.
+        }
+
+        @Override
+        public void onCaughtUp() {
+            jobsRead = true;
+            for (StoredRow row : waitingJobs.values()) {
+                JobRecord record = records.get(row.key());
+                addJob(row, record == null ? JobRecord.NEW : record, true);
+            }
+            waitingJobs.clear();
+            records = new HashMap<>();
+            feed(Rows.CANCELS, Rows.PART, FEED_WAIT_MILLIS, 0, new CancelRows(), false);
+        }
+    }
+
+    private void addJob(StoredRow row, JobRecord record, boolean inherited) {
+        Result<JobEntry> entry = RowCodec.job(row, record, parts.format());
+        if (entry instanceof Result.Ok<JobEntry> ok) {
+            progress.onJobKnown(row.key(), row.version());
+            owner.onJob(ok.value(), inherited, loop.now(), System.currentTimeMillis());
+        } else {
+            refuse(row, entry.failure().orElseThrow().message());
+        }
+    }
+
+    /** Cancellations; the first reading completes the load. */
+    private final class CancelRows implements TableFeed.Listener {
+        @Override
+        public void onRow(StoredRow row) {
+            progress.onCancelKnown(row.key());
+            owner.onCancel(row.key(), loop.now());
+        }
+
+        @Override
+        public void onGone(String key) {
+            // Cancellations are removed by the owner.
+        }
+
+        @Override
+        public void onCaughtUp() {
+            loaded = true;
+            log.event(DispatchEvent.OWNER_LOADED)
+                    .with("epoch", owner.term().epoch())
+                    .with("jobs", owner.figures(loop.now()).jobs())
+                    .with("workers", owner.workers().size())
+                    .with("millis", loop.now() - startedAt)
+                    .write();
+        }
+    }
+
+    /** The list of workers. */
+    private final class WorkerRows implements TableFeed.Listener {
+        @Override
+        public void onRow(StoredRow row) {
+            Result<WorkerInfo> worker = parts.format().worker(row);
+            if (worker instanceof Result.Ok<WorkerInfo> ok) {
+                leases.onWorker(ok.value(), loop.now());
+            } else {
+                refuse(row, worker.failure().orElseThrow().message());
+                leases.onWorkerUnlisted(row.key(), loop.now());
+            }
+        }
+
+        @Override
+        public void onGone(String key) {
+            leases.onWorkerUnlisted(key, loop.now());
+        }
+
+        @Override
+        public void onCaughtUp() {
+            leases.onWorkersKnown();
+        }
+    }
+
+    private void refuse(StoredRow row, String reason) {
+        log.event(DispatchEvent.ROW_REFUSED)
+                .with("table", row.table())
+                .with("key", row.key())
+                .with("version", row.version())
+                .with("reason", reason)
+                .write();
+    }
+
+    private void logDecision(Decision decision) {
+        parts.metrics().decided(decision);
+        EventLog.Line line =
+                log.event(DispatchEvent.DECIDED)
+                        .with("kind", decision.kind())
+                        .with("subject", decision.subject())
+                        .with("epoch", owner.term().epoch());
+        if (!decision.worker().isEmpty()) {
+            line.with("worker", decision.worker());
+        }
+        line.detail(decision.detail()).write();
+    }
+
+    Optional<Map<String, Integer>> pending() {
+        return loaded ? Optional.of(owner.pending()) : Optional.empty();
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/OwnerElection.java
@@ -0,0 +1,327 @@
+package org.peridotcourse.daemon.dispatch;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.peridotcourse.Result;
+import org.peridotcourse.base.LeaseChallenger;
+import org.peridotcourse.base.LeaseHolder;
+import org.peridotcourse.base.LeaseRow;
+import org.peridotcourse.daemon.log.EventLog;
+import org.peridotcourse.daemon.ring.EventLoop;
+
+/**
+ * Takes, renews and releases the ownership by its lease row in the store. Confined to the loop.
+ *
+ * <p>A successor may take over while the old owner still acts: workers refuse the lower epoch, and
+ * the store refuses its writes. Only for workers that a successor does not reach does it count how
+ * long the old owner may go on, which is the hold of the row.
+ */
+final class OwnerElection {
+    /** Silence of an owner after which another host takes over. */
+    static final long LEASE_MILLIS = 1_500;
+
+    /** How long an owner goes on without the store. */
+    static final long HOLD_MILLIS = 12_000;
+
+    /** Covers the error of the clocks within one lease. */
+    private static final long MARGIN_MILLIS = 100;
+
+    private static final long POLL_MILLIS = 350;
+    private static final long TIMEOUT_MILLIS = 1_200;
+
+    /** Hosts that are farther from the store wait this multiple of their round trip. */
+    private static final int DISTANCE_FACTOR = 10;
+
+    private static final long LONGEST_DISTANCE_MILLIS = 400;
+
+    /** Takes what happens to the ownership. Implementations run on the loop. */
+    interface Listener {
+        /** Takes a new ownership of this host. */
+        void onTaken(long epoch, long epochVersion, long earlierOrdersUntil);
+
+        /** Takes the end of the ownership of this host. */
+        void onLost(String reason);
+    }
+
+    private final EventLoop loop;
+    private final RowStore store;
+    private final StoreHealth health;
+    private final HostDirectory directory;
+    private final EventLog log;
+    private final Listener listener;
+
+    private LeaseChallenger challenger;
+    private Optional<LeaseHolder> holder = Optional.empty();
+    private Map<String, Integer> pending = new HashMap<>();
+    private boolean writing;
+    private boolean stopping;
+    private long distanceMillis;
+    private long eligibleAt;
+    private long yieldedUntil;
+
+    OwnerElection(
+            EventLoop loop,
+            RowStore store,
+            StoreHealth health,
+            HostDirectory directory,
+            EventLog log,
+            Listener listener) {
+        this.loop = loop;
+        this.store = store;
+        this.health = health;
+        this.directory = directory;
+        this.log = log;
+        this.listener = listener;
+        this.challenger = new LeaseChallenger(directory.holderName(), MARGIN_MILLIS);
+    }
+
+    void start() {
+        poll();
+    }
+
+    boolean isOwner() {
+        return holder.isPresent();
+    }
+
+    /** Tells whether this host may give orders. */
+    boolean mayOrder(long now) {
+        return holder.isPresent() && now < holder.get().holdUntilMillis();
+    }
+
+    /** Returns the name of the owner as last seen. */
+    Optional<String> ownerName() {
+        return challenger.row().filter(row -> !row.isReleased()).map(LeaseRow::holder);
+    }
+
+    /** Returns the published numbers of jobs that have not begun. */
+    Map<String, Integer> pending() {
+        return pending;
+    }
+
+    /** Gives the ownership up so that another host takes it at once. */
+    void release(boolean forGood, long notBefore) {
+        stopping |= forGood;
+        yieldedUntil = notBefore;
+        if (holder.isEmpty()) {
+            return;
+        }
+        LeaseHolder held = holder.get();
+        LeaseRow row = held.release();
+        RowWrite write = ownerWrite(held.commit(), row).build();
+        holder = Optional.empty();
+        listener.onLost("released");
+        store.write(write, TIMEOUT_MILLIS, outcome -> note(outcome));
+        challenger = new LeaseChallenger(directory.holderName(), MARGIN_MILLIS);
+    }
+
+    /** Takes the news that a later owner exists. */
+    void onDeposed(String reason) {
+        if (holder.isPresent()) {
+            holder.get().superseded();
+            holder = Optional.empty();
+            challenger = new LeaseChallenger(directory.holderName(), MARGIN_MILLIS);
+            listener.onLost(reason);
+        }
+    }
+
+    private void poll() {
+        long sentAt = loop.now();
+        RowRange range =
+                new RowRange(
+                        Rows.DUTIES, Rows.PART, Rows.OWNER_KEY, Rows.PENDING_KEY + "!",
+                        RowRange.MAX_ROWS);
+        store.read(
+                range,
+                TIMEOUT_MILLIS,
+                result -> {
+                    onPoll(result, sentAt);
+                    loop.after(POLL_MILLIS, this::poll);
+                });
+    }
+
+    private void onPoll(Result<RowSet> result, long sentAt) {
+        long now = loop.now();
+        if (!(result instanceof Result.Ok<RowSet> ok)) {
+            health.onTrouble((StoreTrouble) result.failure().orElseThrow(), now);
+            return;
+        }
+        health.onOk(now);
+        distanceMillis =
+                Math.min(LONGEST_DISTANCE_MILLIS, DISTANCE_FACTOR * (loop.now() - sentAt));
+        Optional<LeaseRow> lease = Optional.empty();
+        long version = 0;
+        for (StoredRow row : ok.value().rows()) {
+            if (row.key().equals(Rows.OWNER_KEY)) {
+                lease = RowCodec.lease(row.value()).toOptional();
+                version = row.version();
+            } else if (row.key().equals(Rows.PENDING_KEY)) {
+                RowCodec.pending(row.value()).toOptional().ifPresent(counts -> pending = counts);
+            }
+        }
+        if (holder.isPresent()) {
+            checkHeld(lease, version);
+        } else {
+            challenger.observe(now, lease, version);
+            challenge(now);
+        }
+    }
+
+    private void checkHeld(Optional<LeaseRow> lease, long version) {
+        LeaseHolder held = holder.orElseThrow();
+        boolean later = lease.isPresent() && lease.get().epoch() > held.epoch();
+        if (version > held.commit() && later) {
+            onDeposed("another host took over");
+        }
+    }
+
+    private void challenge(long now) {
+        if (stopping || writing || now < yieldedUntil || health.isAway()) {
+            return;
+        }
+        Optional<LeaseRow> row = challenger.takeover(now, LEASE_MILLIS, HOLD_MILLIS);
+        boolean ended =
+                challenger.row().map(old -> directory.hasEnded(old.holder())).orElse(false);
+        if (row.isEmpty() && ended) {
+            LeaseRow old = challenger.row().orElseThrow();
+            row =
+                    Optional.of(
+                            new LeaseRow(
+                                    directory.holderName(),
+                                    old.epoch() + 1,
+                                    LEASE_MILLIS,
+                                    HOLD_MILLIS,
+                                    0));
+        }
+        if (row.isEmpty()) {
+            eligibleAt = 0;
+            return;
+        }
+        if (eligibleAt == 0) {
+            eligibleAt = now + distanceMillis;
+            loop.after(distanceMillis, () -> challenge(loop.now()));
+        } else if (now >= eligibleAt) {
+            eligibleAt = 0;
+            takeOver(row.get(), now);
+        }
+    }
+
+    private void takeOver(LeaseRow row, long now) {
+        writing = true;
+        Optional<LeaseRow> before = challenger.row();
+        long earlierUntil = before.map(old -> earlierOrdersUntil(old, now)).orElse(now);
+        RowWrite write =
+                ownerWrite(challenger.commit(), row)
+                        .put(Rows.DUTIES, Rows.EPOCH_KEY, RowCodec.lease(row))
+                        .build();
+        store.write(
+                write,
+                TIMEOUT_MILLIS,
+                outcome -> {
+                    writing = false;
+                    note(outcome);
+                    if (outcome instanceof RowOutcome.Written written && !stopping) {
+                        onTaken(row, written.version(), now, earlierUntil, before);
+                    } else if (outcome instanceof RowOutcome.Conflict conflict) {
+                        onConflict(conflict, row, now, earlierUntil, before);
+                    }
+                });
+    }
+
+    /** An earlier try without an answer may have succeeded. */
+    private void onConflict(
+            RowOutcome.Conflict conflict,
+            LeaseRow row,
+            long sentAt,
+            long earlierUntil,
+            Optional<LeaseRow> before) {
+        Optional<StoredRow> found = conflict.row(Rows.DUTIES, Rows.OWNER_KEY);
+        Optional<LeaseRow> present = found.flatMap(one -> RowCodec.lease(one.value()).toOptional());
+        if (present.isPresent() && present.get().equals(row)) {
+            onTaken(row, found.get().version(), sentAt, earlierUntil, before);
+        } else if (present.isPresent()) {
+            challenger.observe(loop.now(), present, found.get().version());
+        }
+    }
+
+    private long earlierOrdersUntil(LeaseRow old, long now) {
+        boolean over = old.isReleased() || directory.hasEnded(old.holder());
+        return over ? now : now + old.holdMillis();
+    }
+
+    private void onTaken(
+            LeaseRow row,
+            long version,
+            long sentAt,
+            long earlierUntil,
+            Optional<LeaseRow> before) {
+        holder = Optional.of(new LeaseHolder(row, version, sentAt));
+        log.event(DispatchEvent.OWNER_TAKEN)
+                .with("epoch", row.epoch())
+                .with("before", before.map(LeaseRow::holder).orElse("none"))
+                .with("afterMillis", loop.now() - sentAt)
+                .write();
+        loop.after(LEASE_MILLIS / 3, () -> renew(row.epoch()));
+        listener.onTaken(row.epoch(), version, earlierUntil);
+    }
+
+    private void renew(long epoch) {
+        if (holder.isEmpty() || holder.get().epoch() != epoch) {
+            return;
+        }
+        LeaseHolder held = holder.get();
+        long now = loop.now();
+        Optional<LeaseRow> row = held.renewal(now, HOLD_MILLIS);
+        if (row.isEmpty()) {
+            loop.after(LEASE_MILLIS / 10, () -> renew(epoch));
+            return;
+        }
+        store.write(
+                ownerWrite(held.commit(), row.get()).build(),
+                TIMEOUT_MILLIS,
+                outcome -> {
+                    note(outcome);
+                    onRenewed(held, row.get(), now, outcome);
+                    loop.after(LEASE_MILLIS / 10, () -> renew(epoch));
+                });
+    }
+
+    private void onRenewed(LeaseHolder held, LeaseRow row, long sentAt, RowOutcome outcome) {
+        if (holder.filter(present -> present == held).isEmpty()) {
+            return;
+        }
+        if (outcome instanceof RowOutcome.Written written) {
+            held.confirmed(row, written.version(), sentAt);
+        } else if (outcome instanceof RowOutcome.Conflict conflict) {
+            Optional<StoredRow> found = conflict.row(Rows.DUTIES, Rows.OWNER_KEY);
+            Optional<LeaseRow> present =
+                    found.flatMap(one -> RowCodec.lease(one.value()).toOptional());
+            boolean own =
+                    present.isPresent()
+                            && present.get().holder().equals(row.holder())
+                            && present.get().epoch() == row.epoch();
+            if (own) {
+                // An earlier renewal without an answer took effect.
+                held.confirmed(present.get(), found.get().version(), sentAt);
+            } else {
+                onDeposed("the lease row has another holder");
+            }
+        }
+    }
+
+    private static RowWrite.Builder ownerWrite(long version, LeaseRow row) {
+        return RowWrite.builder(Rows.PART)
+                .expect(Rows.DUTIES, Rows.OWNER_KEY, version)
+                .put(Rows.DUTIES, Rows.OWNER_KEY, RowCodec.lease(row));
+    }
+
+    private void note(RowOutcome outcome) {
+        if (outcome instanceof RowOutcome.NotDone notDone) {
+            health.onTrouble(notDone.trouble(), loop.now());
+        } else if (outcome instanceof RowOutcome.Unknown unknown) {
+            health.onTrouble(unknown.trouble(), loop.now());
+        } else {
+            health.onOk(loop.now());
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/PeerLink.java
@@ -0,0 +1,138 @@
+package org.peridotcourse.daemon.dispatch;
+
+import java.net.InetSocketAddress;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.peridotcourse.Result;
+import org.peridotcourse.daemon.entry.Caller;
+import org.peridotcourse.daemon.entry.CallerAnswer;
+import org.peridotcourse.daemon.entry.IncomingCall;
+import org.peridotcourse.daemon.http.ChannelFailure;
+import org.peridotcourse.daemon.http.HttpCall;
+import org.peridotcourse.daemon.http.HttpCaller;
+import org.peridotcourse.daemon.http.HttpReply;
+
+/**
+ * Calls between hosts: callers' calls that are passed on, and the configuration. Confined to the
+ * loop.
+ */
+final class PeerLink {
+    /** Marks a call that came from another host, which is not passed on again. */
+    static final String FORWARDED = "Peridot-Forwarded";
+
+    /** Path under which a host serves its configuration row. */
+    static final String CONFIG_PATH = "/peer/config";
+
+    /** The key of the row, in the response to {@link #CONFIG_PATH}. */
+    static final String ROW_KEY = "Peridot-Row-Key";
+
+    private static final int MAX_ACTIVE = 16;
+    private static final long CONFIG_TIMEOUT_MILLIS = 500;
+    private static final int OK = 200;
+    private static final int NOT_MODIFIED = 304;
+    private static final List<String> KEPT_HEADERS = List.of("retry-after", "content-type");
+
+    private final HttpCaller http;
+    private final String name;
+    private final String operatorTable;
+
+    PeerLink(HttpCaller http, String name, String operatorTable) {
+        this.http = http;
+        this.name = name;
+        this.operatorTable = operatorTable;
+    }
+
+    /** Takes the outcome of a call that was passed on. */
+    interface Forwarded {
+        /** Takes the response of the other host. */
+        void onAnswer(CallerAnswer answer);
+
+        /** Takes the news that there is none. */
+        void onFailure(ChannelFailure failure);
+    }
+
+    /** Passes a call on. */
+    void forward(InetSocketAddress peer, IncomingCall call, long timeoutMillis, Forwarded handler) {
+        Map<String, String> headers = new LinkedHashMap<>();
+        call.header("host").ifPresent(host -> headers.put("X-Forwarded-Host", host));
+        headers.put(FORWARDED, name);
+        if (call.body().length > 0) {
+            headers.put("Content-Type", "application/json");
+        }
+        HttpCall forwarded = new HttpCall(call.method(), call.path(), headers, call.body());
+        http.call(
+                peer,
+                forwarded,
+                timeoutMillis,
+                MAX_ACTIVE,
+                result -> {
+                    if (result instanceof Result.Ok<HttpReply> ok) {
+                        handler.onAnswer(toAnswer(ok.value()));
+                    } else {
+                        handler.onFailure((ChannelFailure) result.failure().orElseThrow());
+                    }
+                });
+    }
+
+    private static CallerAnswer toAnswer(HttpReply reply) {
+        List<Map.Entry<String, String>> headers =
+                KEPT_HEADERS.stream()
+                        .filter(header -> reply.header(header).isPresent())
+                        .map(header -> Map.entry(header, reply.header(header).orElseThrow()))
+                        .toList();
+        return new CallerAnswer(reply.status(), headers, reply.body());
+    }
+
+    /** Asks another host for a newer configuration; the handler runs only if it has one. */
+    void config(InetSocketAddress peer, long knownVersion, Consumer<StoredRow> handler) {
+        HttpCall call = HttpCall.get(CONFIG_PATH + "?after=" + knownVersion);
+        http.call(
+                peer,
+                call,
+                CONFIG_TIMEOUT_MILLIS,
+                MAX_ACTIVE,
+                result -> {
+                    if (result instanceof Result.Ok<HttpReply> ok && ok.value().status() == OK) {
+                        toRow(ok.value()).ifPresent(handler);
+                    }
+                });
+    }
+
+    private Optional<StoredRow> toRow(HttpReply reply) {
+        Optional<String> key = reply.header(ROW_KEY);
+        return key.map(name -> new StoredRow(operatorTable, name, reply.body(), 1, false));
+    }
+
+    /** Answers another host's question for the configuration. */
+    static void serveConfig(ConfigWatch config, IncomingCall call, Caller caller) {
+        long known = 0;
+        String query = call.query().orElse("");
+        String prefix = "after=";
+        if (query.startsWith(prefix) && query.length() > prefix.length()) {
+            known = parse(query.substring(prefix.length()));
+        }
+        Optional<StoredRow> row = config.row();
+        if (row.isEmpty() || config.config().version() <= known) {
+            caller.answer(new CallerAnswer(NOT_MODIFIED, List.of(), new byte[0]));
+            return;
+        }
+        caller.answer(
+                new CallerAnswer(
+                        OK,
+                        List.of(
+                                Map.entry("Content-Type", "application/json"),
+                                Map.entry(ROW_KEY, row.get().key())),
+                        row.get().value()));
+    }
+
+    private static long parse(String number) {
+        try {
+            return Long.parseLong(number);
+        } catch (NumberFormatException malformed) {
+            return 0;
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/PlatformFormat.java
@@ -0,0 +1,76 @@
+package org.peridotcourse.daemon.dispatch;
+
+import org.peridotcourse.Result;
+import org.peridotcourse.daemon.entry.CallerAnswer;
+import org.peridotcourse.daemon.entry.IncomingCall;
+import org.peridotcourse.dispatch.JobSpec;
+import org.peridotcourse.dispatch.WorkerInfo;
+
+/**
+ * Translates between the platform's formats and the product's types. Implementations hold no state,
+ * decide nothing and are thread-safe.
+ */
+public interface PlatformFormat {
+    /**
+     * Returns the table that the operator writes.
+     *
+     * @return the name of the table
+     */
+    String operatorTable();
+
+    /**
+     * Returns the table in which workers register.
+     *
+     * @return the name of the table
+     */
+    String workerTable();
+
+    /**
+     * Reads a row of the operator.
+     *
+     * @param row the row
+     * @return what it says, or why it is not understood
+     */
+    Result<OperatorRow> operatorRow(StoredRow row);
+
+    /**
+     * Reads a row of a worker.
+     *
+     * @param row the row
+     * @return the worker, or why the row names none
+     */
+    Result<WorkerInfo> worker(StoredRow row);
+
+    /**
+     * Reads the body of a job.
+     *
+     * @param body the body as it arrived
+     * @return the job, or what is wrong
+     */
+    Result<JobSpec> job(byte[] body);
+
+    /**
+     * Reads a caller's call to a queue.
+     *
+     * @param call the call
+     * @param prefix the beginning of the path that selected the queue
+     * @return what the caller asks for, or what is wrong
+     */
+    Result<JobRequest> request(IncomingCall call, String prefix);
+
+    /**
+     * Writes an answer.
+     *
+     * @param answer the answer
+     * @return the response
+     */
+    CallerAnswer response(JobAnswer answer);
+
+    /**
+     * Returns the response to a question for readiness.
+     *
+     * @param ready whether calls would be taken
+     * @return the response
+     */
+    CallerAnswer readiness(boolean ready);
+}
--- /dev/null
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/RowCodec.java
@@ -0,0 +1,274 @@
+package org.peridotcourse.daemon.dispatch;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.TreeMap;
+import org.peridotcourse.Resources;
+import org.peridotcourse.Result;
+import org.peridotcourse.base.LeaseRow;
+import org.peridotcourse.dispatch.JobEntry;
+import org.peridotcourse.dispatch.JobRecord;
+import org.peridotcourse.dispatch.JobSpec;
+import org.peridotcourse.dispatch.JobState;
+import org.peridotcourse.dispatch.QueueRules;
+import org.peridotcourse.dispatch.WorkerInfo;
+
+/** Reads and writes the values of the product's own rows. It holds no state and is thread-safe. */
+final class RowCodec {
+    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final byte HEAD_END = '\n';
+
+    private RowCodec() {}
+
+    /**
+     * A host as its row tells.
+     *
+     * @param name the name
+     * @param address where other hosts connect
+     * @param incarnation a number that no other run of this host has
+     */
+    record Host(String name, String address, long incarnation) {}
+
+    /** Writes a job: a line with its queue and acceptance, then the body as it arrived. */
+    static byte[] job(QueueRules queue, long acceptedAtMillis, byte[] body) {
+        ObjectNode head = JSON.createObjectNode();
+        head.put("queue", queue.name());
+        head.put("service", queue.service());
+        head.put("priority", queue.priority());
+        head.put("maxAttempts", queue.maxAttempts());
+        head.put("slackFactor", queue.slackFactor());
+        head.put("targetMillis", queue.targetMillis());
+        head.put("acceptedAtMillis", acceptedAtMillis);
+        byte[] line = bytes(head);
+        byte[] row = Arrays.copyOf(line, line.length + 1 + body.length);
+        row[line.length] = HEAD_END;
+        System.arraycopy(body, 0, row, line.length + 1, body.length);
+        return row;
+    }
+
+    /** Reads a job. */
+    static Result<JobEntry> job(StoredRow row, JobRecord record, PlatformFormat format) {
+        try {
+            int end = headEnd(row.value());
+            JsonNode head = JSON.readTree(row.value(), 0, end);
+            QueueRules queue =
+                    new QueueRules(
+                            head.path("queue").asText(),
+                            head.path("service").asText(),
+                            head.path("priority").asInt(),
+                            head.path("maxAttempts").asInt(1),
+                            head.path("slackFactor").asDouble(1),
+                            head.path("targetMillis").asLong(),
+                            Optional.empty());
+            long acceptedAt = head.path("acceptedAtMillis").asLong();
+            Result<JobSpec> spec = format.job(body(row.value()));
+            return spec.map(job -> new JobEntry(row.key(), queue, job, acceptedAt, record));
+        } catch (IOException malformed) {
+            return Result.failed(new RowFault("job: " + malformed.getMessage()));
+        }
+    }
+
+    /** Returns the body of a job as it arrived. */
+    static byte[] body(byte[] row) {
+        int end = headEnd(row);
+        return Arrays.copyOfRange(row, Math.min(row.length, end + 1), row.length);
+    }
+
+    private static int headEnd(byte[] row) {
+        for (int i = 0; i < row.length; i++) {
+            if (row[i] == HEAD_END) {
+                return i;
+            }
+        }
+        return row.length;
+    }
+
+    static byte[] record(JobRecord record) {
+        ObjectNode node = JSON.createObjectNode();
+        node.put("state", record.state().code());
+        if (record.endedAtMillis() > 0) {
+            node.put("endedAtMillis", record.endedAtMillis());
+        }
+        ArrayNode done = JSON.createArrayNode();
+        ArrayNode other = JSON.createArrayNode();
+        for (JobRecord.TaskRecord task : record.tasks()) {
+            if (task.done() && task.failedAttempts().isEmpty()) {
+                done.add(task.occurrence()).add(task.step()).add(task.index());
+            } else {
+                ObjectNode one = other.addObject();
+                one.put("occurrence", task.occurrence());
+                one.put("step", task.step());
+                one.put("index", task.index());
+                one.put("done", task.done());
+                task.failedAttempts().forEach(one.putArray("failedAttempts")::add);
+                one.put("checkpoint", task.checkpoint());
+            }
+        }
+        if (!done.isEmpty()) {
+            node.set("done", done);
+        }
+        if (!other.isEmpty()) {
+            node.set("tasks", other);
+        }
+        return bytes(node);
+    }
+
+    static Result<JobRecord> record(byte[] value) {
+        try {
+            JsonNode node = JSON.readTree(value);
+            Optional<JobState> state = JobState.parse(node.path("state").asText());
+            if (state.isEmpty()) {
+                return Result.failed(new RowFault("progress: no state"));
+            }
+            List<JobRecord.TaskRecord> tasks = new ArrayList<>();
+            JsonNode done = node.path("done");
+            for (int i = 0; i + 2 < done.size(); i += 3) {
+                tasks.add(
+                        new JobRecord.TaskRecord(
+                                done.get(i).asInt(),
+                                done.get(i + 1).asInt(),
+                                done.get(i + 2).asInt(),
+                                true,
+                                List.of(),
+                                ""));
+            }
+            for (JsonNode one : node.path("tasks")) {
+                List<Integer> failed = new ArrayList<>();
+                one.path("failedAttempts").forEach(attempt -> failed.add(attempt.asInt()));
+                tasks.add(
+                        new JobRecord.TaskRecord(
+                                one.path("occurrence").asInt(),
+                                one.path("step").asInt(),
+                                one.path("index").asInt(),
+                                one.path("done").asBoolean(),
+                                failed,
+                                one.path("checkpoint").asText("")));
+            }
+            return Result.ok(
+                    new JobRecord(state.get(), node.path("endedAtMillis").asLong(), tasks));
+        } catch (IOException malformed) {
+            return Result.failed(new RowFault("progress: " + malformed.getMessage()));
+        }
+    }
+
+    static byte[] lease(LeaseRow row) {
+        ObjectNode node = JSON.createObjectNode();
+        node.put("holder", row.holder());
+        node.put("epoch", row.epoch());
+        node.put("leaseMillis", row.leaseMillis());
+        node.put("holdMillis", row.holdMillis());
+        node.put("beat", row.beat());
+        return bytes(node);
+    }
+
+    static Result<LeaseRow> lease(byte[] value) {
+        try {
+            JsonNode node = JSON.readTree(value);
+            return Result.ok(
+                    new LeaseRow(
+                            node.path("holder").asText(),
+                            node.path("epoch").asLong(),
+                            node.path("leaseMillis").asLong(),
+                            node.path("holdMillis").asLong(),
+                            node.path("beat").asLong()));
+        } catch (IOException malformed) {
+            return Result.failed(new RowFault("lease: " + malformed.getMessage()));
+        }
+    }
+
+    static byte[] host(Host host) {
+        ObjectNode node = JSON.createObjectNode();
+        node.put("address", host.address());
+        node.put("incarnation", host.incarnation());
+        return bytes(node);
+    }
+
+    static Result<Host> host(StoredRow row) {
+        try {
+            JsonNode node = JSON.readTree(row.value());
+            return Result.ok(
+                    new Host(
+                            row.key(),
+                            node.path("address").asText(),
+                            node.path("incarnation").asLong()));
+        } catch (IOException malformed) {
+            return Result.failed(new RowFault("host: " + malformed.getMessage()));
+        }
+    }
+
+    static byte[] pending(Map<String, Integer> counts) {
+        ObjectNode node = JSON.createObjectNode();
+        new TreeMap<>(counts).forEach(node::put);
+        return bytes(node);
+    }
+
+    static Result<Map<String, Integer>> pending(byte[] value) {
+        try {
+            Map<String, Integer> counts = new TreeMap<>();
+            JSON.readTree(value)
+                    .fields()
+                    .forEachRemaining(one -> counts.put(one.getKey(), one.getValue().asInt()));
+            return Result.ok(counts);
+        } catch (IOException malformed) {
+            return Result.failed(new RowFault("pending: " + malformed.getMessage()));
+        }
+    }
+
+    static byte[] fleet(List<WorkerInfo> workers) {
+        ArrayNode list = JSON.createArrayNode();
+        for (WorkerInfo worker : workers) {
+            ObjectNode node = list.addObject();
+            node.put("id", worker.id());
+            node.put("service", worker.service());
+            node.put("address", worker.address());
+            node.put("dataCentre", worker.dataCentre());
+            worker.labels().forEach(node.putArray("labels")::add);
+            node.put("milliCores", worker.capacity().milliCores());
+            node.put("memoryMib", worker.capacity().memoryMib());
+            node.put("accelerators", worker.capacity().accelerators());
+            node.put("bornMillis", worker.bornMillis());
+        }
+        return bytes(list);
+    }
+
+    static Result<List<WorkerInfo>> fleet(byte[] value) {
+        try {
+            List<WorkerInfo> workers = new ArrayList<>();
+            for (JsonNode node : JSON.readTree(value)) {
+                List<String> labels = new ArrayList<>();
+                node.path("labels").forEach(label -> labels.add(label.asText()));
+                workers.add(
+                        new WorkerInfo(
+                                node.path("id").asText(),
+                                node.path("service").asText(),
+                                node.path("address").asText(),
+                                node.path("dataCentre").asText(),
+                                labels,
+                                Resources.of(
+                                        node.path("milliCores").asLong(),
+                                        node.path("memoryMib").asLong(),
+                                        node.path("accelerators").asLong()),
+                                false,
+                                OptionalLong.empty(),
+                                node.path("bornMillis").asLong()));
+            }
+            return Result.ok(workers);
+        } catch (IOException malformed) {
+            return Result.failed(new RowFault("fleet: " + malformed.getMessage()));
+        }
+    }
+
+    private static byte[] bytes(JsonNode node) {
+        return node.toString().getBytes(StandardCharsets.UTF_8);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/RowOutcome.java
@@ -0,0 +1,50 @@
+package org.peridotcourse.daemon.dispatch;
+
+import java.util.List;
+import java.util.Optional;
+
+/** The outcome of a {@link RowWrite}. Instances are immutable and thread-safe. */
+public sealed interface RowOutcome
+        permits RowOutcome.Written, RowOutcome.Conflict, RowOutcome.NotDone, RowOutcome.Unknown {
+    /**
+     * The write took effect.
+     *
+     * @param version the version of the written rows
+     */
+    record Written(long version) implements RowOutcome {}
+
+    /**
+     * The write did not take effect, because rows were not as expected.
+     *
+     * @param rows the rows of the conditions as they are
+     */
+    record Conflict(List<StoredRow> rows) implements RowOutcome {
+        /**
+         * Returns a row of the conditions.
+         *
+         * @param table the table
+         * @param key the key
+         * @return the row, or empty if it does not exist
+         */
+        public Optional<StoredRow> row(String table, String key) {
+            return rows.stream()
+                    .filter(row -> row.table().equals(table) && row.key().equals(key))
+                    .filter(row -> row.version() > 0 && !row.deleted())
+                    .findFirst();
+        }
+    }
+
+    /**
+     * The write certainly has no effect, now or later.
+     *
+     * @param trouble why
+     */
+    record NotDone(StoreTrouble trouble) implements RowOutcome {}
+
+    /**
+     * There is no answer; the write may have taken effect or may still do so.
+     *
+     * @param trouble why
+     */
+    record Unknown(StoreTrouble trouble) implements RowOutcome {}
+}
--- /dev/null
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/RowRange.java
@@ -0,0 +1,53 @@
+package org.peridotcourse.daemon.dispatch;
+
+/**
+ * A range of rows to read.
+ *
+ * <p>Instances are immutable and thread-safe.
+ *
+ * @param table the table
+ * @param part the part of the table
+ * @param from the first key, empty for the beginning
+ * @param to the key behind the last one, empty for the end
+ * @param limit the largest number of rows
+ */
+public record RowRange(String table, String part, String from, String to, int limit) {
+    /** The largest number of rows of one read. */
+    public static final int MAX_ROWS = 500;
+
+    /** The first printable character, so that no key of this system lies in between. */
+    private static final String AFTER = "!";
+
+    /**
+     * Returns the range of one row.
+     *
+     * @param table the table
+     * @param part the part
+     * @param key the key
+     * @return the range
+     */
+    public static RowRange one(String table, String part, String key) {
+        return new RowRange(table, part, key, key + "!", 1);
+    }
+
+    /**
+     * Returns the range of a whole part.
+     *
+     * @param table the table
+     * @param part the part
+     * @return the range, to be continued by {@link #after}
+     */
+    public static RowRange all(String table, String part) {
+        return new RowRange(table, part, "", "", MAX_ROWS);
+    }
+
+    /**
+     * Returns the rest of this range.
+     *
+     * @param key the last key that was read
+     * @return the range behind it
+     */
+    public RowRange after(String key) {
+        return new RowRange(table, part, key + AFTER, to, limit);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/RowSet.java
@@ -0,0 +1,14 @@
+package org.peridotcourse.daemon.dispatch;
+
+import java.util.List;
+
+/**
+ * Rows that one read returned.
+ *
+ * <p>Instances are immutable and thread-safe.
+ *
+ * @param rows the rows; changes come in the order of their versions, others by key
+ * @param more true if further rows follow
+ * @param version the newest version that the read saw
+ */
+public record RowSet(List<StoredRow> rows, boolean more, long version) {}
--- /dev/null
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/Rows.java
@@ -0,0 +1,36 @@
+package org.peridotcourse.daemon.dispatch;
+
+/** Names of the product's own rows in the platform's store. It holds no state. */
+final class Rows {
+    /** The part of all rows of one group of workers. */
+    static final String PART = "main";
+
+    /** Bodies of jobs that have not ended, by id. */
+    static final String JOBS = "jobs";
+
+    /** Progress of jobs, by id; kept after their end. */
+    static final String PROGRESS = "progress";
+
+    /** Cancellations that the owner has not carried out, by id. */
+    static final String CANCELS = "cancels";
+
+    /** Rows about the ownership. */
+    static final String DUTIES = "duties";
+
+    /** The lease row of the owner, rewritten with each renewal. */
+    static final String OWNER_KEY = "owner";
+
+    /** Changes with each owner only, so that every write of an owner can check it. */
+    static final String EPOCH_KEY = "epoch";
+
+    /** Jobs that have not begun, by queue. */
+    static final String PENDING_KEY = "pending";
+
+    /** Workers that may run tasks of this owner, for its successor. */
+    static final String FLEET_KEY = "fleet";
+
+    /** Hosts by name. */
+    static final String HOSTS = "hosts";
+
+    private Rows() {}
+}
--- /dev/null
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/StoreHealth.java
@@ -0,0 +1,65 @@
+package org.peridotcourse.daemon.dispatch;
+
+import org.peridotcourse.daemon.log.EventLog;
+
+/**
+ * Judges from the outcomes of calls whether this host reaches the store. Confined to the loop.
+ */
+public final class StoreHealth {
+    /** Failures in a row after which calls go to other hosts first. */
+    private static final int FAILURES = 2;
+
+    private final EventLog log;
+    private int failures;
+    private long lastOkAt;
+    private long firstFailureAt;
+    private boolean away;
+
+    /**
+     * Creates the judgement of a host that has not called the store.
+     *
+     * @param log takes losses and returns
+     */
+    public StoreHealth(EventLog log) {
+        this.log = log;
+    }
+
+    void onOk(long now) {
+        if (away) {
+            log.event(DispatchEvent.STORE_REGAINED)
+                    .with("awayMillis", now - firstFailureAt)
+                    .write();
+        }
+        away = false;
+        failures = 0;
+        lastOkAt = now;
+    }
+
+    void onTrouble(StoreTrouble trouble, long now) {
+        if (trouble.isAnswered()) {
+            onOk(now);
+            return;
+        }
+        if (failures == 0) {
+            firstFailureAt = now;
+        }
+        failures++;
+        if (!away && failures >= FAILURES) {
+            away = true;
+            log.event(DispatchEvent.STORE_LOST)
+                    .with("cause", trouble.code())
+                    .with("sinceMillis", now - lastOkAt)
+                    .write();
+        }
+    }
+
+    /** Tells whether the last calls all failed. */
+    boolean isAway() {
+        return away;
+    }
+
+    /** Time since the last good answer. */
+    long silentMillis(long now) {
+        return now - lastOkAt;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/StoreTrouble.java
@@ -0,0 +1,45 @@
+package org.peridotcourse.daemon.dispatch;
+
+import java.util.Locale;
+import org.peridotcourse.Failure;
+
+/** Tells why a call to the store has no result. Constants are immutable and thread-safe. */
+public enum StoreTrouble implements Failure {
+    /** No connection. */
+    UNREACHABLE("the store cannot be reached"),
+    /** The store said that it is unavailable. */
+    UNAVAILABLE("the store is unavailable"),
+    /** The store said that there are too many calls. */
+    RATE_LIMITED("the store has too many calls"),
+    /** No answer came in time. */
+    NO_ANSWER("the store did not answer"),
+    /** The store no longer has the changes that were asked for. */
+    HISTORY_GONE("the store no longer has these changes"),
+    /** The answer does not follow the protocol, or the call was refused as wrong. */
+    MISUNDERSTOOD("the answer of the store was not understood");
+
+    private final String message;
+
+    StoreTrouble(String message) {
+        this.message = message;
+    }
+
+    /**
+     * Tells whether the store itself answered, so that it can be reached.
+     *
+     * @return true if the trouble is not one of the connection
+     */
+    public boolean isAnswered() {
+        return this == HISTORY_GONE || this == MISUNDERSTOOD;
+    }
+
+    @Override
+    public String code() {
+        return "store-" + name().toLowerCase(Locale.ROOT).replace('_', '-');
+    }
+
+    @Override
+    public String message() {
+        return message;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/TableFeed.java
@@ -0,0 +1,201 @@
+package org.peridotcourse.daemon.dispatch;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.peridotcourse.Result;
+import org.peridotcourse.daemon.log.EventLog;
+import org.peridotcourse.daemon.ring.EventLoop;
+
+/**
+ * Keeps up with one table: reads it once, then follows its changes, and reads it again when the
+ * history is gone. Rows older than one that was delivered before are left out. Confined to the
+ * loop.
+ */
+final class TableFeed {
+    private static final long RETRY_MILLIS = 150;
+
+    /** Takes what a feed finds. Implementations run on the loop. */
+    interface Listener {
+        /** Takes a row that is new or changed. */
+        void onRow(StoredRow row);
+
+        /** Takes the news that a row is gone. */
+        void onGone(String key);
+
+        /** Takes the news that the whole table was delivered. */
+        default void onCaughtUp() {
+            // Most listeners need no such news.
+        }
+    }
+
+    /**
+     * How a feed reads.
+     *
+     * @param table the table
+     * @param part the part
+     * @param waitMillis how long a call waits for a change
+     * @param pauseMillis pause between calls, to take several changes at once
+     * @param timeoutMillis time for the answer to a read
+     */
+    record Mode(String table, String part, long waitMillis, long pauseMillis, long timeoutMillis) {}
+
+    private final EventLoop loop;
+    private final RowStore store;
+    private final StoreHealth health;
+    private final EventLog log;
+    private final Mode mode;
+    private final Listener listener;
+
+    /** True if the changes of the table are not followed. */
+    private final boolean once;
+
+    private final Map<String, Long> versions = new HashMap<>();
+
+    private List<StoredRow> pages = new ArrayList<>();
+    private long position;
+    private boolean stopped;
+    private boolean caughtUp;
+
+    TableFeed(
+            EventLoop loop,
+            RowStore store,
+            StoreHealth health,
+            EventLog log,
+            Mode mode,
+            Listener listener,
+            boolean once) {
+        this.once = once;
+        this.loop = loop;
+        this.store = store;
+        this.health = health;
+        this.log = log;
+        this.mode = mode;
+        this.listener = listener;
+    }
+
+    void start() {
+        readAll(RowRange.all(mode.table(), mode.part()), 0);
+    }
+
+    void stop() {
+        stopped = true;
+    }
+
+    private void readAll(RowRange range, long firstVersion) {
+        store.read(
+                range,
+                mode.timeoutMillis(),
+                result -> {
+                    if (!stopped) {
+                        onPage(range, firstVersion, result);
+                    }
+                });
+    }
+
+    private void onPage(RowRange range, long firstVersion, Result<RowSet> result) {
+        if (!(result instanceof Result.Ok<RowSet> ok)) {
+            onTrouble(result, this::start);
+            pages = new ArrayList<>();
+            return;
+        }
+        health.onOk(loop.now());
+        RowSet page = ok.value();
+        pages.addAll(page.rows());
+        long first = firstVersion == 0 ? page.version() : firstVersion;
+        if (page.more() && !page.rows().isEmpty()) {
+            readAll(range.after(page.rows().get(page.rows().size() - 1).key()), first);
+            return;
+        }
+        List<StoredRow> rows = pages;
+        pages = new ArrayList<>();
+        deliverAll(rows, first);
+    }
+
+    private void deliverAll(List<StoredRow> rows, long version) {
+        Set<String> present = new HashSet<>();
+        for (StoredRow row : rows) {
+            present.add(row.key());
+            deliver(row);
+        }
+        for (String key : new ArrayList<>(versions.keySet())) {
+            if (!present.contains(key) && versions.get(key) <= version) {
+                versions.remove(key);
+                listener.onGone(key);
+            }
+        }
+        position = Math.max(position, version);
+        if (!caughtUp) {
+            caughtUp = true;
+            listener.onCaughtUp();
+        }
+        follow();
+    }
+
+    private void deliver(StoredRow row) {
+        long known = versions.getOrDefault(row.key(), 0L);
+        if (row.version() <= known) {
+            return;
+        }
+        if (row.deleted()) {
+            versions.remove(row.key());
+            listener.onGone(row.key());
+        } else {
+            versions.put(row.key(), row.version());
+            listener.onRow(row);
+        }
+    }
+
+    private void follow() {
+        if (!stopped && !once) {
+            store.changes(
+                    mode.table(),
+                    position,
+                    mode.waitMillis(),
+                    result -> {
+                        if (!stopped) {
+                            onChanges(result);
+                        }
+                    });
+        }
+    }
+
+    private void onChanges(Result<RowSet> result) {
+        if (result instanceof Result.Ok<RowSet> ok) {
+            health.onOk(loop.now());
+            ok.value().rows().forEach(this::deliver);
+            position = Math.max(position, ok.value().version());
+            if (mode.pauseMillis() > 0) {
+                loop.after(mode.pauseMillis(), this::follow);
+            } else {
+                follow();
+            }
+            return;
+        }
+        StoreTrouble trouble = (StoreTrouble) result.failure().orElseThrow();
+        if (trouble == StoreTrouble.HISTORY_GONE) {
+            log.event(DispatchEvent.FEED_RESTARTED)
+                    .with("table", mode.table())
+                    .with("after", position)
+                    .with("reason", trouble.code())
+                    .write();
+            start();
+        } else {
+            onTrouble(result, this::follow);
+        }
+    }
+
+    private void onTrouble(Result<RowSet> result, Runnable retry) {
+        health.onTrouble((StoreTrouble) result.failure().orElseThrow(), loop.now());
+        loop.after(
+                RETRY_MILLIS,
+                () -> {
+                    if (!stopped) {
+                        retry.run();
+                    }
+                });
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/peridotcourse/daemon/entry/CallServer.java
@@ -0,0 +1,104 @@
+package org.peridotcourse.daemon.entry;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.function.LongSupplier;
+
+/**
+ * An HTTP server that hands every whole call to one {@link CallSink}.
+ *
+ * <p>It has the limits and time-outs of {@link EntryServer}; call {@link #sweep} every 100 ms or so.
+ * It is thread-safe.
+ */
+public final class CallServer implements AutoCloseable {
+    private static final int MAX_HEAD = 16 * 1024;
+    private static final long READ_TIMEOUT_MILLIS = 3_000;
+    private static final long MAX_BUFFERED = 32L * 1024 * 1024;
+
+    private final EntryServer server;
+
+    private CallServer(EntryServer server) {
+        this.server = server;
+    }
+
+    /**
+     * Opens a port.
+     *
+     * @param address where to listen
+     * @param maxBody the largest body in bytes
+     * @param maxConnections the largest number of connections
+     * @param ids gives calls their identifiers
+     * @param clock monotonic milliseconds
+     * @param sink takes the calls
+     * @return the running server
+     * @throws IOException if the port cannot be opened
+     */
+    public static CallServer open(
+            InetSocketAddress address,
+            int maxBody,
+            int maxConnections,
+            RequestIds ids,
+            LongSupplier clock,
+            CallSink sink)
+            throws IOException {
+        BodyBudget budget = new BodyBudget(MAX_BUFFERED);
+        EntryHandler.Limits limits =
+                new EntryHandler.Limits(MAX_HEAD, maxBody, maxConnections, READ_TIMEOUT_MILLIS);
+        EntryServer server =
+                new EntryServer(
+                        address, new SinkHandler(ids, budget, clock, sink), limits, budget, ids,
+                        clock);
+        server.start();
+        return new CallServer(server);
+    }
+
+    /**
+     * Returns the port.
+     *
+     * @return the port, also if the system chose it
+     */
+    public int port() {
+        return server.port();
+    }
+
+    /** Refuses requests that did not arrive in time and closes idle connections. */
+    public void sweep() {
+        server.sweep();
+    }
+
+    /** Asks callers to close their connections after the next response. */
+    public void closeConnections() {
+        server.closeConnections();
+    }
+
+    /**
+     * Closes connections without a request.
+     *
+     * @return the number of connections that remain
+     */
+    public int closeIdle() {
+        return server.closeIdle();
+    }
+
+    @Override
+    public void close() {
+        server.close();
+    }
+
+    /** Hands all calls to one sink. */
+    private static final class SinkHandler extends CallerHandler {
+        private final CallSink sink;
+
+        SinkHandler(RequestIds ids, BodyBudget budget, LongSupplier clock, CallSink sink) {
+            super(ids, budget, clock);
+            this.sink = sink;
+        }
+
+        @Override
+        void take(IncomingCall call, CallerExchange exchange) {
+            if (!sink.submit(call, exchange)) {
+                refuseFull(exchange);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/peridotcourse/daemon/entry/CallerHandler.java
@@ -0,0 +1,87 @@
+package org.peridotcourse.daemon.entry;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.LongSupplier;
+import org.glassfish.grizzly.http.server.HttpHandler;
+import org.glassfish.grizzly.http.server.Request;
+import org.glassfish.grizzly.http.server.Response;
+import org.glassfish.grizzly.http.util.MimeHeaders;
+import org.peridotcourse.routing.NotRunReason;
+
+/**
+ * Takes whole requests from Grizzly and hands them on. It is thread-safe and does not block.
+ *
+ * <p>Subclasses decide who takes a request.
+ */
+abstract class CallerHandler extends HttpHandler {
+    private final RequestIds ids;
+    private final LongSupplier clock;
+    private final BodyBudget budget;
+
+    private volatile boolean closing;
+
+    CallerHandler(RequestIds ids, BodyBudget budget, LongSupplier clock) {
+        this.ids = ids;
+        this.budget = budget;
+        this.clock = clock;
+    }
+
+    /** Takes a whole request and answers it later. */
+    abstract void take(IncomingCall call, CallerExchange exchange);
+
+    /** From now on, every response asks its caller to close the connection. */
+    final void closeConnections() {
+        closing = true;
+    }
+
+    /** Refuses a request for which there is no room at the moment. */
+    static void refuseFull(CallerExchange exchange) {
+        exchange.answer(
+                Answers.notRun(
+                        exchange.id(), NotRunReason.RING_FULL, EntryHandler.RETRY_AFTER_MILLIS));
+    }
+
+    @Override
+    public final void service(Request request, Response response) {
+        String id = ids.next();
+        CallerExchange exchange = new CallerExchange(id, request, response, clock, budget);
+        if (closing) {
+            exchange.closeAfterwards();
+        }
+        Map<String, List<String>> headers = toMap(request.getRequest().getHeaders());
+        Optional<MalformedRequest> framing = RequestParser.checkFraming(headers);
+        if (framing.isPresent()) {
+            exchange.refuseRaw(Answers.malformed(id, framing.get()));
+            return;
+        }
+        Optional<byte[]> body = exchange.begin();
+        if (body.isEmpty()) {
+            return;
+        }
+        take(
+                new IncomingCall(
+                        id,
+                        request.getMethod().getMethodString(),
+                        request.getRequestURI(),
+                        Optional.ofNullable(request.getQueryString()),
+                        headers,
+                        body.get()),
+                exchange);
+    }
+
+    private static Map<String, List<String>> toMap(MimeHeaders mime) {
+        Map<String, List<String>> headers = new HashMap<>();
+        for (int i = 0; i < mime.size(); i++) {
+            headers.computeIfAbsent(
+                            mime.getName(i).toString().toLowerCase(Locale.ROOT),
+                            name -> new ArrayList<>(1))
+                    .add(mime.getValue(i).toString());
+        }
+        return headers;
+    }
+}
--- a/daemon/src/main/java/org/peridotcourse/daemon/entry/EntryServer.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/entry/EntryServer.java
@@ -23,13 +23,13 @@
 
     private final HttpServer server = new HttpServer();
     private final NetworkListener listener;
-    private final EntryHandler handler;
+    private final CallerHandler handler;
     private final CallerGuard guard;
     private final RequestIds ids;
 
     EntryServer(
             InetSocketAddress address,
-            EntryHandler handler,
+            CallerHandler handler,
             EntryHandler.Limits limits,
             BodyBudget budget,
             RequestIds ids,
--- a/daemon/src/main/java/org/peridotcourse/daemon/log/EventLog.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/log/EventLog.java
@@ -65,6 +65,19 @@
             return this;
         }
 
+        /**
+         * Adds fields that are written as pairs already.
+         *
+         * @param pairs {@code key=value} pairs joined by blanks, possibly empty
+         * @return this line
+         */
+        public Line detail(String pairs) {
+            if (!pairs.isEmpty()) {
+                text.append(' ').append(pairs.trim());
+            }
+            return this;
+        }
+
         /**
          * Keeps this line for {@code explain} under the id of a request or task.
          *
