Learn which filling images disturb which serving images

A traced trial without pacing shows that few pairs of images are harmful, and those by a factor of ten.

--- a/core/src/main/java/org/peridotcourse/dispatch/DispatchOwner.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/DispatchOwner.java
@@ -44,7 +44,7 @@
         this.choice = new WorkerChoice(state);
         this.planner = new Planner(state, choice, runs);
         this.watch = new RunWatch(state, runs, choice, planner);
-        this.pacing = new FillPacing(state);
+        this.pacing = new FillPacing(state, runs);
     }
 
     /**
--- a/core/src/main/java/org/peridotcourse/dispatch/FillPacing.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/FillPacing.java
@@ -1,88 +1,160 @@
 package org.peridotcourse.dispatch;
 
 import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
 
 /**
- * Slows filling tasks down while a serving task beside them is close to the bound of its response
- * time, and lets them recover in steps. Confined to one thread.
+ * Watches serving tasks and the filling tasks beside them: learns which images get on, slows
+ * filling tasks down that disturb, and moves those that can resume elsewhere. Confined to one
+ * thread.
  */
 final class FillPacing {
-    /** Share of the bound at which filling tasks are slowed down. */
-    private static final double HIGH = 0.8;
+    static final int FULL = 100;
 
-    /** Share of the bound below which they recover. */
-    private static final double LOW = 0.6;
+    /** Share of the bound below which a serving task counts as undisturbed. */
+    private static final double CALM = 0.75;
 
-    /** Time in which a change shows in the reports. */
+    /** A serving task over its bound for this long has all filling tasks beside it stopped. */
+    private static final long ALL_STOPPED_MILLIS = 1_600;
+
+    /** Figures cover half a second, so that closer reports repeat themselves. */
+    private static final long SAMPLE_MILLIS = 600;
+
+    /** Time in which a change of the pace shows in the reports. */
     private static final long SETTLE_MILLIS = 900;
 
-    private static final int RECOVERY_STEP = 25;
-    private static final int FULL = 100;
-    private static final int SLOWED = 30;
+    private static final int RECOVERY_STEP = 50;
+
+    /** Pace of a disturbing task that would lose too much work elsewhere. */
+    private static final int SLOW_PACE = 20;
+
+    /** A task that cannot resume is moved if it has not got farther than this. */
+    private static final int MOVED_BELOW_PERCENT = 50;
+
+    /** Processor use below which a filling task says nothing about its effect. */
+    private static final double AT_WORK_MILLI_CORES = 600;
 
     private final OwnerState state;
+    private final RunBook runs;
 
-    FillPacing(OwnerState state) {
+    FillPacing(OwnerState state, RunBook runs) {
         this.state = state;
+        this.runs = runs;
     }
 
     /** Reacts to a report of a worker. */
     void onReport(Worker worker, long now) {
-        double highest = 0;
-        boolean sensitive = false;
-        boolean filled = false;
+        List<Run> fills = new ArrayList<>();
+        List<Run> serving = new ArrayList<>();
         for (Run run : worker.runs.values()) {
-            filled |= run.spec().isFilling();
-            if (run.spec().targetMillis() > 0 && run.percent > 0) {
-                sensitive = true;
-                highest = Math.max(highest, run.figure / run.spec().targetMillis());
+            if (run.spec().isFilling() && run.confirmed && !run.isStopping()) {
+                fills.add(run);
+            } else if (run.spec().targetMillis() > 0 && run.percent > 0) {
+                serving.add(run);
             }
         }
-        if (!filled) {
-            worker.fillPace = FULL;
+        if (fills.isEmpty()) {
             return;
         }
-        int pace = next(worker, sensitive ? highest : 0, now);
-        if (pace != worker.fillPace) {
-            worker.fillPace = pace;
-            worker.fillPaceAt = now;
-            state.log(
-                    Decision.Kind.FILL_PACED,
-                    worker.id,
-                    worker,
-                    "pace=" + pace + " tail=" + Math.round(highest * FULL) + "%");
+        Set<String> atWork = imagesAtWork(fills);
+        Set<Run> disturbing = new HashSet<>();
+        boolean calm = true;
+        for (Run run : serving) {
+            double share = run.figure / run.spec().targetMillis();
+            calm &= share < CALM;
+            sample(run, share, atWork, now);
+            if (share >= 1) {
+                disturbing.addAll(culprits(run, fills, now));
+            }
+        }
+        for (Run fill : fills) {
+            if (disturbing.contains(fill)) {
+                slowDown(fill, now);
+            } else if (fill.pace != FULL && calm && now - fill.pacedAt >= SETTLE_MILLIS) {
+                pace(fill, Math.min(FULL, Math.max(0, fill.pace) + RECOVERY_STEP), now);
+            }
         }
-        apply(worker);
     }
 
-    private static int next(Worker worker, double highest, long now) {
-        if (highest >= 1) {
-            return 0;
+    private static Set<String> imagesAtWork(List<Run> fills) {
+        Set<String> images = new HashSet<>();
+        for (Run fill : fills) {
+            if (fill.figure >= AT_WORK_MILLI_CORES) {
+                images.add(image(fill));
+            }
         }
-        boolean settled = now - worker.fillPaceAt >= SETTLE_MILLIS;
-        if (highest >= HIGH) {
-            return settled ? Math.min(worker.fillPace, SLOWED) : worker.fillPace;
+        return images;
+    }
+
+    static String image(Run run) {
+        return run.spec().image().orElse("");
+    }
+
+    private void sample(Run run, double share, Set<String> atWork, long now) {
+        if (share < 1) {
+            run.overSince = 0;
+        } else if (run.overSince == 0) {
+            run.overSince = now;
         }
-        if (highest < LOW && settled) {
-            return Math.min(FULL, worker.fillPace + RECOVERY_STEP);
+        boolean clear = share >= 1 || share < CALM;
+        if (clear && now - run.sampledAt >= SAMPLE_MILLIS) {
+            run.sampledAt = now;
+            state.effects.observe(image(run), share >= 1, atWork, now);
         }
-        return worker.fillPace;
     }
 
-    private void apply(Worker worker) {
-        for (Run run : new ArrayList<>(worker.runs.values())) {
-            boolean paced = run.spec().isFilling() && run.confirmed && !run.isStopping();
-            if (paced && run.pace != worker.fillPace) {
-                run.pace = worker.fillPace;
-                state.order(
-                        new Order.Pace(
-                                worker.info,
-                                run.task.ref,
-                                run.attempt,
-                                state.term.epoch(),
-                                worker.fillPace));
+    /** The filling tasks that probably disturb, or all of them if it lasts. */
+    private List<Run> culprits(Run serving, List<Run> fills, long now) {
+        if (now - serving.overSince >= ALL_STOPPED_MILLIS) {
+            return fills;
+        }
+        List<Run> culprits = new ArrayList<>();
+        for (Run fill : fills) {
+            double harm = state.effects.harm(image(serving), image(fill), now);
+            if (harm >= NeighbourEffects.ALLOWED) {
+                culprits.add(fill);
+            }
+        }
+        return culprits;
+    }
+
+    private void slowDown(Run fill, long now) {
+        boolean movable =
+                fill.spec().isCheckpointing() || fill.percent < MOVED_BELOW_PERCENT;
+        if (movable && isHarmful(fill, now)) {
+            runs.stop(fill, StopReason.DISTURBS, now);
+        } else {
+            pace(fill, fill.pace > SLOW_PACE ? SLOW_PACE : 0, now);
+        }
+    }
+
+    private boolean isHarmful(Run fill, long now) {
+        for (Run run : fill.worker.runs.values()) {
+            if (run.spec().targetMillis() > 0
+                    && state.effects.harm(image(run), image(fill), now)
+                            >= NeighbourEffects.ALLOWED) {
+                return true;
             }
         }
+        return false;
+    }
+
+    private void pace(Run fill, int percent, long now) {
+        if (fill.pace == percent) {
+            return;
+        }
+        fill.pace = percent;
+        fill.pacedAt = now;
+        state.log(Decision.Kind.FILL_PACED, fill, "pace=" + percent);
+        state.order(
+                new Order.Pace(
+                        fill.worker.info,
+                        fill.task.ref,
+                        fill.attempt,
+                        state.term.epoch(),
+                        percent));
     }
 
     /** Notes that a pace was not set, so that it is sent again. */
--- a/core/src/main/java/org/peridotcourse/dispatch/JobBook.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/JobBook.java
@@ -45,7 +45,14 @@
                 Decision.Kind.JOB_KNOWN,
                 job.id,
                 null,
-                "queue=" + entry.queue().name() + " age=" + age + " inherited=" + inherited);
+                "queue="
+                        + entry.queue().name()
+                        + " age="
+                        + age
+                        + " inherited="
+                        + inherited
+                        + " steps="
+                        + entry.spec().toSummary());
         settle(job, now);
     }
 
--- a/core/src/main/java/org/peridotcourse/dispatch/JobSpec.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/JobSpec.java
@@ -112,6 +112,29 @@
         return from <= 0 ? chain : longest[from];
     }
 
+    /**
+     * Returns the steps in short, for logs: count, processor, estimate and what is special.
+     *
+     * @return one word without blanks
+     */
+    public String toSummary() {
+        StringBuilder text = new StringBuilder();
+        for (StepSpec step : steps) {
+            text.append(text.length() == 0 ? "" : ",").append(step.count()).append('x');
+            text.append(step.need().milliCores()).append('m');
+            text.append(step.estimateMillis()).append("ms");
+            text.append(step.isFilling() ? "+fills" : "").append(step.isGang() ? "+gang" : "");
+            text.append(step.isLasting() ? "+lasting" : "");
+            text.append(step.isSpeculative() ? "+copies" : "");
+            text.append(step.isCheckpointing() ? "+saves" : "");
+            text.append(step.maxPerWorker() > 0 ? "+per" + step.maxPerWorker() : "");
+            text.append(step.targetMillis() > 0 ? "+target" + step.targetMillis() : "");
+            text.append(step.maxMissing() > 0 ? "+missing" + step.maxMissing() : "");
+            step.image().ifPresent(image -> text.append('+').append(image));
+        }
+        return text.toString();
+    }
+
     /**
      * Returns the estimated work of one occurrence.
      *
--- a/core/src/main/java/org/peridotcourse/dispatch/OwnerState.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/OwnerState.java
@@ -12,6 +12,7 @@
     final OwnerTerm term;
     final Map<String, Job> jobs = new LinkedHashMap<>();
     final Map<String, Worker> workers = new LinkedHashMap<>();
+    final NeighbourEffects effects = new NeighbourEffects();
     private final Decision.Sink sink;
     private List<Order> orders = new ArrayList<>();
 
--- a/core/src/main/java/org/peridotcourse/dispatch/ReportReader.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/ReportReader.java
@@ -73,7 +73,6 @@
         worker.life = report.bornMillis();
         worker.seenEnd = 0;
         worker.storedEnd = 0;
-        worker.fillPace = 100;
         worker.health.reset();
         worker.strays.clear();
         for (Run run : new ArrayList<>(worker.runs.values())) {
--- a/core/src/main/java/org/peridotcourse/dispatch/Run.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/Run.java
@@ -39,7 +39,15 @@
     double figure;
 
     /** Share of its speed at which the worker lets it work. */
-    int pace = 100;
+    int pace = FillPacing.FULL;
+
+    long pacedAt;
+
+    /** Since when a serving task is over its bound, 0 if it is not. */
+    long overSince;
+
+    /** When its figure was last used to learn. */
+    long sampledAt;
 
     Run(Task task, int attempt, Worker worker, long orderedAt) {
         this.task = task;
--- a/core/src/main/java/org/peridotcourse/dispatch/StopReason.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/StopReason.java
@@ -16,6 +16,8 @@
     SLOW,
     /** The worker is about to leave. */
     WORKER_LEAVES,
+    /** A serving task beside it is over its bound. */
+    DISTURBS,
     /** A job of a higher priority needs the room. */
     PREEMPTED;
 
--- a/core/src/main/java/org/peridotcourse/dispatch/Worker.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/Worker.java
@@ -7,6 +7,9 @@
 
 /** What the owner knows of one worker. Confined to one thread. */
 final class Worker {
+    /** Share of their reservation that lasting tasks use at a busy time. */
+    private static final double LASTING_USE = 0.6;
+
     final String id;
     final WorkerHealth health = new WorkerHealth();
     final Map<Run.Key, Run> runs = new LinkedHashMap<>();
@@ -36,14 +39,12 @@
     /** No start before this time. */
     long avoidUntil;
 
-    /** Share at which filling tasks work here, 0 to 100. */
-    int fillPace = 100;
-
-    long fillPaceAt;
-
     /** Processor that filling tasks would like to use. */
     long fillMilliCores;
 
+    /** Processor that is reserved for lasting tasks. */
+    long lastingMilliCores;
+
     /** Monotonic time after which no run of this worker is alive without a renewal. */
     long leaseOverAt;
 
@@ -71,17 +72,17 @@
         return used.plus(step.reserved()).isWithin(info.capacity());
     }
 
-    /** Processor that serving and plain tasks leave. */
+    /** Processor that the other tasks probably leave to filling ones. */
     long spareMilliCores() {
-        return Math.max(0, info.capacity().milliCores() - used.milliCores());
+        double usual = LASTING_USE * lastingMilliCores;
+        long others = used.milliCores() - lastingMilliCores;
+        return Math.max(0, info.capacity().milliCores() - others - Math.round(usual));
     }
 
     void add(Run run) {
         runs.put(run.key(), run);
         used = used.plus(run.spec().reserved());
-        if (run.spec().isFilling()) {
-            fillMilliCores += run.spec().need().milliCores();
-        }
+        count(run, 1);
     }
 
     void remove(Run run) {
@@ -89,8 +90,15 @@
             return;
         }
         used = used.minus(run.spec().reserved());
+        count(run, -1);
+    }
+
+    private void count(Run run, int sign) {
+        long milliCores = sign * run.spec().need().milliCores();
         if (run.spec().isFilling()) {
-            fillMilliCores -= run.spec().need().milliCores();
+            fillMilliCores += milliCores;
+        } else if (run.spec().isLasting()) {
+            lastingMilliCores += milliCores;
         }
     }
 
--- a/core/src/main/java/org/peridotcourse/dispatch/WorkerChoice.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/WorkerChoice.java
@@ -10,9 +10,6 @@
     /** A worker that progresses this much slower than most is used last. */
     static final double SLOW_FACTOR = 2.5;
 
-    /** Serving tasks with a response time bound that share one worker before others are used. */
-    private static final int SENSITIVE_PER_WORKER = 2;
-
     /** A worker that left the list is given time to return, as after an outage of the store. */
     static final long UNLISTED_MILLIS = 3_000;
 
@@ -22,8 +19,9 @@
     private static final double FAR_COST = 3;
     private static final double OTHER_RACK_COST = 2;
     private static final double SAME_JOB_COST = 0.02;
-    private static final double FILL_BESIDE_SENSITIVE_COST = 2;
-    private static final double CROWD_COST = 0.5;
+    private static final double NEW_SENSITIVE_COST = 0.3;
+    private static final double OTHER_IMAGE_COST = 0.5;
+    private static final double HARM_COST = 1;
 
     private final OwnerState state;
     private double usualSlowness = 1;
@@ -56,7 +54,7 @@
             if (!mayRun(worker, task, now) || !worker.fits(task.step.spec)) {
                 continue;
             }
-            double cost = cost(worker, task);
+            double cost = cost(worker, task, now);
             if (cost < bestCost) {
                 best = worker;
                 bestCost = cost;
@@ -84,9 +82,33 @@
                 return false;
             }
         }
+        if (spec.isFilling() && !mayFill(worker, spec, now)) {
+            return false;
+        }
         return !worker.health.isOnProbation() || worker.runs.isEmpty();
     }
 
+    /** Filling tasks run at full speed or wait, and keep away from tasks that they disturb. */
+    private boolean mayFill(Worker worker, StepSpec spec, long now) {
+        long demand = worker.fillMilliCores + spec.need().milliCores();
+        if (demand > worker.spareMilliCores()) {
+            return false;
+        }
+        return worstHarm(worker, spec, now) < NeighbourEffects.ALLOWED;
+    }
+
+    /** The probability that a filling task disturbs the most sensitive task of a worker. */
+    private double worstHarm(Worker worker, StepSpec filling, long now) {
+        String image = filling.image().orElse("");
+        double worst = 0;
+        for (Run run : worker.runs.values()) {
+            if (run.spec().targetMillis() > 0) {
+                worst = Math.max(worst, state.effects.harm(FillPacing.image(run), image, now));
+            }
+        }
+        return worst;
+    }
+
     boolean isUsable(Worker worker, long now) {
         return worker.reachable
                 && worker.counted
@@ -102,9 +124,9 @@
         return state.rules(job).service();
     }
 
-    private double cost(Worker worker, Task task) {
+    private double cost(Worker worker, Task task, long now) {
         StepSpec spec = task.step.spec;
-        double cost = load(worker, spec);
+        double cost = load(worker, spec, now);
         if (worker.health.isSuspect()) {
             cost += SUSPECT_COST;
         }
@@ -124,19 +146,35 @@
         return cost + SAME_JOB_COST * task.step.activeOn(worker);
     }
 
-    private double load(Worker worker, StepSpec spec) {
+    /** Tasks spread evenly, but for serving ones, which share workers by image. */
+    private double load(Worker worker, StepSpec spec, long now) {
         double capacity = Math.max(1, worker.info.capacity().milliCores());
+        double wanted = worker.used().milliCores() + worker.fillMilliCores;
+        double load = (wanted + spec.need().milliCores()) / capacity;
         if (spec.isFilling()) {
-            double demand = worker.fillMilliCores + spec.need().milliCores();
-            double cost = demand / Math.max(1, worker.spareMilliCores());
-            return worker.sensitiveRuns() > 0 ? cost + FILL_BESIDE_SENSITIVE_COST : cost;
+            return load + HARM_COST * worstHarm(worker, spec, now);
         }
-        double load = (worker.used().milliCores() + spec.need().milliCores()) / capacity;
-        if (spec.targetMillis() > 0) {
-            int crowd = Math.max(0, worker.sensitiveRuns() + 1 - SENSITIVE_PER_WORKER);
-            load += CROWD_COST * crowd + worker.fillMilliCores / capacity;
+        return spec.targetMillis() > 0 ? company(worker, spec, now) + load / 10 : load;
+    }
+
+    /**
+     * What a serving task meets on a worker. The fewer serving images a worker has, the more
+     * filling images can work there.
+     */
+    private double company(Worker worker, StepSpec spec, long now) {
+        String image = spec.image().orElse("");
+        boolean served = false;
+        boolean other = false;
+        double harm = 0;
+        for (Run run : worker.runs.values()) {
+            if (run.spec().targetMillis() > 0) {
+                served = true;
+                other |= !FillPacing.image(run).equals(image);
+            } else if (run.spec().isFilling()) {
+                harm = Math.max(harm, state.effects.harm(image, FillPacing.image(run), now));
+            }
         }
-        return load;
+        return (served ? 0 : NEW_SENSITIVE_COST) + (other ? OTHER_IMAGE_COST : 0) + harm;
     }
 
     private static boolean isOtherRack(Worker worker, Step step) {
