--- a/core/src/main/java/org/peridotcourse/dispatch/DispatchOwner.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/DispatchOwner.java
@@ -95,8 +95,8 @@
     }
 
     /**
-     * Returns the number of accepted jobs of each queue of which no task has started, leaving
-     * timed jobs aside.
+     * Returns the number of accepted jobs of each queue of which no task has started, leaving timed
+     * jobs aside.
      *
      * @return numbers by name of the queue
      */
@@ -388,7 +388,8 @@
     private void dropWorkers(long now) {
         List<Worker> leaving = new ArrayList<>();
         for (Worker worker : state.workers.values()) {
-            boolean away = !worker.listed && now - worker.unlistedAt >= WorkerChoice.UNLISTED_MILLIS;
+            boolean away =
+                    !worker.listed && now - worker.unlistedAt >= WorkerChoice.UNLISTED_MILLIS;
             if (away && worker.runs.isEmpty() && now >= worker.leaseOverAt) {
                 leaving.add(worker);
             }
--- a/core/src/main/java/org/peridotcourse/dispatch/FillPacing.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/FillPacing.java
@@ -121,8 +121,7 @@
     }
 
     private void slowDown(Run fill, long now) {
-        boolean movable =
-                fill.spec().isCheckpointing() || fill.percent < MOVED_BELOW_PERCENT;
+        boolean movable = fill.spec().isCheckpointing() || fill.percent < MOVED_BELOW_PERCENT;
         if (movable && isHarmful(fill, now)) {
             runs.stop(fill, StopReason.DISTURBS, now);
         } else {
--- a/core/src/main/java/org/peridotcourse/dispatch/NeighbourEffects.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/NeighbourEffects.java
@@ -58,9 +58,7 @@
             }
             double overAnyway = others * OVER_IF_ALONE + (1 - others) * OVER_IF_HARMFUL;
             double ratio =
-                    over
-                            ? OVER_IF_HARMFUL / overAnyway
-                            : (1 - OVER_IF_HARMFUL) / (1 - overAnyway);
+                    over ? OVER_IF_HARMFUL / overAnyway : (1 - OVER_IF_HARMFUL) / (1 - overAnyway);
             updates.put(filling, EVIDENCE_WEIGHT * Math.log(ratio));
         }
         updates.forEach((filling, change) -> add(new Pair(serving, filling), change, now));
--- a/core/src/main/java/org/peridotcourse/dispatch/ReportReader.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/ReportReader.java
@@ -113,8 +113,7 @@
                         });
     }
 
-    private void onRunning(
-            Worker worker, Run.Key key, WorkerReport.Running running, long now) {
+    private void onRunning(Worker worker, Run.Key key, WorkerReport.Running running, long now) {
         Run run = worker.runs.get(key);
         if (run == null) {
             jobs.openFor(running.task(), now);
--- a/core/src/main/java/org/peridotcourse/dispatch/RunBook.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/RunBook.java
@@ -32,12 +32,7 @@
     }
 
     Run start(
-            Task task,
-            Worker worker,
-            int attempt,
-            Optional<String> ticket,
-            long now,
-            String why) {
+            Task task, Worker worker, int attempt, Optional<String> ticket, long now, String why) {
         Run run = new Run(task, attempt, worker, now);
         task.lastAttempt = Math.max(task.lastAttempt, attempt);
         task.runs.add(run);
@@ -98,8 +93,7 @@
 
     private void sendStop(Worker worker, Run.Key key, StopReason reason) {
         state.order(
-                new Order.Stop(
-                        worker.info, key.task(), key.attempt(), state.term.epoch(), reason));
+                new Order.Stop(worker.info, key.task(), key.attempt(), state.term.epoch(), reason));
     }
 
     /** Takes the answer to an order. */
--- a/core/src/main/java/org/peridotcourse/dispatch/StepSpec.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/StepSpec.java
@@ -51,9 +51,7 @@
      * @return the resources that a worker reserves
      */
     public Resources reserved() {
-        return parts.fills
-                ? Resources.of(0, need().memoryMib(), need().accelerators())
-                : need();
+        return parts.fills ? Resources.of(0, need().memoryMib(), need().accelerators()) : need();
     }
 
     /**
--- a/core/src/main/java/org/peridotcourse/dispatch/WorkerChoice.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/WorkerChoice.java
@@ -3,8 +3,8 @@
 import java.util.Optional;
 
 /**
- * Chooses the worker of a task: one that may run it and has room, with the least expected delay
- * and interference. Confined to one thread.
+ * Chooses the worker of a task: one that may run it and has room, with the least expected delay and
+ * interference. Confined to one thread.
  */
 final class WorkerChoice {
     /** A worker that progresses this much slower than most is used last. */
@@ -42,8 +42,7 @@
     }
 
     boolean isSlow(Worker worker) {
-        return worker.health.hasRate()
-                && worker.health.slowness() > SLOW_FACTOR * usualSlowness;
+        return worker.health.hasRate() && worker.health.slowness() > SLOW_FACTOR * usualSlowness;
     }
 
     /** Returns the best worker for a task, or empty if none has room now. */
--- a/core/src/main/java/org/peridotcourse/dispatch/WorkerInfo.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/WorkerInfo.java
@@ -38,8 +38,6 @@
      * @return the label of the rack, empty if not told
      */
     public Optional<String> rack() {
-        return labels.size() > RACK_LABEL
-                ? Optional.of(labels.get(RACK_LABEL))
-                : Optional.empty();
+        return labels.size() > RACK_LABEL ? Optional.of(labels.get(RACK_LABEL)) : Optional.empty();
     }
 }
--- /dev/null
+++ b/core/src/test/java/org/peridotcourse/dispatch/DispatchFaultTest.java
@@ -0,0 +1,172 @@
+package org.peridotcourse.dispatch;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.LongRange;
+import org.junit.jupiter.api.Test;
+import org.peridotcourse.Resources;
+
+/**
+ * Guards against work that runs twice or is lost while owners, workers, answers and the store fail.
+ * {@link DispatchWorld} checks after each tick.
+ */
+class DispatchFaultTest {
+    private static final Resources CAPACITY = Resources.of(8_000, 64_000);
+    private static final QueueRules QUEUE = DispatchWorld.queue("q", 1, 3);
+
+    private static StepSpec.Builder step(int count, long millis) {
+        return DispatchOwnerTest.step(count, 1_000, millis);
+    }
+
+    private static List<String> mixedJobs(DispatchWorld world) {
+        List<String> ids = new ArrayList<>();
+        for (int i = 0; i < 6; i++) {
+            ids.add(
+                    world.submit(
+                            QUEUE,
+                            step(3, 400 + 100 * i).checkpointing(i % 2 == 0).build(),
+                            step(2, 300).after(List.of(0)).build()));
+        }
+        return ids;
+    }
+
+    @Property(tries = 30, seed = "8341")
+    void anOwnerKilledAtAnyMomentLosesAndRepeatsNothing(
+            @ForAll @LongRange(min = 1, max = 100_000) long seed) {
+        DispatchWorld world = new DispatchWorld(seed, 4, CAPACITY);
+        List<String> ids = mixedJobs(world);
+        for (int i = 0; i < 3; i++) {
+            world.run(100 + world.random.nextInt(900));
+            world.takeOver(world.now);
+        }
+        String[] all = ids.toArray(String[]::new);
+        world.runUntilEnded(30_000, all);
+        world.assertCompleted(all);
+    }
+
+    @Property(tries = 30, seed = "977")
+    void ordersThatAreCarriedOutLateRunNothingTwice(
+            @ForAll @LongRange(min = 1, max = 100_000) long seed) {
+        DispatchWorld world = new DispatchWorld(seed, 4, CAPACITY);
+        world.lateShare = 0.3;
+        List<String> ids = mixedJobs(world);
+        world.run(6_000);
+        world.lateShare = 0;
+        String[] all = ids.toArray(String[]::new);
+        world.runUntilEnded(60_000, all);
+        world.assertCompleted(all);
+        world.run(15_000);
+    }
+
+    @Test
+    void tasksOfAWorkerThatIsCutOffWaitUntilItsLeaseIsOver() {
+        DispatchWorld world = new DispatchWorld(5, 2, CAPACITY);
+        world.runners.values().forEach(runner -> runner.clockRate = 0.98);
+        String job = world.submit(QUEUE, step(12, 4_000).build());
+        world.run(1_000);
+        world.cut.add("w0");
+        world.runUntilEnded(40_000, job);
+        world.assertCompleted(job);
+        assertTrue(world.count(Decision.Kind.WORKER_LEASES_OVER) > 0);
+        world.cut.clear();
+        world.run(3_000);
+    }
+
+    @Test
+    void aWorkerThatStartsAgainUnderItsIdIsNotWaitedFor() {
+        DispatchWorld world = new DispatchWorld(5, 2, CAPACITY);
+        String job = world.submit(QUEUE, step(12, 2_000).build());
+        world.run(500);
+        world.runners.get("w0").restart(world.now);
+        world.runUntilEnded(6_000, job);
+        world.assertCompleted(job);
+        assertEquals(1, world.count(Decision.Kind.WORKER_REBORN));
+    }
+
+    @Test
+    void aLateStartThatReachesTheNextLifeOfAWorkerDoesNotRunBesideItsReplacement() {
+        DispatchWorld world = new DispatchWorld(3, 2, CAPACITY);
+        world.lateShare = 1;
+        String job = world.submit(QUEUE, step(6, 1_000).build());
+        world.run(200);
+        world.lateShare = 0;
+        world.runners.get("w0").restart(world.now);
+        world.runners.get("w1").restart(world.now);
+        world.runUntilEnded(40_000, job);
+        world.assertCompleted(job);
+        world.run(15_000);
+    }
+
+    @Test
+    void aNewOwnerWaitsForASilentWorkerBeforeItRepeatsInheritedWork() {
+        DispatchWorld world = new DispatchWorld(9, 2, CAPACITY);
+        String job = world.submit(QUEUE, step(12, 3_000).build());
+        world.run(500);
+        world.cut.add("w0");
+        world.takeOver(world.now + 2_000);
+        world.run(1_000);
+        String later = world.submit(QUEUE, step(1, 200).build());
+        world.runUntilEnded(4_000, later);
+        world.assertCompleted(later);
+        world.runUntilEnded(40_000, job);
+        world.assertCompleted(job);
+    }
+
+    @Test
+    void workGoesOnWhileTheStoreIsAwayAndNothingIsLostIfTheOwnerDiesThen() {
+        DispatchWorld world = new DispatchWorld(2, 4, CAPACITY);
+        List<String> ids = mixedJobs(world);
+        world.run(200);
+        world.storeAway = true;
+        world.run(2_500);
+        assertTrue(world.starts() > 12, "starts " + world.starts());
+        world.takeOver(world.now);
+        world.storeAway = false;
+        String[] all = ids.toArray(String[]::new);
+        world.runUntilEnded(30_000, all);
+        world.assertCompleted(all);
+    }
+
+    @Test
+    void aWorkerThatFailsAllItStartsDoesNotUseUpTheAttemptsOfJobs() {
+        DispatchWorld world = new DispatchWorld(4, 6, CAPACITY);
+        world.runners.get("w2").failAfter = 20;
+        List<String> ids = new ArrayList<>();
+        for (int i = 0; i < 20; i++) {
+            ids.add(world.submit(DispatchWorld.queue("q", 1, 2), step(2, 300).build()));
+            world.run(150);
+        }
+        String[] all = ids.toArray(String[]::new);
+        world.runUntilEnded(20_000, all);
+        world.assertCompleted(all);
+        int wasted = world.runners.get("w2").startLog.size();
+        assertTrue(wasted <= 6, "starts on the failing worker: " + wasted);
+    }
+
+    @Test
+    void tasksThatStandStillAreMovedAwayFromTheirWorker() {
+        DispatchWorld world = new DispatchWorld(6, 4, CAPACITY);
+        world.runners.get("w1").hangs = true;
+        String job = world.submit(QUEUE, step(12, 800).build());
+        world.runUntilEnded(8_000, job);
+        world.assertCompleted(job);
+    }
+
+    @Test
+    void aDeposedOwnerStops() {
+        DispatchWorld world = new DispatchWorld(1, 2, CAPACITY);
+        DispatchOwner old = world.owner;
+        world.run(500);
+        world.takeOver(world.now);
+        world.run(500);
+        String worker = world.runners.keySet().iterator().next();
+        old.onNoReport(worker, OrderReply.STALE_EPOCH, world.now);
+        assertTrue(old.isDeposed());
+        assertTrue(old.decide(world.now).isEmpty());
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/peridotcourse/dispatch/DispatchOwnerTest.java
@@ -0,0 +1,155 @@
+package org.peridotcourse.dispatch;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.peridotcourse.Resources;
+
+/** Guards the life of jobs on sound workers: order, attempts, cancellation, special steps. */
+class DispatchOwnerTest {
+    private static final Resources CAPACITY = Resources.of(8_000, 64_000);
+    private static final QueueRules QUEUE = DispatchWorld.queue("q", 1, 3);
+
+    private final DispatchWorld world = new DispatchWorld(1, 4, CAPACITY);
+
+    static StepSpec.Builder step(int count, long milliCores, long millis) {
+        return StepSpec.builder(count, Resources.of(milliCores, 1_000)).estimateMillis(millis);
+    }
+
+    @Test
+    void stepsRunInTheirOrderAndTheJobCompletes() {
+        String job =
+                world.submit(
+                        QUEUE,
+                        step(4, 1_000, 500).build(),
+                        step(6, 1_000, 300).after(List.of(0)).build());
+        world.runUntilEnded(5_000, job);
+        world.assertCompleted(job);
+        assertEquals(10, world.starts());
+        assertTrue(world.endedAt.get(job) < 1_000 + 1_400, "ended at " + world.endedAt.get(job));
+    }
+
+    @Test
+    void aTaskThatAlwaysFailsEndsItsJobAfterTheAttemptsOfTheQueue() {
+        world.runners.values().forEach(runner -> runner.failAfter = 50);
+        String job = world.submit(QUEUE, step(1, 1_000, 500).build());
+        world.runUntilEnded(20_000, job);
+        assertEquals(JobState.FAILED, world.state(job));
+        assertEquals(3, world.starts());
+    }
+
+    @Test
+    void aCancelledJobStopsAndStartsNothingMore() {
+        String job = world.submit(QUEUE, step(40, 1_000, 5_000).build());
+        world.run(500);
+        world.cancel(job);
+        int starts = world.starts();
+        world.run(1_000);
+        assertEquals(JobState.CANCELLED, world.state(job));
+        assertEquals(starts, world.starts());
+        world.runners.values().forEach(runner -> assertTrue(runner.active.isEmpty()));
+    }
+
+    @Test
+    void atMostTheAllowedTasksOfAStepShareAWorker() {
+        String job = world.submit(QUEUE, step(6, 500, 1_000).maxPerWorker(1).build());
+        for (int i = 0; i < 50; i++) {
+            world.run(50);
+            world.runners.values().forEach(runner -> assertTrue(runner.active.size() <= 1));
+        }
+        world.runUntilEnded(5_000, job);
+        world.assertCompleted(job);
+    }
+
+    @Test
+    void theMembersOfAGangStartTogetherUnderOneNumberOrNotAtAll() {
+        String small = world.submit(QUEUE, step(24, 1_000, 800).build());
+        world.run(100);
+        String gang = world.submit(QUEUE, step(12, 1_000, 500).gang(true).build());
+        world.run(300);
+        assertFalse(isActive(gang), "there was room for a part of the gang only");
+        world.runUntilEnded(5_000, small, gang);
+        world.assertCompleted(small, gang);
+    }
+
+    private boolean isActive(String job) {
+        return world.runners.values().stream()
+                .flatMap(runner -> runner.active.keySet().stream())
+                .anyMatch(key -> key.task().job().equals(job));
+    }
+
+    @Test
+    void aLastingTaskIsStartedAgainHoweverItEnds() {
+        String job = world.submit(QUEUE, step(2, 1_000, 0).lasting(true).build());
+        world.run(500);
+        world.runners.values().forEach(runner -> runner.failAfter = 600);
+        world.run(3_000);
+        world.runners.values().forEach(runner -> runner.failAfter = 0);
+        world.run(1_000);
+        assertEquals(JobState.RUNNING, world.state(job));
+        assertTrue(world.starts() > 4, "starts " + world.starts());
+        assertTrue(isActive(job));
+    }
+
+    @Test
+    void aTaskThatNeedsALabelWaitsForAWorkerThatHasIt() {
+        String job =
+                world.submit(
+                        QUEUE,
+                        step(1, 1_000, 100)
+                                .requiredLabel(java.util.Optional.of("gpu-kind"))
+                                .build());
+        world.run(2_000);
+        assertEquals(JobState.QUEUED, world.state(job));
+        assertEquals(1, world.owner.pending().get("q"));
+    }
+
+    @Test
+    void theOccurrencesOfARepeatedJobStartAtTheirTimes() {
+        JobSpec spec =
+                new JobSpec(
+                        "p",
+                        List.of(step(1, 1_000, 200).build()),
+                        new Schedule(3, DispatchWorld.WALL + world.now + 1_000, 700));
+        JobEntry entry =
+                new JobEntry("timed", QUEUE, spec, DispatchWorld.WALL + world.now, JobRecord.NEW);
+        world.jobs.put("timed", entry);
+        world.stored.put("timed", JobRecord.NEW);
+        world.owner.onJob(entry, false, world.now, DispatchWorld.WALL + world.now);
+        world.run(900);
+        assertEquals(0, world.starts());
+        world.run(600);
+        assertEquals(1, world.starts());
+        world.runUntilEnded(5_000, "timed");
+        world.assertCompleted("timed");
+        assertEquals(3, world.starts());
+    }
+
+    @Test
+    void nothingStartsInAnEvacuatedDataCentre() {
+        world.owner.onEvacuated(java.util.Set.of("xela"));
+        String job = world.submit(QUEUE, step(1, 1_000, 100).build());
+        world.run(2_000);
+        assertEquals(0, world.starts());
+        world.owner.onEvacuated(java.util.Set.of());
+        world.runUntilEnded(2_000, job);
+        world.assertCompleted(job);
+    }
+
+    @Test
+    void tasksLeaveADrainingWorkerAndNothingStartsThere() {
+        StepSpec spec = step(4, 6_000, 3_000).checkpointing(true).build();
+        String job = world.submit(QUEUE, spec);
+        world.run(500);
+        FakeRunner leaving = world.runners.get("w0");
+        leaving.draining = true;
+        int before = leaving.startLog.size();
+        world.owner.onWorker(leaving.info(), world.now);
+        world.runUntilEnded(12_000, job);
+        world.assertCompleted(job);
+        assertEquals(before, leaving.startLog.size());
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/peridotcourse/dispatch/DispatchWorld.java
@@ -0,0 +1,355 @@
+package org.peridotcourse.dispatch;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+import java.util.function.ToLongFunction;
+import org.peridotcourse.Resources;
+
+/**
+ * Owners, workers and a store in simulated time, with faults that a test switches on. It checks
+ * while it runs that no task runs twice at a time or after its end, that steps keep their order,
+ * and that workers are not overloaded.
+ */
+final class DispatchWorld {
+    static final long TICK = 10;
+    static final long DELAY = 5;
+    static final long WALL = 1_700_000_000_000L;
+    static final LeaseTimes TIMES = new LeaseTimes(5_000, 6_000);
+
+    final Map<String, FakeRunner> runners = new LinkedHashMap<>();
+    final Map<String, JobEntry> jobs = new LinkedHashMap<>();
+    final Map<String, JobRecord> stored = new HashMap<>();
+    final Set<String> cancelled = new HashSet<>();
+    final Random random;
+    final List<Decision> decisions = new ArrayList<>();
+    final Map<String, Long> endedAt = new HashMap<>();
+
+    /** Share of orders that have no answer and are carried out late. */
+    double lateShare;
+
+    /** Workers that no owner reaches. */
+    final Set<String> cut = new HashSet<>();
+
+    /** True while the store takes nothing. */
+    boolean storeAway;
+
+    /** Duration of a run; the estimate by default. */
+    ToLongFunction<StepSpec> work = step -> step.estimateMillis();
+
+    long now = 1_000;
+    DispatchOwner owner;
+    private long epoch;
+    private long sequence;
+    private ClusterConfig config;
+    private final PriorityQueue<Event> events = new PriorityQueue<>();
+    private final Map<String, Long> calling = new HashMap<>();
+    private final Set<TaskRef> done = new HashSet<>();
+    private final Set<TaskRef> everDone = new HashSet<>();
+    private boolean storing;
+
+    /** Something that happens later. */
+    private record Event(long at, long order, Runnable action) implements Comparable<Event> {
+        @Override
+        public int compareTo(Event other) {
+            return at == other.at ? Long.compare(order, other.order) : Long.compare(at, other.at);
+        }
+    }
+
+    DispatchWorld(long seed, int workers, Resources capacity) {
+        this.random = new Random(seed);
+        for (int i = 0; i < workers; i++) {
+            String id = "w" + i;
+            runners.put(id, new FakeRunner(id, capacity, now));
+        }
+        config(queue("q", 1, 3));
+        takeOver(now);
+    }
+
+    static QueueRules queue(String name, int priority, int maxAttempts) {
+        return new QueueRules(name, "service", priority, maxAttempts, 2, 500, Optional.empty());
+    }
+
+    void config(QueueRules... queues) {
+        List<ClusterConfig.Route> routes = new ArrayList<>();
+        for (QueueRules queue : queues) {
+            routes.add(new ClusterConfig.Route("host", "/" + queue.name() + "/", queue));
+        }
+        config = ClusterConfig.of(1, routes, List.of(new ClusterConfig.Service("service", true)));
+        if (owner != null) {
+            owner.onConfig(config);
+        }
+    }
+
+    /** A new owner begins with what the store and the workers have. */
+    void takeOver(long earlierOrdersUntil) {
+        epoch++;
+        calling.clear();
+        storing = false;
+        DispatchOwner next =
+                new DispatchOwner(
+                        new OwnerTerm(epoch, now, earlierOrdersUntil, TIMES), decisions::add);
+        next.onConfig(config);
+        owner = next;
+        runners.values().forEach(runner -> next.onWorker(runner.info(), now));
+        for (JobEntry entry : jobs.values()) {
+            JobRecord record = stored.getOrDefault(entry.id(), JobRecord.NEW);
+            next.onJob(
+                    new JobEntry(
+                            entry.id(),
+                            entry.queue(),
+                            entry.spec(),
+                            entry.acceptedAtMillis(),
+                            record),
+                    true,
+                    now,
+                    WALL + now);
+        }
+        cancelled.forEach(job -> next.onCancel(job, now));
+    }
+
+    String submit(QueueRules queue, StepSpec... steps) {
+        String id = String.format("%016x", jobs.size() + 1);
+        JobSpec spec = new JobSpec("payload", List.of(steps), Schedule.ONCE);
+        JobEntry entry = new JobEntry(id, queue, spec, WALL + now, JobRecord.NEW);
+        jobs.put(id, entry);
+        stored.put(id, JobRecord.NEW);
+        owner.onJob(entry, false, now, WALL + now);
+        return id;
+    }
+
+    void cancel(String job) {
+        cancelled.add(job);
+        owner.onCancel(job, now);
+    }
+
+    JobState state(String job) {
+        return stored.get(job).state();
+    }
+
+    void run(long millis) {
+        long end = now + millis;
+        while (now < end) {
+            now += TICK;
+            while (!events.isEmpty() && events.peek().at() <= now) {
+                events.poll().action().run();
+            }
+            runners.values().forEach(runner -> runner.tick(now, TICK));
+            step();
+            check();
+        }
+    }
+
+    void runUntilEnded(long longest, String... ids) {
+        long end = now + longest;
+        while (now < end) {
+            run(50);
+            boolean all = true;
+            for (String id : ids) {
+                all &= state(id).isFinal();
+            }
+            if (all) {
+                return;
+            }
+        }
+    }
+
+    private void later(long millis, Runnable action) {
+        events.add(new Event(now + millis, sequence++, action));
+    }
+
+    private void step() {
+        DispatchOwner acting = owner;
+        for (Order order : acting.decide(now)) {
+            send(acting, order);
+        }
+        for (String id : acting.workers()) {
+            long due = calling.getOrDefault(id, 0L);
+            if (due <= now) {
+                calling.put(id, Long.MAX_VALUE);
+                call(acting, id);
+            }
+        }
+        store(acting);
+    }
+
+    private void call(DispatchOwner acting, String id) {
+        Optional<LeaseCall> call = acting.leaseCall(id, 500, now);
+        FakeRunner runner = runners.get(id);
+        if (call.isEmpty()) {
+            return;
+        }
+        long sentAt = now;
+        if (cut.contains(id) || !runner.up) {
+            later(
+                    1_200,
+                    () -> {
+                        acting.onNoReport(id, OrderReply.UNANSWERED, now);
+                        calling.put(id, now + 200);
+                    });
+            return;
+        }
+        later(DELAY, () -> answer(acting, runner, call.get(), sentAt, now));
+    }
+
+    /** Answers when something has ended, or after the wait. */
+    private void answer(
+            DispatchOwner acting, FakeRunner runner, LeaseCall call, long sentAt, long since) {
+        boolean waits = now - since < call.waitMillis() && !runner.hasEnds();
+        if (waits && runner.up && !cut.contains(runner.id)) {
+            runner.lease(call, now);
+            later(TICK, () -> answer(acting, runner, call, sentAt, since));
+            return;
+        }
+        if (!runner.up || cut.contains(runner.id)) {
+            later(
+                    1_200,
+                    () -> {
+                        acting.onNoReport(runner.id, OrderReply.UNANSWERED, now);
+                        calling.put(runner.id, now + 200);
+                    });
+            return;
+        }
+        Optional<WorkerReport> report = runner.lease(call, now);
+        later(
+                DELAY,
+                () -> {
+                    calling.put(runner.id, now + (acting.hasUnstoredEnds(runner.id) ? 30 : 0));
+                    if (report.isPresent()) {
+                        acting.onReport(runner.id, report.get(), sentAt, now);
+                    } else {
+                        acting.onNoReport(runner.id, OrderReply.STALE_EPOCH, now);
+                    }
+                });
+    }
+
+    private void send(DispatchOwner acting, Order order) {
+        FakeRunner runner = runners.get(order.worker().id());
+        if (cut.contains(runner.id) || !runner.up) {
+            later(600, () -> acting.onReply(order, OrderReply.UNANSWERED, now));
+            return;
+        }
+        if (random.nextDouble() < lateShare) {
+            later(600, () -> acting.onReply(order, OrderReply.UNANSWERED, now));
+            later(2_000 + random.nextInt(10_000), () -> carryOut(runner, order));
+            return;
+        }
+        later(
+                DELAY,
+                () -> {
+                    OrderReply reply = runner.up ? carryOut(runner, order) : OrderReply.UNANSWERED;
+                    later(DELAY, () -> acting.onReply(order, reply, now));
+                });
+    }
+
+    private OrderReply carryOut(FakeRunner runner, Order order) {
+        if (!runner.up) {
+            return OrderReply.UNANSWERED;
+        }
+        if (order instanceof Order.Start start) {
+            StepSpec spec = spec(order.task());
+            checkOrder(order.task());
+            OrderReply reply = runner.start(start, spec, work.applyAsLong(spec), now);
+            if (reply == OrderReply.ACCEPTED) {
+                assertTrue(!done.contains(order.task()), "started after its end: " + order);
+            }
+            return reply;
+        }
+        return order instanceof Order.Stop stop
+                ? runner.stop(stop)
+                : runner.pace((Order.Pace) order);
+    }
+
+    StepSpec spec(TaskRef task) {
+        return jobs.get(task.job()).spec().steps().get(task.step());
+    }
+
+    /** All tasks of earlier steps must have been seen as done by an owner. */
+    private void checkOrder(TaskRef task) {
+        for (int before : spec(task).after()) {
+            int count = jobs.get(task.job()).spec().steps().get(before).count();
+            for (int i = 0; i < count; i++) {
+                TaskRef earlier = new TaskRef(task.job(), task.occurrence(), before, i);
+                assertTrue(everDone.contains(earlier), task + " started before " + earlier);
+            }
+        }
+    }
+
+    private void store(DispatchOwner acting) {
+        if (storing || storeAway) {
+            return;
+        }
+        RecordBatch batch = acting.takeChanges(now, WALL + now);
+        if (batch.isEmpty()) {
+            return;
+        }
+        storing = true;
+        later(
+                20,
+                () -> {
+                    if (acting != owner) {
+                        return;
+                    }
+                    storing = false;
+                    for (RecordBatch.Change change : batch.changes()) {
+                        stored.put(change.job(), change.record());
+                        if (change.record().state().isFinal()) {
+                            endedAt.putIfAbsent(change.job(), now);
+                        }
+                        noteDone(change);
+                    }
+                    acting.onStored(batch);
+                });
+    }
+
+    private void noteDone(RecordBatch.Change change) {
+        for (JobRecord.TaskRecord task : change.record().tasks()) {
+            if (task.done()) {
+                done.add(new TaskRef(change.job(), task.occurrence(), task.step(), task.index()));
+            }
+        }
+    }
+
+    private void check() {
+        Map<TaskRef, String> where = new HashMap<>();
+        for (FakeRunner runner : runners.values()) {
+            assertTrue(runner.used().isWithin(runner.capacity), "overloaded: " + runner.id);
+            for (Run.Key key : runner.active.keySet()) {
+                boolean copies = spec(key.task()).isSpeculative();
+                String other = where.put(key.task(), runner.id);
+                assertTrue(
+                        other == null || copies,
+                        key.task() + " runs on " + other + " and " + runner.id + " at " + now);
+            }
+        }
+        runners.values().forEach(runner -> everDone.addAll(runner.doneTasks()));
+    }
+
+    void assertCompleted(String... ids) {
+        for (String id : ids) {
+            assertEquals(JobState.COMPLETED, state(id), id);
+        }
+    }
+
+    int starts() {
+        int sum = 0;
+        for (FakeRunner runner : runners.values()) {
+            sum += runner.startLog.size();
+        }
+        return sum;
+    }
+
+    long count(Decision.Kind kind) {
+        return decisions.stream().filter(decision -> decision.kind() == kind).count();
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/peridotcourse/dispatch/FakeRunner.java
@@ -0,0 +1,221 @@
+package org.peridotcourse.dispatch;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.peridotcourse.Resources;
+
+/** A worker by the rules of the platform: leases on its own clock, fencing, refusals, ends. */
+final class FakeRunner {
+    private static final long LONGEST_LEASE = 6_000;
+
+    final String id;
+    final Resources capacity;
+    final Map<Run.Key, Active> active = new LinkedHashMap<>();
+    final List<String> startLog = new ArrayList<>();
+
+    /** Multiplies the duration of runs. */
+    double slowness = 1;
+
+    /** Runs end as failed after this time, if it is positive. */
+    long failAfter;
+
+    /** Runs make no progress. */
+    boolean hangs;
+
+    boolean up = true;
+    boolean draining;
+    double clockRate = 1;
+
+    private final Map<TaskRef, Integer> refusedUpTo = new HashMap<>();
+    private List<WorkerReport.Ended> ended = new ArrayList<>();
+    private long born;
+    private long bornAt;
+    private long fence;
+    private long leaseEnd;
+    private long endNumber;
+
+    /** A run that is there. */
+    static final class Active {
+        final Order.Start order;
+        final StepSpec spec;
+        final long work;
+        double done;
+        int pace = 100;
+        double figure;
+
+        Active(Order.Start order, StepSpec spec, long work) {
+            this.order = order;
+            this.spec = spec;
+            this.work = work;
+            this.done = order.checkpoint().isEmpty() ? 0 : Double.parseDouble(order.checkpoint());
+        }
+
+        int percent() {
+            return spec.isLasting() ? 100 : (int) Math.min(100, 100 * done / Math.max(1, work));
+        }
+    }
+
+    FakeRunner(String id, Resources capacity, long now) {
+        this.id = id;
+        this.capacity = capacity;
+        this.born = 1_000_000 + now;
+        this.bornAt = now;
+    }
+
+    long clock(long now) {
+        return Math.round((now - bornAt) * clockRate);
+    }
+
+    WorkerInfo info() {
+        return new WorkerInfo(
+                id,
+                "service",
+                id + ":80",
+                "xela",
+                List.of("a", "r1"),
+                capacity,
+                draining,
+                draining ? OptionalLong.of(2_000) : OptionalLong.empty(),
+                born);
+    }
+
+    /** Power lost and back: nothing of the life before is left. */
+    void restart(long now) {
+        up = true;
+        born = 1_000_000 + now;
+        bornAt = now;
+        fence = 0;
+        leaseEnd = 0;
+        endNumber = 0;
+        active.clear();
+        ended = new ArrayList<>();
+        refusedUpTo.clear();
+    }
+
+    void crash() {
+        up = false;
+        active.clear();
+    }
+
+    OrderReply start(Order.Start order, StepSpec spec, long work, long now) {
+        if (order.epoch() < fence) {
+            return OrderReply.STALE_EPOCH;
+        }
+        fence = order.epoch();
+        if (order.leaseClock() <= clock(now)) {
+            return OrderReply.LEASE_PAST;
+        }
+        extend(order.leaseClock(), now);
+        Run.Key key = new Run.Key(order.task(), order.attempt());
+        if (active.containsKey(key)) {
+            return OrderReply.ACCEPTED;
+        }
+        if (order.attempt() <= refusedUpTo.getOrDefault(order.task(), 0)) {
+            return OrderReply.OLD_ATTEMPT;
+        }
+        if (!used().plus(spec.reserved()).isWithin(capacity)) {
+            return OrderReply.NO_ROOM;
+        }
+        active.put(key, new Active(order, spec, work));
+        startLog.add(order.task() + "#" + order.attempt());
+        return OrderReply.ACCEPTED;
+    }
+
+    OrderReply stop(Order.Stop order) {
+        if (order.epoch() < fence) {
+            return OrderReply.STALE_EPOCH;
+        }
+        fence = order.epoch();
+        refusedUpTo.merge(order.task(), order.attempt(), Math::max);
+        end(new Run.Key(order.task(), order.attempt()), EndKind.STOPPED);
+        return OrderReply.ACCEPTED;
+    }
+
+    OrderReply pace(Order.Pace order) {
+        Active run = active.get(new Run.Key(order.task(), order.attempt()));
+        if (run == null) {
+            return OrderReply.MALFORMED;
+        }
+        run.pace = order.percent();
+        return OrderReply.ACCEPTED;
+    }
+
+    Optional<WorkerReport> lease(LeaseCall call, long now) {
+        if (call.epoch() < fence) {
+            return Optional.empty();
+        }
+        fence = call.epoch();
+        call.leaseClock().ifPresent(end -> extend(end, now));
+        ended.removeIf(one -> one.number() <= call.acknowledged());
+        List<WorkerReport.Running> running = new ArrayList<>();
+        active.forEach(
+                (key, run) ->
+                        running.add(
+                                new WorkerReport.Running(
+                                        key.task(),
+                                        key.attempt(),
+                                        run.spec.isCheckpointing() ? "" + run.done : "",
+                                        run.percent(),
+                                        run.figure)));
+        return Optional.of(new WorkerReport(clock(now), born, running, ended));
+    }
+
+    private void extend(long end, long now) {
+        leaseEnd = Math.max(leaseEnd, Math.min(end, clock(now) + LONGEST_LEASE));
+    }
+
+    Resources used() {
+        Resources used = Resources.ZERO;
+        for (Active run : active.values()) {
+            used = used.plus(run.spec.reserved());
+        }
+        return used;
+    }
+
+    /** Lets time pass. */
+    void tick(long now, long millis) {
+        if (!up) {
+            return;
+        }
+        if (clock(now) > leaseEnd) {
+            new ArrayList<>(active.keySet()).forEach(key -> end(key, EndKind.LAPSED));
+        }
+        for (Map.Entry<Run.Key, Active> entry : new ArrayList<>(active.entrySet())) {
+            Active run = entry.getValue();
+            if (!hangs) {
+                run.done += millis / slowness * run.pace / 100;
+            }
+            if (failAfter > 0 && run.done >= failAfter) {
+                end(entry.getKey(), EndKind.FAILED);
+            } else if (!run.spec.isLasting() && run.done >= run.work) {
+                end(entry.getKey(), EndKind.DONE);
+            }
+        }
+    }
+
+    private void end(Run.Key key, EndKind kind) {
+        Active run = active.remove(key);
+        if (run == null) {
+            return;
+        }
+        refusedUpTo.merge(key.task(), key.attempt(), Math::max);
+        String checkpoint = run.spec.isCheckpointing() && kind != EndKind.DONE ? "" + run.done : "";
+        ended.add(new WorkerReport.Ended(++endNumber, key.task(), key.attempt(), kind, checkpoint));
+    }
+
+    List<TaskRef> doneTasks() {
+        return ended.stream()
+                .filter(one -> one.kind() == EndKind.DONE)
+                .map(WorkerReport.Ended::task)
+                .toList();
+    }
+
+    boolean hasEnds() {
+        return !ended.isEmpty();
+    }
+}
--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/CallDesk.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/CallDesk.java
@@ -115,12 +115,10 @@
         ClusterConfig present = config.config();
         if (!present.isKnown()) {
             handling.answer(
-                    new JobAnswer.Refused(
-                            JobAnswer.Reason.NO_CONFIGURATION, RETRY_AFTER_MILLIS));
+                    new JobAnswer.Refused(JobAnswer.Reason.NO_CONFIGURATION, RETRY_AFTER_MILLIS));
             return;
         }
-        String host =
-                call.header("x-forwarded-host").or(() -> call.header("host")).orElse("");
+        String host = call.header("x-forwarded-host").or(() -> call.header("host")).orElse("");
         Optional<ClusterConfig.Route> route = present.match(host, call.path());
         if (route.isEmpty()) {
             handling.answer(new JobAnswer.NoQueue());
@@ -129,8 +127,7 @@
         handling.queue = route.get().queue().name();
         Result<JobRequest> request = parts.format().request(call, route.get().prefix());
         if (!(request instanceof Result.Ok<JobRequest> ok)) {
-            handling.answer(
-                    new JobAnswer.Malformed(request.failure().orElseThrow().message()));
+            handling.answer(new JobAnswer.Malformed(request.failure().orElseThrow().message()));
             return;
         }
         name(handling, ok.value());
--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/ConfigWatch.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/ConfigWatch.java
@@ -50,8 +50,7 @@
         this.peers = peers;
         this.directory = directory;
         TableFeed.Mode mode =
-                new TableFeed.Mode(
-                        format.operatorTable(), "", FEED_WAIT_MILLIS, 0, TIMEOUT_MILLIS);
+                new TableFeed.Mode(format.operatorTable(), "", FEED_WAIT_MILLIS, 0, TIMEOUT_MILLIS);
         this.feed = new TableFeed(loop, store, health, log, mode, new Rows(), false);
     }
 
--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/DispatchHost.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/DispatchHost.java
@@ -116,10 +116,7 @@
             parts.metrics().ownership(true);
             OwnerTerm term =
                     new OwnerTerm(
-                            epoch,
-                            loop.now(),
-                            earlierOrdersUntil,
-                            settings.limits().leaseTimes());
+                            epoch, loop.now(), earlierOrdersUntil, settings.limits().leaseTimes());
             OwnerDuty taken = new OwnerDuty(parts, election, config, term, epochVersion);
             duty = Optional.of(taken);
             taken.start();
@@ -148,8 +145,11 @@
      */
     public void start() throws IOException {
         long began = loop.now();
-        open(settings.callers(), settings.limits().maxBody(),
-                settings.limits().maxConnections(), calls);
+        open(
+                settings.callers(),
+                settings.limits().maxBody(),
+                settings.limits().maxConnections(),
+                calls);
         open(settings.peers(), settings.limits().maxBody(), SMALL_CONNECTIONS, this::servePeer);
         open(settings.readiness(), SMALL_BODY, SMALL_CONNECTIONS, this::serveReadiness);
         if (settings.metrics().isPresent()) {
@@ -248,8 +248,7 @@
     }
 
     private boolean serveMetrics(IncomingCall call, Caller caller) {
-        byte[] body =
-                parts.metrics().toText().getBytes(StandardCharsets.UTF_8);
+        byte[] body = parts.metrics().toText().getBytes(StandardCharsets.UTF_8);
         caller.answer(new CallerAnswer(200, List.of(Map.entry("Content-Type", TEXT)), body));
         return true;
     }
@@ -260,8 +259,7 @@
     }
 
     private int pendingOf(String queue) {
-        Map<String, Integer> counts =
-                duty.flatMap(OwnerDuty::pending).orElseGet(election::pending);
+        Map<String, Integer> counts = duty.flatMap(OwnerDuty::pending).orElseGet(election::pending);
         return counts.getOrDefault(queue, 0);
     }
 
--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/DispatchMetrics.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/DispatchMetrics.java
@@ -48,8 +48,7 @@
 
     void leaseReply(OrderReply reply, long millis) {
         metrics.counter("peridot_lease_calls_total", "reply", code(reply.name())).inc();
-        metrics.latency("peridot_lease_call_seconds")
-                .record(clock.getAsLong(), millis * MICROS);
+        metrics.latency("peridot_lease_call_seconds").record(clock.getAsLong(), millis * MICROS);
     }
 
     void decided(Decision decision) {
--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/JobDesk.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/JobDesk.java
@@ -76,8 +76,7 @@
             ClusterConfig.Route route, JobRequest.Submit submit, Consumer<Outcome> handler) {
         byte[] row = RowCodec.job(route.queue(), System.currentTimeMillis(), submit.body());
         if (row.length > parts.settings().limits().maxRow()) {
-            handler.accept(
-                    new Answered(new JobAnswer.Malformed("the job is larger than a row")));
+            handler.accept(new Answered(new JobAnswer.Malformed("the job is larger than a row")));
             return;
         }
         RowWrite write =
@@ -107,8 +106,7 @@
     private static JobAnswer repeated(JobRequest.Submit submit, RowOutcome.Conflict conflict) {
         Optional<StoredRow> job = conflict.row(Rows.JOBS, submit.id());
         boolean other =
-                job.isPresent()
-                        && !Arrays.equals(RowCodec.body(job.get().value()), submit.body());
+                job.isPresent() && !Arrays.equals(RowCodec.body(job.get().value()), submit.body());
         return other ? new JobAnswer.OtherJob() : new JobAnswer.Accepted();
     }
 
--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/OwnerDuty.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/OwnerDuty.java
@@ -158,8 +158,7 @@
             return;
         }
         if (!(result instanceof Result.Ok<RowSet> ok)) {
-            parts.health()
-                    .onTrouble((StoreTrouble) result.failure().orElseThrow(), loop.now());
+            parts.health().onTrouble((StoreTrouble) result.failure().orElseThrow(), loop.now());
             loop.after(TICK_MILLIS, this::readFleet);
             return;
         }
--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/OwnerElection.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/OwnerElection.java
@@ -129,7 +129,10 @@
         long sentAt = loop.now();
         RowRange range =
                 new RowRange(
-                        Rows.DUTIES, Rows.PART, Rows.OWNER_KEY, Rows.PENDING_KEY + "!",
+                        Rows.DUTIES,
+                        Rows.PART,
+                        Rows.OWNER_KEY,
+                        Rows.PENDING_KEY + "!",
                         RowRange.MAX_ROWS);
         store.read(
                 range,
@@ -147,8 +150,7 @@
             return;
         }
         health.onOk(now);
-        distanceMillis =
-                Math.min(LONGEST_DISTANCE_MILLIS, DISTANCE_FACTOR * (loop.now() - sentAt));
+        distanceMillis = Math.min(LONGEST_DISTANCE_MILLIS, DISTANCE_FACTOR * (loop.now() - sentAt));
         Optional<LeaseRow> lease = Optional.empty();
         long version = 0;
         for (StoredRow row : ok.value().rows()) {
@@ -180,8 +182,7 @@
             return;
         }
         Optional<LeaseRow> row = challenger.takeover(now, LEASE_MILLIS, HOLD_MILLIS);
-        boolean ended =
-                challenger.row().map(old -> directory.hasEnded(old.holder())).orElse(false);
+        boolean ended = challenger.row().map(old -> directory.hasEnded(old.holder())).orElse(false);
         if (row.isEmpty() && ended) {
             LeaseRow old = challenger.row().orElseThrow();
             row =
@@ -250,11 +251,7 @@
     }
 
     private void onTaken(
-            LeaseRow row,
-            long version,
-            long sentAt,
-            long earlierUntil,
-            Optional<LeaseRow> before) {
+            LeaseRow row, long version, long sentAt, long earlierUntil, Optional<LeaseRow> before) {
         holder = Optional.of(new LeaseHolder(row, version, sentAt));
         log.event(DispatchEvent.OWNER_TAKEN)
                 .with("epoch", row.epoch())
--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/StoreHealth.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/StoreHealth.java
@@ -2,9 +2,7 @@
 
 import org.peridotcourse.daemon.log.EventLog;
 
-/**
- * Judges from the outcomes of calls whether this host reaches the store. Confined to the loop.
- */
+/** Judges from the outcomes of calls whether this host reaches the store. Confined to the loop. */
 public final class StoreHealth {
     /** Failures in a row after which calls go to other hosts first. */
     private static final int FAILURES = 2;
--- a/daemon/src/main/java/org/peridotcourse/daemon/entry/CallServer.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/entry/CallServer.java
@@ -7,8 +7,8 @@
 /**
  * An HTTP server that hands every whole call to one {@link CallSink}.
  *
- * <p>It has the limits and time-outs of {@link EntryServer}; call {@link #sweep} every 100 ms or so.
- * It is thread-safe.
+ * <p>It has the limits and time-outs of {@link EntryServer}; call {@link #sweep} every 100 ms or
+ * so. It is thread-safe.
  */
 public final class CallServer implements AutoCloseable {
     private static final int MAX_HEAD = 16 * 1024;
@@ -46,7 +46,11 @@
                 new EntryHandler.Limits(MAX_HEAD, maxBody, maxConnections, READ_TIMEOUT_MILLIS);
         EntryServer server =
                 new EntryServer(
-                        address, new SinkHandler(ids, budget, clock, sink), limits, budget, ids,
+                        address,
+                        new SinkHandler(ids, budget, clock, sink),
+                        limits,
+                        budget,
+                        ids,
                         clock);
         server.start();
         return new CallServer(server);
--- a/daemon/src/main/java/org/peridotcourse/daemon/http/HttpCaller.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/http/HttpCaller.java
@@ -140,8 +140,7 @@
         attempt.channel = channel;
         channel.send(attempt.call)
                 .whenComplete(
-                        (reply, fault) ->
-                                loop.post(() -> onOutcome(attempt, reply, fault, kept)));
+                        (reply, fault) -> loop.post(() -> onOutcome(attempt, reply, fault, kept)));
     }
 
     private void onOutcome(Attempt attempt, HttpReply reply, Throwable fault, boolean kept) {
