--- a/core/src/main/java/org/peridotcourse/dispatch/Decision.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/Decision.java
@@ -37,7 +37,9 @@
         WORKER_LEASES_OVER,
         /** A worker gets no tasks for a while. */
         WORKER_QUARANTINED,
-        /** The share of filling tasks on a worker changed. */
+        /** The response times of a serving task went over their bound. */
+        SERVING_SLOW,
+        /** The pace of a filling task changed. */
         FILL_PACED,
         /** All runs of earlier owners are known. */
         CENSUS_COMPLETE,
--- a/core/src/main/java/org/peridotcourse/dispatch/DispatchOwner.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/DispatchOwner.java
@@ -44,7 +44,7 @@
         this.choice = new WorkerChoice(state);
         this.planner = new Planner(state, choice, runs);
         this.watch = new RunWatch(state, runs, choice, planner);
-        this.pacing = new FillPacing(state, runs);
+        this.pacing = new FillPacing(state, runs, choice);
     }
 
     /**
@@ -120,6 +120,22 @@
         return OwnerFigures.of(state, choice, now);
     }
 
+    /**
+     * Takes the news that no earlier owner gives orders any more, so that workers which do not
+     * answer are waited for less.
+     *
+     * @param now the present time
+     */
+    public void onEarlierOwnersEnded(long now) {
+        state.term = state.term.withEarlierOwnersEnded(now);
+        long until = state.term.earlierRunsUntil();
+        for (Worker worker : state.workers.values()) {
+            if (!worker.counted) {
+                worker.leaseOverAt = Math.min(worker.leaseOverAt, until);
+            }
+        }
+    }
+
     /**
      * Takes a configuration.
      *
--- a/core/src/main/java/org/peridotcourse/dispatch/LeaseTimes.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/LeaseTimes.java
@@ -12,6 +12,9 @@
     /** A worker's clock may be 2% slow. */
     private static final double SLOWEST_CLOCK = 0.98;
 
+    /** Error of the reading of a clock that was taken a few seconds ago. */
+    private static final long READING_MILLIS = 150;
+
     /** Covers the time from the end of a lease until the worker has killed everything. */
     private static final long KILL_MILLIS = 150;
 
@@ -26,11 +29,13 @@
     }
 
     /**
-     * Returns how long any lease lasts at most by the clock of this process.
+     * Returns how long a lease that an owner grants lasts at most by the clock of this process. The
+     * owner's reading of the worker's clock may be some seconds old.
      *
      * @return milliseconds
      */
-    public long longestMillis() {
-        return longestMillis(longestLeaseMillis);
+    public long grantedMillis() {
+        return Math.min(
+                longestMillis(leaseMillis) + READING_MILLIS, longestMillis(longestLeaseMillis));
     }
 }
--- a/core/src/main/java/org/peridotcourse/dispatch/OwnerState.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/OwnerState.java
@@ -9,10 +9,10 @@
 
 /** The state that the parts of {@link DispatchOwner} share. Confined to one thread. */
 final class OwnerState {
-    final OwnerTerm term;
+    OwnerTerm term;
     final Map<String, Job> jobs = new LinkedHashMap<>();
     final Map<String, Worker> workers = new LinkedHashMap<>();
-    final NeighbourEffects effects = new NeighbourEffects();
+    final TailModel tails = new TailModel();
     private final Decision.Sink sink;
     private List<Order> orders = new ArrayList<>();
 
--- a/core/src/main/java/org/peridotcourse/dispatch/OwnerTerm.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/OwnerTerm.java
@@ -24,12 +24,22 @@
         return (int) ((epoch - 1) * ATTEMPTS_PER_EPOCH);
     }
 
+    /**
+     * Returns the same ownership once it is known that no earlier owner gives orders any more.
+     *
+     * @param now the present time
+     * @return the changed term
+     */
+    public OwnerTerm withEarlierOwnersEnded(long now) {
+        return new OwnerTerm(epoch, beganAt, Math.min(earlierOrdersUntil, now), times);
+    }
+
     /**
      * Returns when no run of an earlier owner is alive on a worker that has not reported.
      *
      * @return monotonic time
      */
     public long earlierRunsUntil() {
-        return Math.max(beganAt, earlierOrdersUntil) + times.longestMillis();
+        return Math.max(beganAt, earlierOrdersUntil) + times.grantedMillis();
     }
 }
--- a/core/src/main/java/org/peridotcourse/dispatch/Planner.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/Planner.java
@@ -116,7 +116,8 @@
     /** Starts a second copy of a task of a step that allows it. */
     boolean startCopy(Run slow, long now, String why) {
         Task task = slow.task;
-        if (!task.step.spec.isSpeculative() || task.runs.size() > 1 || !task.job().isActive()) {
+        boolean wanted = !task.done && task.job().isActive() && !slow.isStopping();
+        if (!task.step.spec.isSpeculative() || task.runs.size() > 1 || !wanted) {
             return false;
         }
         if (task.job().inherited && !state.censusComplete) {
--- a/core/src/main/java/org/peridotcourse/dispatch/WorkerChoice.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/WorkerChoice.java
@@ -13,6 +13,9 @@
     /** A worker that left the list is given time to return, as after an outage of the store. */
     static final long UNLISTED_MILLIS = 3_000;
 
+    /** Pressure of a filling task that makes no difference. */
+    private static final double NEGLIGIBLE = 0.015;
+
     private static final double SUSPECT_COST = 4;
     private static final double SLOW_COST = 6;
     private static final double RETRY_THERE_COST = 8;
@@ -21,7 +24,7 @@
     private static final double SAME_JOB_COST = 0.02;
     private static final double NEW_SENSITIVE_COST = 0.3;
     private static final double OTHER_IMAGE_COST = 0.5;
-    private static final double HARM_COST = 1;
+    private static final double TIGHTNESS_COST = 3;
 
     private final OwnerState state;
     private double usualSlowness = 1;
@@ -93,19 +96,48 @@
         if (demand > worker.spareMilliCores()) {
             return false;
         }
-        return worstHarm(worker, spec, now) < NeighbourEffects.ALLOWED;
+        return tightest(worker, spec, now) >= 0;
     }
 
-    /** The probability that a filling task disturbs the most sensitive task of a worker. */
-    private double worstHarm(Worker worker, StepSpec filling, long now) {
+    /** Pressure that the most sensitive task of a worker has left once a filling task joins. */
+    private double tightest(Worker worker, StepSpec filling, long now) {
+        double capacity = Math.max(1, worker.info.capacity().milliCores());
+        double use = filling.need().milliCores() / capacity;
         String image = filling.image().orElse("");
-        double worst = 0;
+        double tightest = 1;
         for (Run run : worker.runs.values()) {
             if (run.spec().targetMillis() > 0) {
-                worst = Math.max(worst, state.effects.harm(FillPacing.image(run), image, now));
+                double added = state.tails.planned(FillPacing.image(run), image, use, now);
+                if (added > NEGLIGIBLE) {
+                    double left = room(run) - pressureOn(run, now) - added;
+                    tightest = Math.min(tightest, left);
+                }
             }
         }
-        return worst;
+        return tightest;
+    }
+
+    /** Pressure by filling tasks that keeps a serving task under its bound. */
+    double room(Run run) {
+        String image = FillPacing.image(run);
+        double most = state.tails.pressure(image, run.spec().targetMillis());
+        double usual = state.tails.load(image);
+        double load = run.load < 0 ? usual : (run.load + usual) / 2;
+        return most - FillPacing.MARGIN - load;
+    }
+
+    /** Pressure of the filling tasks on a serving one, at full pace. */
+    private double pressureOn(Run run, long now) {
+        double capacity = Math.max(1, run.worker.info.capacity().milliCores());
+        double sum = 0;
+        for (Run other : run.worker.runs.values()) {
+            if (other.spec().isFilling()) {
+                double use = other.spec().need().milliCores() / capacity;
+                String filling = FillPacing.image(other);
+                sum += state.tails.planned(FillPacing.image(run), filling, use, now);
+            }
+        }
+        return sum;
     }
 
     boolean isUsable(Worker worker, long now) {
@@ -151,7 +183,7 @@
         double wanted = worker.used().milliCores() + worker.fillMilliCores;
         double load = (wanted + spec.need().milliCores()) / capacity;
         if (spec.isFilling()) {
-            return load + HARM_COST * worstHarm(worker, spec, now);
+            return load - TIGHTNESS_COST * Math.min(0.5, tightest(worker, spec, now));
         }
         return spec.targetMillis() > 0 ? company(worker, spec, now) + load / 10 : load;
     }
@@ -162,18 +194,20 @@
      */
     private double company(Worker worker, StepSpec spec, long now) {
         String image = spec.image().orElse("");
+        double capacity = Math.max(1, worker.info.capacity().milliCores());
         boolean served = false;
         boolean other = false;
-        double harm = 0;
+        double pressure = 0;
         for (Run run : worker.runs.values()) {
             if (run.spec().targetMillis() > 0) {
                 served = true;
                 other |= !FillPacing.image(run).equals(image);
             } else if (run.spec().isFilling()) {
-                harm = Math.max(harm, state.effects.harm(image, FillPacing.image(run), now));
+                double use = run.spec().need().milliCores() / capacity;
+                pressure += state.tails.planned(image, FillPacing.image(run), use, now);
             }
         }
-        return (served ? 0 : NEW_SENSITIVE_COST) + (other ? OTHER_IMAGE_COST : 0) + harm;
+        return (served ? 0 : NEW_SENSITIVE_COST) + (other ? OTHER_IMAGE_COST : 0) + pressure;
     }
 
     private static boolean isOtherRack(Worker worker, Step step) {
--- a/core/src/test/java/org/peridotcourse/dispatch/DispatchFaultTest.java
+++ b/core/src/test/java/org/peridotcourse/dispatch/DispatchFaultTest.java
@@ -117,6 +117,20 @@
         world.assertCompleted(job);
     }
 
+    /** Found by a hunt: mix seed 324050052448, rule LOST; the successor waited for 18 s. */
+    @Test
+    void aSilentWorkerIsWaitedForNoLongerThanItsLeaseOnceEarlierOwnersHaveEnded() {
+        DispatchWorld world = new DispatchWorld(9, 2, CAPACITY);
+        String job = world.submit(QUEUE, step(2, 0).lasting(true).build());
+        world.run(500);
+        world.runners.get("w0").crash();
+        world.takeOver(world.now + 12_000);
+        world.run(300);
+        world.owner.onEarlierOwnersEnded(world.now);
+        world.run(5_800);
+        assertEquals(2, world.runners.get("w1").active.size(), job);
+    }
+
     @Test
     void workGoesOnWhileTheStoreIsAwayAndNothingIsLostIfTheOwnerDiesThen() {
         DispatchWorld world = new DispatchWorld(2, 4, CAPACITY);
@@ -157,6 +171,23 @@
         world.assertCompleted(job);
     }
 
+    /** Found by a hunt: trouble-2 seed 1088273369031 and hunt-4149-39, rule TWICE. */
+    @Test
+    void aDoneTaskGetsNoFurtherCopyWhileItsOtherCopyIsOnALostWorker() {
+        DispatchWorld world = new DispatchWorld(3, 3, CAPACITY);
+        world.runners.get("w0").slowness = 20;
+        String job =
+                world.submit(QUEUE, step(3, 500).speculative(true).build(), step(1, 8_000).build());
+        world.run(1_600);
+        world.cut.add("w0");
+        world.run(1_500);
+        int starts = world.starts();
+        world.run(3_000);
+        assertEquals(starts, world.starts());
+        world.runUntilEnded(10_000, job);
+        world.assertCompleted(job);
+    }
+
     @Test
     void aDeposedOwnerStops() {
         DispatchWorld world = new DispatchWorld(1, 2, CAPACITY);
--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/DispatchHost.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/DispatchHost.java
@@ -54,6 +54,7 @@
     private final ConfigWatch config;
     private final OwnerElection election;
     private final CallDesk calls;
+    private final PeerLink peers;
     private final RequestIds ids;
     private final long incarnation;
     private final List<CallServer> servers = new ArrayList<>();
@@ -70,7 +71,7 @@
         this.settings = parts.settings();
         this.incarnation = incarnation;
         this.ids = new RequestIds(settings.name(), incarnation);
-        PeerLink peers = new PeerLink(http, settings.name(), parts.format().operatorTable());
+        this.peers = new PeerLink(http, settings.name(), parts.format().operatorTable());
         this.directory =
                 new HostDirectory(
                         loop, parts.store(), parts.health(), parts.log(), settings, incarnation);
@@ -112,12 +113,15 @@
     /** Begins and ends duties with the ownership. */
     private final class Ownership implements OwnerElection.Listener {
         @Override
-        public void onTaken(long epoch, long epochVersion, long earlierOrdersUntil) {
+        public void onTaken(
+                long epoch, long epochVersion, long earlierOrdersUntil, Optional<String> before) {
             parts.metrics().ownership(true);
             OwnerTerm term =
                     new OwnerTerm(
                             epoch, loop.now(), earlierOrdersUntil, settings.limits().leaseTimes());
-            OwnerDuty taken = new OwnerDuty(parts, election, config, term, epochVersion);
+            EarlierOwners earlier =
+                    new EarlierOwners(parts, directory, peers, term, epochVersion, before);
+            OwnerDuty taken = new OwnerDuty(parts, election, config, earlier, term, epochVersion);
             duty = Optional.of(taken);
             taken.start();
         }
@@ -239,6 +243,9 @@
         if (call.path().equals(PeerLink.CONFIG_PATH)) {
             return loop.offer(() -> PeerLink.serveConfig(config, call, caller));
         }
+        if (call.path().equals(PeerLink.STAND_DOWN_PATH)) {
+            return loop.offer(() -> PeerLink.serveStandDown(election, call, caller));
+        }
         return calls.submit(call, caller);
     }
 
--- /dev/null
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/EarlierOwners.java
@@ -0,0 +1,128 @@
+package org.peridotcourse.daemon.dispatch;
+
+import java.util.ArrayList;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
+import org.peridotcourse.Result;
+import org.peridotcourse.daemon.ring.EventLoop;
+import org.peridotcourse.dispatch.OwnerTerm;
+
+/**
+ * Finds out when no earlier owner gives orders any more: each of them has confirmed it, has started
+ * anew, or has gone without the store for too long. Holders that are not settled are kept in the
+ * store for the next owner. Confined to the loop.
+ */
+final class EarlierOwners {
+    private static final long PERIOD_MILLIS = 300;
+    private static final long TIMEOUT_MILLIS = 1_200;
+
+    private final EventLoop loop;
+    private final HostParts parts;
+    private final HostDirectory directory;
+    private final PeerLink peers;
+    private final OwnerTerm term;
+    private final long epochVersion;
+    private final Set<String> open = new TreeSet<>();
+
+    private Runnable listener = () -> {};
+    private boolean read;
+    private boolean stopped;
+
+    EarlierOwners(
+            HostParts parts,
+            HostDirectory directory,
+            PeerLink peers,
+            OwnerTerm term,
+            long epochVersion,
+            Optional<String> before) {
+        this.parts = parts;
+        this.loop = parts.loop();
+        this.directory = directory;
+        this.peers = peers;
+        this.term = term;
+        this.epochVersion = epochVersion;
+        before.ifPresent(open::add);
+    }
+
+    /** Begins; the listener runs once, when all earlier owners have ended. */
+    void start(Runnable onAllEnded) {
+        listener = onAllEnded;
+        read();
+    }
+
+    void stop() {
+        stopped = true;
+    }
+
+    private void read() {
+        if (!stopped) {
+            parts.store()
+                    .read(
+                            RowRange.one(Rows.DUTIES, Rows.PART, Rows.EARLIER_KEY),
+                            TIMEOUT_MILLIS,
+                            this::onRead);
+        }
+    }
+
+    private void onRead(Result<RowSet> result) {
+        if (!(result instanceof Result.Ok<RowSet> ok)) {
+            loop.after(PERIOD_MILLIS, this::read);
+            return;
+        }
+        for (StoredRow row : ok.value().rows()) {
+            if (row.key().equals(Rows.EARLIER_KEY)) {
+                RowCodec.names(row.value()).toOptional().ifPresent(open::addAll);
+            }
+        }
+        open.remove(directory.holderName());
+        read = true;
+        write();
+        ask();
+    }
+
+    private void ask() {
+        if (stopped) {
+            return;
+        }
+        boolean over = loop.now() >= term.earlierOrdersUntil();
+        for (String holder : new ArrayList<>(open)) {
+            if (over || directory.hasEnded(holder)) {
+                settle(holder);
+            } else {
+                directory
+                        .address(holder)
+                        .ifPresent(
+                                address ->
+                                        peers.standDown(
+                                                address, term.epoch(), () -> settle(holder)));
+            }
+        }
+        if (open.isEmpty()) {
+            finish();
+        } else {
+            loop.after(PERIOD_MILLIS, this::ask);
+        }
+    }
+
+    private void settle(String holder) {
+        open.remove(holder);
+    }
+
+    private void finish() {
+        write();
+        listener.run();
+    }
+
+    /** A lost write leaves a holder too many in the store, which costs its successor a wait. */
+    private void write() {
+        if (read) {
+            RowWrite write =
+                    RowWrite.builder(Rows.PART)
+                            .expect(Rows.DUTIES, Rows.EPOCH_KEY, epochVersion)
+                            .put(Rows.DUTIES, Rows.EARLIER_KEY, RowCodec.names(open))
+                            .build();
+            parts.store().write(write, TIMEOUT_MILLIS, outcome -> {});
+        }
+    }
+}
--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/HostDirectory.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/HostDirectory.java
@@ -67,6 +67,13 @@
                 .flatMap(HostDirectory::address);
     }
 
+    /** Returns the address of the host of a holder, whichever run of it is there now. */
+    Optional<InetSocketAddress> address(String holder) {
+        int slash = holder.lastIndexOf('/');
+        RowCodec.Host host = slash < 0 ? null : hosts.get(holder.substring(0, slash));
+        return host == null ? Optional.empty() : address(host);
+    }
+
     /** Tells whether a run of a host has certainly ended, because a later one registered. */
     boolean hasEnded(String holder) {
         int slash = holder.lastIndexOf('/');
--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/OwnerDuty.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/OwnerDuty.java
@@ -34,6 +34,7 @@
     private final HostParts parts;
     private final OwnerElection election;
     private final ConfigWatch config;
+    private final EarlierOwners earlier;
     private final DispatchOwner owner;
     private final ProgressWriter progress;
     private final LeaseKeeping leases;
@@ -52,6 +53,7 @@
             HostParts parts,
             OwnerElection election,
             ConfigWatch config,
+            EarlierOwners earlier,
             OwnerTerm term,
             long epochVersion) {
         this.parts = parts;
@@ -59,6 +61,7 @@
         this.log = parts.log();
         this.election = election;
         this.config = config;
+        this.earlier = earlier;
         this.startedAt = loop.now();
         this.owner = new DispatchOwner(term, this::logDecision);
         this.progress = new ProgressWriter(parts, owner, epochVersion, election::onDeposed);
@@ -69,6 +72,7 @@
     void start() {
         owner.onConfig(config.config());
         owner.onEvacuated(config.evacuated());
+        earlier.start(() -> owner.onEarlierOwnersEnded(loop.now()));
         readFleet();
         feed(Rows.PROGRESS, Rows.PART, FEED_WAIT_MILLIS, 0, new ProgressRows(), true);
         feed(parts.format().workerTable(), "", 0, WORKERS_PAUSE_MILLIS, new WorkerRows(), false);
@@ -77,6 +81,7 @@
 
     void stop() {
         stopped = true;
+        earlier.stop();
         feeds.forEach(TableFeed::stop);
         leases.stop();
         progress.stop();
--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/OwnerElection.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/OwnerElection.java
@@ -38,7 +38,8 @@
     /** Takes what happens to the ownership. Implementations run on the loop. */
     interface Listener {
         /** Takes a new ownership of this host. */
-        void onTaken(long epoch, long epochVersion, long earlierOrdersUntil);
+        void onTaken(
+                long epoch, long epochVersion, long earlierOrdersUntil, Optional<String> before);
 
         /** Takes the end of the ownership of this host. */
         void onLost(String reason);
@@ -125,6 +126,13 @@
         }
     }
 
+    /** Takes the word of another host that it owns a later epoch. */
+    void onSuccessor(long epoch) {
+        if (holder.isPresent() && holder.get().epoch() < epoch) {
+            onDeposed("another host told of its ownership");
+        }
+    }
+
     private void poll() {
         long sentAt = loop.now();
         RowRange range =
@@ -259,7 +267,8 @@
                 .with("afterMillis", loop.now() - sentAt)
                 .write();
         loop.after(LEASE_MILLIS / 3, () -> renew(row.epoch()));
-        listener.onTaken(row.epoch(), version, earlierUntil);
+        Optional<String> earlier = before.filter(old -> !old.isReleased()).map(LeaseRow::holder);
+        listener.onTaken(row.epoch(), version, earlierUntil, earlier);
     }
 
     private void renew(long epoch) {
--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/PeerLink.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/PeerLink.java
@@ -29,6 +29,11 @@
     /** The key of the row, in the response to {@link #CONFIG_PATH}. */
     static final String ROW_KEY = "Peridot-Row-Key";
 
+    /** Path under which a host learns of a later owner. */
+    static final String STAND_DOWN_PATH = "/peer/stand-down";
+
+    private static final String AFTER_QUERY = "after=";
+    private static final String EPOCH_QUERY = "epoch=";
     private static final int MAX_ACTIVE = 16;
     private static final long CONFIG_TIMEOUT_MILLIS = 500;
     private static final int OK = 200;
@@ -88,7 +93,7 @@
 
     /** Asks another host for a newer configuration; the handler runs only if it has one. */
     void config(InetSocketAddress peer, long knownVersion, Consumer<StoredRow> handler) {
-        HttpCall call = HttpCall.get(CONFIG_PATH + "?after=" + knownVersion);
+        HttpCall call = HttpCall.get(CONFIG_PATH + "?" + AFTER_QUERY + knownVersion);
         http.call(
                 peer,
                 call,
@@ -106,14 +111,35 @@
         return key.map(name -> new StoredRow(operatorTable, name, reply.body(), 1, false));
     }
 
+    /**
+     * Tells another host that a later owner exists.
+     *
+     * @param handler runs once that host, or its next run, has confirmed that it gives no orders
+     */
+    void standDown(InetSocketAddress peer, long epoch, Runnable handler) {
+        HttpCall call = HttpCall.get(STAND_DOWN_PATH + "?" + EPOCH_QUERY + epoch);
+        http.call(
+                peer,
+                call,
+                CONFIG_TIMEOUT_MILLIS,
+                MAX_ACTIVE,
+                result -> {
+                    if (result instanceof Result.Ok<HttpReply> ok && ok.value().status() == OK) {
+                        handler.run();
+                    }
+                });
+    }
+
+    /** Stands down if this host is an earlier owner, and confirms that it is none. */
+    static void serveStandDown(OwnerElection election, IncomingCall call, Caller caller) {
+        long epoch = number(call.query().orElse(""), EPOCH_QUERY);
+        election.onSuccessor(epoch);
+        caller.answer(new CallerAnswer(OK, List.of(), new byte[0]));
+    }
+
     /** Answers another host's question for the configuration. */
     static void serveConfig(ConfigWatch config, IncomingCall call, Caller caller) {
-        long known = 0;
-        String query = call.query().orElse("");
-        String prefix = "after=";
-        if (query.startsWith(prefix) && query.length() > prefix.length()) {
-            known = parse(query.substring(prefix.length()));
-        }
+        long known = number(call.query().orElse(""), AFTER_QUERY);
         Optional<StoredRow> row = config.row();
         if (row.isEmpty() || config.config().version() <= known) {
             caller.answer(new CallerAnswer(NOT_MODIFIED, List.of(), new byte[0]));
@@ -128,9 +154,10 @@
                         row.get().value()));
     }
 
-    private static long parse(String number) {
+    /** Reads a number behind a prefix, 0 if there is none. */
+    private static long number(String query, String prefix) {
         try {
-            return Long.parseLong(number);
+            return query.startsWith(prefix) ? Long.parseLong(query.substring(prefix.length())) : 0;
         } catch (NumberFormatException malformed) {
             return 0;
         }
--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/RowCodec.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/RowCodec.java
@@ -8,6 +8,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.Collection;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -224,6 +225,22 @@
         }
     }
 
+    static byte[] names(Collection<String> names) {
+        ArrayNode list = JSON.createArrayNode();
+        names.forEach(list::add);
+        return bytes(list);
+    }
+
+    static Result<List<String>> names(byte[] value) {
+        try {
+            List<String> names = new ArrayList<>();
+            JSON.readTree(value).forEach(name -> names.add(name.asText()));
+            return Result.ok(names);
+        } catch (IOException malformed) {
+            return Result.failed(new RowFault("names: " + malformed.getMessage()));
+        }
+    }
+
     static byte[] fleet(List<WorkerInfo> workers) {
         ArrayNode list = JSON.createArrayNode();
         for (WorkerInfo worker : workers) {
--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/Rows.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/Rows.java
@@ -29,6 +29,9 @@
     /** Workers that may run tasks of this owner, for its successor. */
     static final String FLEET_KEY = "fleet";
 
+    /** Holders before the present owner that may still give orders. */
+    static final String EARLIER_KEY = "earlier";
+
     /** Hosts by name. */
     static final String HOSTS = "hosts";
 
