Give a filling job of which nothing runs a worker; judge slowness by done tasks; test the path on a stand-in of the platform

Changes: pressure risked grows with the wait, and after 2 s a job of which nothing runs gets a worker; durations come from done tasks of the step, or from estimates that have proved right.

--- a/core/src/main/java/org/peridotcourse/dispatch/FillPacing.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/FillPacing.java
@@ -198,6 +198,7 @@
             return;
         }
         fill.pace = percent;
+        fill.wasPaced |= percent < FULL;
         fill.pacedAt = now;
         state.log(Decision.Kind.FILL_PACED, fill, "pace=" + percent);
         state.order(
--- a/core/src/main/java/org/peridotcourse/dispatch/Job.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/Job.java
@@ -99,6 +99,20 @@
         return !state.isFinal();
     }
 
+    /** Tells whether some task has a run. */
+    boolean hasRuns() {
+        for (Occurrence occurrence : occurrences) {
+            for (Step step : occurrence.steps) {
+                for (Task task : step.tasks) {
+                    if (task.isActive()) {
+                        return true;
+                    }
+                }
+            }
+        }
+        return false;
+    }
+
     void end(JobState last, long now) {
         state = last;
         endedAt = now;
--- a/core/src/main/java/org/peridotcourse/dispatch/JobBook.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/JobBook.java
@@ -213,17 +213,10 @@
     }
 
     private void dropIfIdle(Job job) {
-        for (Occurrence occurrence : job.occurrences) {
-            for (Step step : occurrence.steps) {
-                for (Task task : step.tasks) {
-                    if (task.isActive()) {
-                        return;
-                    }
-                }
-            }
+        if (!job.hasRuns()) {
+            state.jobs.remove(job.id);
+            firstDueAt.remove(job.id);
         }
-        state.jobs.remove(job.id);
-        firstDueAt.remove(job.id);
     }
 
     /** Forgets that a job existed, once its rows are removed. */
--- a/core/src/main/java/org/peridotcourse/dispatch/OwnerState.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/OwnerState.java
@@ -13,6 +13,7 @@
     final Map<String, Job> jobs = new LinkedHashMap<>();
     final Map<String, Worker> workers = new LinkedHashMap<>();
     final TailModel tails = new TailModel();
+    final Durations durations = new Durations();
     private final Decision.Sink sink;
     private List<Order> orders = new ArrayList<>();
 
--- a/core/src/main/java/org/peridotcourse/dispatch/Preemption.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/Preemption.java
@@ -32,7 +32,7 @@
             return;
         }
         Task task = longestWaiting(step, now);
-        if (task == null || now - task.waitingSince < PATIENCE_MILLIS) {
+        if (task == null || task.waited(now) < PATIENCE_MILLIS) {
             return;
         }
         List<Run> best = List.of();
--- a/core/src/main/java/org/peridotcourse/dispatch/ReportReader.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/ReportReader.java
@@ -14,6 +14,8 @@
     /** Progress below which a projection says little. */
     private static final int LEAST_PERCENT = 5;
 
+    private static final double STARVED_SHARE = 0.8;
+
     private final OwnerState state;
     private final JobBook jobs;
     private final RunBook runs;
@@ -150,14 +152,22 @@
         return run;
     }
 
-    private static void sampleRate(Run run, long now) {
-        long estimate = run.spec().estimateMillis();
-        boolean plain = !run.spec().isLasting() && !run.spec().isFilling();
+    private void sampleRate(Run run, long now) {
         int gained = run.percent - Math.max(0, run.firstPercent);
-        if (plain && estimate > 0 && gained >= LEAST_PERCENT && run.percentAt == now) {
-            double projected = (now - run.firstPercentAt) * 100.0 / gained;
-            run.worker.health.onRate(projected / estimate);
+        boolean tells = gained >= LEAST_PERCENT && run.percentAt == now && !run.wasPaced;
+        if (!tells || run.spec().isLasting() || isStarved(run)) {
+            return;
         }
+        double projected = (now - run.firstPercentAt) * 100.0 / gained;
+        state.durations
+                .of(run.task.step)
+                .ifPresent(usual -> run.worker.health.onRate(projected / Math.max(1, usual)));
+    }
+
+    /** A filling task that gets less processor than it could use is not slow by its worker. */
+    private static boolean isStarved(Run run) {
+        return run.spec().isFilling()
+                && run.figure < STARVED_SHARE * run.spec().need().milliCores();
     }
 
     /** Ends runs that the worker does not list although it confirmed their start or their stop. */
--- a/core/src/main/java/org/peridotcourse/dispatch/Run.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/Run.java
@@ -43,6 +43,9 @@
 
     long pacedAt;
 
+    /** True if it has worked at less than full speed by an order. */
+    boolean wasPaced;
+
     /** Since when a serving task is over its bound, 0 if it is not. */
     long overSince;
 
--- a/core/src/main/java/org/peridotcourse/dispatch/RunBook.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/RunBook.java
@@ -34,6 +34,7 @@
     Run start(
             Task task, Worker worker, int attempt, Optional<String> ticket, long now, String why) {
         Run run = new Run(task, attempt, worker, now);
+        long waited = task.waited(now);
         task.lastAttempt = Math.max(task.lastAttempt, attempt);
         task.runs.add(run);
         worker.add(run);
@@ -52,7 +53,7 @@
         state.log(
                 Decision.Kind.RUN_ORDERED,
                 run,
-                why + " waited=" + (now - task.waitingSince) + " resumed=" + !checkpoint.isEmpty());
+                why + " waited=" + waited + " resumed=" + !checkpoint.isEmpty());
         return run;
     }
 
@@ -209,6 +210,7 @@
         release(run, now);
         if (kind == EndKind.DONE) {
             run.worker.health.onSuccess();
+            state.durations.onDone(run, now);
         } else if (kind == EndKind.FAILED) {
             onFailed(run, now);
         }
--- a/core/src/main/java/org/peridotcourse/dispatch/RunWatch.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/RunWatch.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.OptionalLong;
 
 /**
  * Finds runs that stand still, are much slower than they could be elsewhere, or are on a worker
@@ -23,10 +24,10 @@
     /** Time that a stop, a start and a resumption take. */
     private static final long MOVE_MILLIS = 700;
 
-    /** A speculative task gets a copy at this multiple of its estimate. */
-    private static final double COPY_AFTER = 2.0;
+    /** A speculative task gets a copy at this multiple of its usual duration. */
+    private static final double COPY_AFTER = 1.7;
 
-    private static final long COPY_AFTER_MILLIS = 500;
+    private static final long COPY_AFTER_MILLIS = 300;
 
     /** A draining worker is left this long before its time is up. */
     private static final long LEAVE_MARGIN_MILLIS = 400;
@@ -112,20 +113,23 @@
             if (run.isStopping() || run.spec().isLasting() || run.spec().isGang()) {
                 continue;
             }
+            OptionalLong usual = state.durations.of(run.task.step);
+            if (usual.isEmpty()) {
+                continue;
+            }
             long age = now - run.orderedAt;
-            long estimate = run.spec().estimateMillis();
-            if (age > COPY_AFTER * estimate + COPY_AFTER_MILLIS) {
+            if (age > COPY_AFTER * usual.getAsLong() + COPY_AFTER_MILLIS) {
                 planner.startCopy(run, now, "copy-of-slow");
             }
-            if (slow && !run.spec().isFilling() && isWorthMoving(run, now)) {
+            if (slow && isWorthMoving(run, usual.getAsLong(), now)) {
                 runs.stop(run, StopReason.SLOW, now);
             }
         }
     }
 
-    private static boolean isWorthMoving(Run run, long now) {
+    private static boolean isWorthMoving(Run run, long usual, long now) {
         double left = run.spec().isCheckpointing() ? (100 - run.percent) / 100.0 : 1;
-        double elsewhere = left * run.spec().estimateMillis() + MOVE_MILLIS;
+        double elsewhere = left * usual + MOVE_MILLIS;
         return run.remainingMillis(now) > WORTH_MOVING * elsewhere;
     }
 }
--- a/core/src/main/java/org/peridotcourse/dispatch/Step.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/Step.java
@@ -10,6 +10,14 @@
     /** Tasks that are not done. */
     int remaining;
 
+    /** When it was first seen open, 0 before. */
+    long openedAt;
+
+    /** Whole runs that are done, and their durations together. */
+    int doneRuns;
+
+    long doneMillis;
+
     Step(Occurrence occurrence, int number, StepSpec spec, int attemptFloor, long now) {
         this.occurrence = occurrence;
         this.number = number;
--- a/core/src/main/java/org/peridotcourse/dispatch/StepOrder.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/StepOrder.java
@@ -55,6 +55,7 @@
             }
             for (Step step : occurrence.steps) {
                 if (step.isOpen() && step.waiting(now) > 0) {
+                    step.openedAt = step.openedAt == 0 ? now : step.openedAt;
                     candidates.add(rank(job, step, now));
                 }
             }
--- a/core/src/main/java/org/peridotcourse/dispatch/Task.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/Task.java
@@ -43,6 +43,11 @@
         return !runs.isEmpty();
     }
 
+    /** How long the task has waited for a worker since its turn came. */
+    long waited(long now) {
+        return now - Math.max(waitingSince, step.openedAt);
+    }
+
     /** Tells whether some run is neither being stopped nor in doubt. */
     boolean isAtWork() {
         for (Run run : runs) {
--- a/core/src/main/java/org/peridotcourse/dispatch/WorkerChoice.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/WorkerChoice.java
@@ -13,6 +13,15 @@
     /** A worker that left the list is given time to return, as after an outage of the store. */
     static final long UNLISTED_MILLIS = 3_000;
 
+    /** A filling task of a job of which nothing runs waits no longer than this. */
+    private static final long NOTHING_RUNS_MILLIS = 2_000;
+
+    /** Time for which a filling task waits for a worker on which it disturbs nobody. */
+    private static final long PATIENT_MILLIS = 1_000;
+
+    private static final double RISK_PER_MILLI = 0.2 / 4_000;
+    private static final double MOST_RISK = 0.25;
+
     /** Pressure of a filling task that makes no difference. */
     private static final double NEGLIGIBLE = 0.015;
 
@@ -84,19 +93,29 @@
                 return false;
             }
         }
-        if (spec.isFilling() && !mayFill(worker, spec, now)) {
+        if (spec.isFilling() && !mayFill(worker, task, now)) {
             return false;
         }
         return !worker.health.isOnProbation() || worker.runs.isEmpty();
     }
 
-    /** Filling tasks run at full speed or wait, and keep away from tasks that they disturb. */
-    private boolean mayFill(Worker worker, StepSpec spec, long now) {
+    /**
+     * Filling tasks run at full speed or wait, and keep away from tasks that they disturb. The
+     * longer one waits, the more pressure is risked; a job of which nothing runs gets a worker in
+     * any case, where pacing protects the serving tasks.
+     */
+    private boolean mayFill(Worker worker, Task task, long now) {
+        StepSpec spec = task.step.spec;
+        long waited = task.waited(now);
+        if (waited >= NOTHING_RUNS_MILLIS && !task.job().hasRuns()) {
+            return true;
+        }
         long demand = worker.fillMilliCores + spec.need().milliCores();
         if (demand > worker.spareMilliCores()) {
             return false;
         }
-        return tightest(worker, spec, now) >= 0;
+        double risked = Math.max(0, waited - PATIENT_MILLIS) * RISK_PER_MILLI;
+        return tightest(worker, spec, now) + Math.min(MOST_RISK, risked) >= 0;
     }
 
     /** Pressure that the most sensitive task of a worker has left once a filling task joins. */
--- a/core/src/main/java/org/peridotcourse/dispatch/WorkerHealth.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/WorkerHealth.java
@@ -22,6 +22,9 @@
     /** Weight of a new sample of the rate. */
     private static final double RATE_WEIGHT = 0.3;
 
+    /** Samples from which the rate of a worker is judged. */
+    private static final int ENOUGH_SAMPLES = 3;
+
     private final Set<String> failedJobs = new HashSet<>();
     private long quarantinedUntil;
     private long quarantineMillis = QUARANTINE_MILLIS;
@@ -79,7 +82,7 @@
     }
 
     boolean hasRate() {
-        return samples > 0;
+        return samples >= ENOUGH_SAMPLES;
     }
 
     double slowness() {
--- a/core/src/test/java/org/peridotcourse/dispatch/DispatchOwnerTest.java
+++ b/core/src/test/java/org/peridotcourse/dispatch/DispatchOwnerTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
+import java.util.Optional;
 import org.junit.jupiter.api.Test;
 import org.peridotcourse.Resources;
 
@@ -70,17 +71,11 @@
         world.run(100);
         String gang = world.submit(QUEUE, step(12, 1_000, 500).gang(true).build());
         world.run(300);
-        assertFalse(isActive(gang), "there was room for a part of the gang only");
+        assertFalse(world.hasRuns(gang), "there was room for a part of the gang only");
         world.runUntilEnded(5_000, small, gang);
         world.assertCompleted(small, gang);
     }
 
-    private boolean isActive(String job) {
-        return world.runners.values().stream()
-                .flatMap(runner -> runner.active.keySet().stream())
-                .anyMatch(key -> key.task().job().equals(job));
-    }
-
     @Test
     void aLastingTaskIsStartedAgainHoweverItEnds() {
         String job = world.submit(QUEUE, step(2, 1_000, 0).lasting(true).build());
@@ -91,17 +86,14 @@
         world.run(1_000);
         assertEquals(JobState.RUNNING, world.state(job));
         assertTrue(world.starts() > 4, "starts " + world.starts());
-        assertTrue(isActive(job));
+        assertTrue(world.hasRuns(job));
     }
 
     @Test
     void aTaskThatNeedsALabelWaitsForAWorkerThatHasIt() {
         String job =
                 world.submit(
-                        QUEUE,
-                        step(1, 1_000, 100)
-                                .requiredLabel(java.util.Optional.of("gpu-kind"))
-                                .build());
+                        QUEUE, step(1, 1_000, 100).requiredLabel(Optional.of("gpu-kind")).build());
         world.run(2_000);
         assertEquals(JobState.QUEUED, world.state(job));
         assertEquals(1, world.owner.pending().get("q"));
@@ -152,4 +144,29 @@
         world.assertCompleted(job);
         assertEquals(before, leaving.startLog.size());
     }
+
+    /** Found by a hunt: hunt-2ab0-7, rule LOST; beliefs kept filling tasks away for ever. */
+    @Test
+    void aFillingJobOfWhichNothingRunsGetsAWorkerAlthoughItMayDisturb() {
+        DispatchWorld world = new DispatchWorld(4, 2, CAPACITY);
+        StepSpec serving =
+                step(4, 1_000, 0)
+                        .maxPerWorker(2)
+                        .lasting(true)
+                        .targetMillis(10)
+                        .image(Optional.of("serving"))
+                        .build();
+        world.submit(QUEUE, serving);
+        world.run(500);
+        world.tail = fills -> fills > 0 ? 200 : 5;
+        String first = world.submit(QUEUE, filling());
+        world.run(12_000);
+        String second = world.submit(QUEUE, filling());
+        world.run(3_000);
+        assertTrue(world.hasRuns(second) || world.state(second).isFinal(), first);
+    }
+
+    private static StepSpec filling() {
+        return step(2, 1_000, 1_500).fills(true).image(Optional.of("filling")).build();
+    }
 }
--- a/core/src/test/java/org/peridotcourse/dispatch/DispatchWorld.java
+++ b/core/src/test/java/org/peridotcourse/dispatch/DispatchWorld.java
@@ -13,6 +13,7 @@
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
+import java.util.function.LongUnaryOperator;
 import java.util.function.ToLongFunction;
 import org.peridotcourse.Resources;
 
@@ -47,6 +48,9 @@
     /** Duration of a run; the estimate by default. */
     ToLongFunction<StepSpec> work = step -> step.estimateMillis();
 
+    /** Tail of a serving task by the number of filling tasks at work beside it. */
+    LongUnaryOperator tail = fills -> 0;
+
     long now = 1_000;
     DispatchOwner owner;
     private long epoch;
@@ -145,6 +149,7 @@
                 events.poll().action().run();
             }
             runners.values().forEach(runner -> runner.tick(now, TICK));
+            runners.values().forEach(runner -> runner.measure(tail));
             step();
             check();
         }
@@ -341,6 +346,12 @@
         }
     }
 
+    boolean hasRuns(String job) {
+        return runners.values().stream()
+                .flatMap(runner -> runner.active.keySet().stream())
+                .anyMatch(key -> key.task().job().equals(job));
+    }
+
     int starts() {
         int sum = 0;
         for (FakeRunner runner : runners.values()) {
--- a/core/src/test/java/org/peridotcourse/dispatch/FakeRunner.java
+++ b/core/src/test/java/org/peridotcourse/dispatch/FakeRunner.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.function.LongUnaryOperator;
 import org.peridotcourse.Resources;
 
 /** A worker by the rules of the platform: leases on its own clock, fencing, refusals, ends. */
@@ -198,6 +199,18 @@
         }
     }
 
+    /** Sets the figures that the next report shows. */
+    void measure(LongUnaryOperator tail) {
+        long fills =
+                active.values().stream()
+                        .filter(run -> run.spec.isFilling() && run.pace > 0)
+                        .count();
+        for (Active run : active.values()) {
+            double use = run.spec.need().milliCores() * run.pace / 100.0;
+            run.figure = run.spec.targetMillis() > 0 ? tail.applyAsLong(fills) : use;
+        }
+    }
+
     private void end(Run.Key key, EndKind kind) {
         Active run = active.remove(key);
         if (run == null) {
--- a/daemon/src/main/java/org/peridotcourse/daemon/log/Event.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/log/Event.java
@@ -7,7 +7,7 @@
  * catalogue is docs/EVENTS.md.
  *
  * <p>Numbers: 1000 requests, 2000 placement, 3000 configuration, 4000 membership, 5000 platform,
- * 9000 process. Implementations are immutable and thread-safe.
+ * 6000 the job scheduler, 9000 process. Implementations are immutable and thread-safe.
  */
 public interface Event {
     /**
--- a/daemon/src/main/java/org/peridotcourse/daemon/log/EventCatalogue.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/log/EventCatalogue.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import org.peridotcourse.daemon.ProcessEvent;
 import org.peridotcourse.daemon.control.ConfigEvent;
+import org.peridotcourse.daemon.dispatch.DispatchEvent;
 import org.peridotcourse.daemon.entry.RequestEvent;
 import org.peridotcourse.daemon.peer.PeerEvent;
 import org.peridotcourse.daemon.placement.PlacementLogEvent;
@@ -23,6 +24,7 @@
                     ConfigEvent.class,
                     PeerEvent.class,
                     PlatformEvent.class,
+                    DispatchEvent.class,
                     ProcessEvent.class);
 
     private EventCatalogue() {}
