Keep a cancellation that arrives before its job

Change: such cancellations are kept until the job arrives. A host counts as away from the store only after 300 ms without a good answer, since calls sent before it still time out.

--- a/core/src/main/java/org/peridotcourse/dispatch/JobBook.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/JobBook.java
@@ -15,6 +15,9 @@
     /** Jobs that ended in memory or in the store, so that a late row does not revive them. */
     private final Set<String> ended = new HashSet<>();
 
+    /** Cancellations that overtook their jobs, since both come by feeds of their own. */
+    private final Set<String> cancelledAhead = new HashSet<>();
+
     JobBook(OwnerState state) {
         this.state = state;
     }
@@ -53,6 +56,9 @@
                         + inherited
                         + " steps="
                         + entry.spec().toSummary());
+        if (cancelledAhead.remove(job.id)) {
+            end(job, JobState.CANCELLED, now, " ahead=true");
+        }
         settle(job, now);
     }
 
@@ -90,6 +96,8 @@
         Job job = state.jobs.get(id);
         if (job != null && job.isActive()) {
             end(job, JobState.CANCELLED, now, "");
+        } else if (job == null && !ended.contains(id)) {
+            cancelledAhead.add(id);
         }
     }
 
@@ -221,6 +229,7 @@
 
     /** Forgets that a job existed, once its rows are removed. */
     void forget(String id) {
+        cancelledAhead.remove(id);
         ended.remove(id);
     }
 
--- a/core/src/main/java/org/peridotcourse/dispatch/StepOrder.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/StepOrder.java
@@ -6,13 +6,19 @@
 
 /**
  * Orders the steps that wait: higher priority first; then those that can still meet their
- * objective, the most urgent first; then those that can still be worth something; then the rest,
- * the smallest first. Confined to one thread.
+ * objective, then those whose late completion still counts, then the rest; within these, the urgent
+ * and the small ones first. Confined to one thread.
  */
 final class StepOrder {
     /** Completion after this many objectives is worth nothing to the caller. */
     private static final int WORTHLESS_AFTER = 3;
 
+    /**
+     * Milliseconds of urgency that a core millisecond of remaining work costs. Small jobs are worth
+     * more for each core second, but large ones must not starve.
+     */
+    private static final double WORK_WEIGHT = 0.05;
+
     private static final Comparator<Candidate> ORDER =
             Comparator.comparingInt(Candidate::priority)
                     .thenComparingInt(Candidate::hope)
@@ -67,12 +73,24 @@
         long objective = rules.objectiveMillis(job.spec);
         long age = now - Math.max(step.occurrence.dueAt, job.acceptedAt);
         long rest = job.spec.chainMillis(step.number);
+        long weight = Math.round(WORK_WEIGHT * remainingCoreMillis(step.occurrence));
         if (step.spec.isLasting() || age + rest <= objective) {
-            return new Candidate(step, rules.priority(), 0, objective - age - rest);
+            return new Candidate(step, rules.priority(), 0, objective - age - rest + weight);
         }
         if (age + rest <= WORTHLESS_AFTER * objective) {
-            return new Candidate(step, rules.priority(), 1, Math.round(job.spec.coreMillis()));
+            long left = WORTHLESS_AFTER * objective - age - rest;
+            return new Candidate(step, rules.priority(), 1, left + weight);
+        }
+        return new Candidate(step, rules.priority(), 2, weight);
+    }
+
+    /** Estimated work of the tasks that are not done, in core milliseconds. */
+    private static double remainingCoreMillis(Occurrence occurrence) {
+        double sum = 0;
+        for (Step step : occurrence.steps) {
+            double cores = step.spec.need().milliCores() / 1e3;
+            sum += cores * step.remaining * step.spec.estimateMillis();
         }
-        return new Candidate(step, rules.priority(), 2, Math.round(job.spec.coreMillis()));
+        return sum;
     }
 }
--- a/core/src/test/java/org/peridotcourse/dispatch/DispatchOwnerTest.java
+++ b/core/src/test/java/org/peridotcourse/dispatch/DispatchOwnerTest.java
@@ -54,6 +54,16 @@
         world.runners.values().forEach(runner -> assertTrue(runner.active.isEmpty()));
     }
 
+    /** Found by a hunt: treadline hunt-57df-7, rule UNASKED; two feeds of the store raced. */
+    @Test
+    void aCancellationThatArrivesBeforeItsJobIsNotForgotten() {
+        world.owner.onCancel("0000000000000001", world.now);
+        String job = world.submit(QUEUE, step(4, 1_000, 500).build());
+        world.run(1_000);
+        assertEquals(JobState.CANCELLED, world.state(job));
+        assertEquals(0, world.starts());
+    }
+
     @Test
     void atMostTheAllowedTasksOfAStepShareAWorker() {
         String job = world.submit(QUEUE, step(6, 500, 1_000).maxPerWorker(1).build());
--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/StoreHealth.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/StoreHealth.java
@@ -7,6 +7,9 @@
     /** Failures in a row after which calls go to other hosts first. */
     private static final int FAILURES = 2;
 
+    /** Calls that were sent before a good answer may still time out after it. */
+    private static final long SILENT_MILLIS = 300;
+
     private final EventLog log;
     private int failures;
     private long lastOkAt;
@@ -42,7 +45,7 @@
             firstFailureAt = now;
         }
         failures++;
-        if (!away && failures >= FAILURES) {
+        if (!away && failures >= FAILURES && now - lastOkAt >= SILENT_MILLIS) {
             away = true;
             log.event(DispatchEvent.STORE_LOST)
                     .with("cause", trouble.code())
