--- /dev/null
+++ b/core/src/test/java/org/peridotcourse/dispatch/DurationsTest.java
@@ -0,0 +1,43 @@
+package org.peridotcourse.dispatch;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.peridotcourse.Resources;
+
+/** Guards against runs that are judged by estimates which have proved wrong. */
+class DurationsTest {
+    private static final Resources CAPACITY = Resources.of(64_000, 640_000);
+    private static final QueueRules QUEUE = DispatchWorld.queue("q", 1, 3);
+
+    /** The pattern: speculative lookups whose estimates are off by a factor of twenty. */
+    @Test
+    void wrongEstimatesLeadToNoCopies() {
+        DispatchWorld world = new DispatchWorld(1, 4, CAPACITY);
+        world.work = step -> 20 * step.estimateMillis();
+        List<String> ids = new ArrayList<>();
+        for (int i = 0; i < 10; i++) {
+            ids.add(
+                    world.submit(
+                            QUEUE, DispatchOwnerTest.step(4, 1_000, 60).speculative(true).build()));
+        }
+        world.runUntilEnded(10_000, ids.toArray(String[]::new));
+        world.assertCompleted(ids.toArray(String[]::new));
+        assertEquals(40, world.starts());
+    }
+
+    @Test
+    void aRunThatIsMuchSlowerThanItsSiblingsGetsACopy() {
+        DispatchWorld world = new DispatchWorld(1, 4, CAPACITY);
+        world.runners.get("w0").slowness = 30;
+        String id =
+                world.submit(
+                        QUEUE, DispatchOwnerTest.step(8, 1_000, 500).speculative(true).build());
+        world.runUntilEnded(6_000, id);
+        world.assertCompleted(id);
+        assertTrue(world.starts() > 8, "starts " + world.starts());
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/peridotcourse/dispatch/WorkerHealthTest.java
@@ -0,0 +1,37 @@
+package org.peridotcourse.dispatch;
+
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+
+/** Guards against workers that are blamed for one bad job, or never tried again. */
+class WorkerHealthTest {
+    private final WorkerHealth health = new WorkerHealth();
+
+    @Test
+    void oneFailingJobDoesNotCondemnAWorker() {
+        assertFalse(health.onFailure("a", 0));
+        assertFalse(health.onFailure("a", 10));
+        assertTrue(health.isSuspect());
+        assertFalse(health.isQuarantined(10));
+    }
+
+    @Test
+    void severalFailingJobsDoAndTheNextQuarantineIsLonger() {
+        health.onFailure("a", 0);
+        assertTrue(health.onFailure("b", 0));
+        assertTrue(health.isQuarantined(WorkerHealth.QUARANTINE_MILLIS - 1));
+        assertFalse(health.isQuarantined(WorkerHealth.QUARANTINE_MILLIS));
+        assertTrue(health.isOnProbation());
+        assertTrue(health.onFailure("c", WorkerHealth.QUARANTINE_MILLIS));
+        assertTrue(health.isQuarantined(2 * WorkerHealth.QUARANTINE_MILLIS));
+    }
+
+    @Test
+    void aSuccessEndsTheProbation() {
+        health.onStall(0);
+        health.onSuccess();
+        assertFalse(health.isSuspect());
+    }
+}
