Find a takeover whose answer was lost by the next poll

Ruled out: acceptance and storing of progress, which settle by repeating. Change: a takeover without an answer is remembered, and the next poll that finds its row completes it.

--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/OwnerElection.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/OwnerElection.java
@@ -55,12 +55,20 @@
     private LeaseChallenger challenger;
     private Optional<LeaseHolder> holder = Optional.empty();
     private Map<String, Integer> pending = new HashMap<>();
+
+    /** A takeover without an answer, which may have taken effect or may still do so. */
+    private Optional<Takeover> unsettled = Optional.empty();
+
     private boolean writing;
     private boolean stopping;
     private long distanceMillis;
     private long eligibleAt;
     private long yieldedUntil;
 
+    /** A takeover that was sent. */
+    private record Takeover(
+            LeaseRow row, long sentAt, long earlierUntil, Optional<LeaseRow> before) {}
+
     OwnerElection(
             EventLoop loop,
             RowStore store,
@@ -173,8 +181,21 @@
             checkHeld(lease, version);
         } else {
             challenger.observe(now, lease, version);
-            challenge(now);
+            if (!settle(lease, version)) {
+                challenge(now);
+            }
+        }
+    }
+
+    /** Tells whether an earlier takeover without an answer has taken effect. */
+    private boolean settle(Optional<LeaseRow> lease, long version) {
+        Optional<Takeover> mine =
+                unsettled.filter(one -> lease.isPresent() && lease.get().equals(one.row()));
+        if (mine.isEmpty() || stopping || writing) {
+            return false;
         }
+        onTaken(mine.get(), version);
+        return true;
     }
 
     private void checkHeld(Optional<LeaseRow> lease, long version) {
@@ -219,6 +240,7 @@
         writing = true;
         Optional<LeaseRow> before = challenger.row();
         long earlierUntil = before.map(old -> earlierOrdersUntil(old, now)).orElse(now);
+        Takeover takeover = new Takeover(row, now, earlierUntil, before);
         RowWrite write =
                 ownerWrite(challenger.commit(), row)
                         .put(Rows.DUTIES, Rows.EPOCH_KEY, RowCodec.lease(row))
@@ -230,24 +252,21 @@
                     writing = false;
                     note(outcome);
                     if (outcome instanceof RowOutcome.Written written && !stopping) {
-                        onTaken(row, written.version(), now, earlierUntil, before);
+                        onTaken(takeover, written.version());
                     } else if (outcome instanceof RowOutcome.Conflict conflict) {
-                        onConflict(conflict, row, now, earlierUntil, before);
+                        onConflict(conflict, takeover);
+                    } else if (outcome instanceof RowOutcome.Unknown) {
+                        unsettled = Optional.of(takeover);
                     }
                 });
     }
 
     /** An earlier try without an answer may have succeeded. */
-    private void onConflict(
-            RowOutcome.Conflict conflict,
-            LeaseRow row,
-            long sentAt,
-            long earlierUntil,
-            Optional<LeaseRow> before) {
+    private void onConflict(RowOutcome.Conflict conflict, Takeover takeover) {
         Optional<StoredRow> found = conflict.row(Rows.DUTIES, Rows.OWNER_KEY);
         Optional<LeaseRow> present = found.flatMap(one -> RowCodec.lease(one.value()).toOptional());
-        if (present.isPresent() && present.get().equals(row)) {
-            onTaken(row, found.get().version(), sentAt, earlierUntil, before);
+        if (present.isPresent() && present.get().equals(takeover.row()) && !stopping) {
+            onTaken(takeover, found.get().version());
         } else if (present.isPresent()) {
             challenger.observe(loop.now(), present, found.get().version());
         }
@@ -258,17 +277,19 @@
         return over ? now : now + old.holdMillis();
     }
 
-    private void onTaken(
-            LeaseRow row, long version, long sentAt, long earlierUntil, Optional<LeaseRow> before) {
-        holder = Optional.of(new LeaseHolder(row, version, sentAt));
+    private void onTaken(Takeover takeover, long version) {
+        LeaseRow row = takeover.row();
+        unsettled = Optional.empty();
+        holder = Optional.of(new LeaseHolder(row, version, takeover.sentAt()));
         log.event(DispatchEvent.OWNER_TAKEN)
                 .with("epoch", row.epoch())
-                .with("before", before.map(LeaseRow::holder).orElse("none"))
-                .with("afterMillis", loop.now() - sentAt)
+                .with("before", takeover.before().map(LeaseRow::holder).orElse("none"))
+                .with("afterMillis", loop.now() - takeover.sentAt())
                 .write();
         loop.after(LEASE_MILLIS / 3, () -> renew(row.epoch()));
-        Optional<String> earlier = before.filter(old -> !old.isReleased()).map(LeaseRow::holder);
-        listener.onTaken(row.epoch(), version, earlierUntil, earlier);
+        Optional<String> earlier =
+                takeover.before().filter(old -> !old.isReleased()).map(LeaseRow::holder);
+        listener.onTaken(row.epoch(), version, takeover.earlierUntil(), earlier);
     }
 
     private void renew(long epoch) {
