--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/OwnerElection.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/OwnerElection.java
@@ -206,8 +206,9 @@
         }
     }
 
-    private void challenge(long now) {
-        if (stopping || writing || now < yieldedUntil || health.isAway()) {
+    /** Takes the ownership over if its lease has ended; a host that owns it has nothing to do. */
+    void challenge(long now) {
+        if (holder.isPresent() || stopping || writing || now < yieldedUntil || health.isAway()) {
             return;
         }
         Optional<LeaseRow> row = challenger.takeover(now, LEASE_MILLIS, HOLD_MILLIS);
--- /dev/null
+++ b/daemon/src/test/java/org/peridotcourse/daemon/dispatch/FakeRowStore.java
@@ -0,0 +1,68 @@
+package org.peridotcourse.daemon.dispatch;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import org.peridotcourse.Result;
+import org.peridotcourse.daemon.ring.EventLoop;
+
+/** Rows in memory that answers on the loop after a short time. Confined to the loop. */
+final class FakeRowStore implements RowStore {
+    private static final long LATENCY_MILLIS = 5;
+
+    private final EventLoop loop;
+    private final Map<String, StoredRow> rows = new TreeMap<>();
+    private long version;
+
+    FakeRowStore(EventLoop loop) {
+        this.loop = loop;
+    }
+
+    @Override
+    public void read(RowRange range, long timeoutMillis, Consumer<Result<RowSet>> handler) {
+        List<StoredRow> found = new ArrayList<>();
+        for (StoredRow row : rows.values()) {
+            boolean behind = range.from().isEmpty() || row.key().compareTo(range.from()) >= 0;
+            boolean before = range.to().isEmpty() || row.key().compareTo(range.to()) < 0;
+            if (row.table().equals(range.table()) && behind && before) {
+                found.add(row);
+            }
+        }
+        RowSet set = new RowSet(found, false, version);
+        loop.after(LATENCY_MILLIS, () -> handler.accept(Result.ok(set)));
+    }
+
+    @Override
+    public void write(RowWrite write, long timeoutMillis, Consumer<RowOutcome> handler) {
+        List<StoredRow> present = new ArrayList<>();
+        boolean holds = true;
+        for (RowWrite.Expected one : write.expected()) {
+            StoredRow row = rows.get(one.row().table() + "/" + one.row().key());
+            holds &= one.version() == (row == null ? 0 : row.version());
+            if (row != null) {
+                present.add(row);
+            }
+        }
+        if (!holds) {
+            loop.after(LATENCY_MILLIS, () -> handler.accept(new RowOutcome.Conflict(present)));
+            return;
+        }
+        version++;
+        long written = version;
+        for (RowWrite.Put put : write.puts()) {
+            RowWrite.Key key = put.row();
+            rows.put(
+                    key.table() + "/" + key.key(),
+                    new StoredRow(key.table(), key.key(), put.value(), written, false));
+        }
+        loop.after(LATENCY_MILLIS, () -> handler.accept(new RowOutcome.Written(written)));
+    }
+
+    @Override
+    public void changes(
+            String table, long after, long waitMillis, Consumer<Result<RowSet>> handler) {
+        loop.after(waitMillis, () -> handler.accept(Result.ok(new RowSet(List.of(), false, 0))));
+    }
+}
