Settle acceptances in doubt within the caller's time

The host asked two others at once and answered 504 within 50 ms, so that a caller's four tries were used up in a second. Jobs were written although the store was known to be away, which left them in doubt for nothing.

Now a call in doubt is repeated every 250 ms while 0.6 of the caller's time lasts; the store makes a repeat harmless. While the store is known to be away, a read goes first, and its failure is a true refusal with Retry-After. A 504 of another host is not passed on as the last word.

Outcomes of store calls reach StoreHealth by one decorator, WatchedRowStore. Own rows that cannot be read are logged and no longer taken for absent ones; an owner row that was taken for absent led to a first epoch, which workers refuse.

--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/CallDesk.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/CallDesk.java
@@ -25,8 +25,18 @@
     /** Hosts that are tried for one call. */
     private static final int FORWARDS = 2;
 
+    /** Pause before a call that may have taken effect is repeated. */
+    private static final long SETTLE_PAUSE_MILLIS = 250;
+
+    /** Share of the caller's time in which an open outcome is settled; the rest is for a repeat. */
+    private static final double SETTLE_SHARE = 0.6;
+
+    /** Time of callers that name none. */
+    private static final long USUAL_CALLER_MILLIS = 3_000;
+
     private static final long RETRY_AFTER_MILLIS = 500;
     private static final int SERVICE_UNAVAILABLE = 503;
+    private static final int GATEWAY_TIMEOUT = 504;
 
     private final EventLoop loop;
     private final HostParts parts;
@@ -60,6 +70,7 @@
         final Caller caller;
         final long since = loop.now();
         final boolean forwarded;
+        final long settleUntil;
         String queue = "";
         String job = "";
         String kind = "";
@@ -68,10 +79,19 @@
         /** True if an earlier try may have taken effect. */
         boolean inDoubt;
 
+        int repeats;
+
         Handling(IncomingCall call, Caller caller) {
             this.call = call;
             this.caller = caller;
             this.forwarded = call.header(PeerLink.FORWARDED.toLowerCase(Locale.ROOT)).isPresent();
+            long callerMillis = parts.format().callerMillis(call).orElse(USUAL_CALLER_MILLIS);
+            this.settleUntil = since + Math.round(SETTLE_SHARE * callerMillis);
+        }
+
+        /** Tells whether another try may still settle an open outcome; other hosts only report. */
+        boolean maySettle() {
+            return inDoubt && !forwarded && loop.now() + SETTLE_PAUSE_MILLIS < settleUntil;
         }
 
         void answer(JobAnswer answer) {
@@ -93,6 +113,7 @@
                     .with("status", response.status())
                     .with("config", config.config().version())
                     .with("via", via)
+                    .with("repeats", repeats)
                     .with("millis", millis)
                     .write();
         }
@@ -150,7 +171,7 @@
         List<InetSocketAddress> others = handling.forwarded ? List.of() : candidates();
         if (needsStore && parts.health().isAway() && !others.isEmpty()) {
             JobDesk.Away away = new JobDesk.Away(StoreTrouble.UNREACHABLE, false);
-            forward(handling, others, 0, away);
+            forward(handling, route, request, others, away);
             return;
         }
         jobs.handle(
@@ -161,7 +182,7 @@
                         handling.answer(answered.answer());
                     } else {
                         handling.inDoubt |= ((JobDesk.Away) outcome).mayHaveEffect();
-                        forward(handling, others, 0, (JobDesk.Away) outcome);
+                        forward(handling, route, request, others, (JobDesk.Away) outcome);
                     }
                 });
     }
@@ -183,13 +204,18 @@
     }
 
     private void forward(
-            Handling handling, List<InetSocketAddress> others, int tries, JobDesk.Away away) {
-        if (tries >= others.size()) {
-            JobDesk.Away last = new JobDesk.Away(away.trouble(), handling.inDoubt);
-            handling.answer(last.toAnswer());
+            Handling handling,
+            ClusterConfig.Route route,
+            JobRequest request,
+            List<InetSocketAddress> others,
+            JobDesk.Away away) {
+        if (others.isEmpty()) {
+            giveUpOrRepeat(handling, route, request, away);
             return;
         }
-        InetSocketAddress peer = others.get(tries);
+        InetSocketAddress peer = others.get(0);
+        List<InetSocketAddress> rest = others.subList(1, others.size());
+        Runnable next = () -> forward(handling, route, request, rest, away);
         handling.via = peer.getHostString();
         parts.log()
                 .event(DispatchEvent.CALL_FORWARDED)
@@ -205,8 +231,10 @@
                 new PeerLink.Forwarded() {
                     @Override
                     public void onAnswer(CallerAnswer answer) {
-                        if (answer.status() == SERVICE_UNAVAILABLE) {
-                            forward(handling, others, tries + 1, away);
+                        handling.inDoubt |= answer.status() == GATEWAY_TIMEOUT;
+                        if (answer.status() == SERVICE_UNAVAILABLE
+                                || answer.status() == GATEWAY_TIMEOUT) {
+                            next.run();
                         } else {
                             handling.finish(answer, "forwarded");
                         }
@@ -220,8 +248,20 @@
                                 .with("peer", peer.getHostString())
                                 .with("reason", failure.code())
                                 .write();
-                        forward(handling, others, tries + 1, away);
+                        next.run();
                     }
                 });
     }
+
+    /** A call that may have taken effect is repeated, which the store makes harmless. */
+    private void giveUpOrRepeat(
+            Handling handling, ClusterConfig.Route route, JobRequest request, JobDesk.Away away) {
+        if (!handling.maySettle()) {
+            handling.answer(new JobDesk.Away(away.trouble(), handling.inDoubt).toAnswer());
+            return;
+        }
+        handling.via = "store";
+        handling.repeats++;
+        loop.after(SETTLE_PAUSE_MILLIS, () -> carryOut(handling, route, request));
+    }
 }
--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/ConfigWatch.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/ConfigWatch.java
@@ -51,7 +51,7 @@
         this.directory = directory;
         TableFeed.Mode mode =
                 new TableFeed.Mode(format.operatorTable(), "", FEED_WAIT_MILLIS, 0, TIMEOUT_MILLIS);
-        this.feed = new TableFeed(loop, store, health, log, mode, new Rows(), false);
+        this.feed = new TableFeed(loop, store, log, mode, new Rows(), false);
     }
 
     /** Applies the rows of the operator. */
@@ -99,12 +99,7 @@
     private void apply(StoredRow row, String from) {
         Result<OperatorRow> read = format.operatorRow(row);
         if (!(read instanceof Result.Ok<OperatorRow> ok)) {
-            log.event(DispatchEvent.ROW_REFUSED)
-                    .with("table", row.table())
-                    .with("key", row.key())
-                    .with("version", row.version())
-                    .with("reason", read.failure().orElseThrow().message())
-                    .write();
+            RowLog.refused(log, row, read.failure().orElseThrow());
         } else if (ok.value() instanceof OperatorRow.Config found) {
             install(row, found.config(), from);
         } else if (ok.value() instanceof OperatorRow.Evacuation found
--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/DispatchHost.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/DispatchHost.java
@@ -72,9 +72,7 @@
         this.incarnation = incarnation;
         this.ids = new RequestIds(settings.name(), incarnation);
         this.peers = new PeerLink(http, settings.name(), parts.format().operatorTable());
-        this.directory =
-                new HostDirectory(
-                        loop, parts.store(), parts.health(), parts.log(), settings, incarnation);
+        this.directory = new HostDirectory(loop, parts.store(), parts.log(), settings, incarnation);
         this.config =
                 new ConfigWatch(
                         loop,
--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/EarlierOwners.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/EarlierOwners.java
@@ -1,6 +1,7 @@
 package org.peridotcourse.daemon.dispatch;
 
 import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeSet;
@@ -72,7 +73,9 @@
         }
         for (StoredRow row : ok.value().rows()) {
             if (row.key().equals(Rows.EARLIER_KEY)) {
-                RowCodec.names(row.value()).toOptional().ifPresent(open::addAll);
+                Result<List<String>> names = RowCodec.names(row.value());
+                names.toOptional().ifPresent(open::addAll);
+                names.failure().ifPresent(why -> RowLog.refused(parts.log(), row, why));
             }
         }
         open.remove(directory.holderName());
@@ -122,7 +125,19 @@
                             .expect(Rows.DUTIES, Rows.EPOCH_KEY, epochVersion)
                             .put(Rows.DUTIES, Rows.EARLIER_KEY, RowCodec.names(open))
                             .build();
-            parts.store().write(write, TIMEOUT_MILLIS, outcome -> {});
+            parts.store().write(write, TIMEOUT_MILLIS, this::onWritten);
         }
     }
+
+    private void onWritten(RowOutcome outcome) {
+        outcome.trouble()
+                .ifPresent(
+                        trouble ->
+                                parts.log()
+                                        .event(DispatchEvent.NOT_STORED)
+                                        .with("jobs", 0)
+                                        .with("reason", trouble.code())
+                                        .with("epoch", term.epoch())
+                                        .write());
+    }
 }
--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/HostDirectory.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/HostDirectory.java
@@ -22,22 +22,15 @@
 
     private final EventLoop loop;
     private final RowStore store;
-    private final StoreHealth health;
     private final EventLog log;
     private final RowCodec.Host self;
     private final Map<String, RowCodec.Host> hosts = new HashMap<>();
     private final List<InetSocketAddress> seeds;
 
     HostDirectory(
-            EventLoop loop,
-            RowStore store,
-            StoreHealth health,
-            EventLog log,
-            HostSettings settings,
-            long incarnation) {
+            EventLoop loop, RowStore store, EventLog log, HostSettings settings, long incarnation) {
         this.loop = loop;
         this.store = store;
-        this.health = health;
         this.log = log;
         this.seeds = settings.seeds();
         String address =
@@ -132,14 +125,8 @@
     }
 
     private void onRegistered(RowOutcome outcome) {
-        if (outcome instanceof RowOutcome.NotDone notDone) {
-            health.onTrouble(notDone.trouble(), loop.now());
+        if (outcome.trouble().isPresent()) {
             loop.after(RETRY_MILLIS, this::register);
-        } else if (outcome instanceof RowOutcome.Unknown unknown) {
-            health.onTrouble(unknown.trouble(), loop.now());
-            loop.after(RETRY_MILLIS, this::register);
-        } else {
-            health.onOk(loop.now());
         }
     }
 
@@ -149,24 +136,17 @@
 
     private void onRead(Result<RowSet> result) {
         if (result instanceof Result.Ok<RowSet> ok) {
-            health.onOk(loop.now());
             hosts.clear();
             for (StoredRow row : ok.value().rows()) {
                 Result<RowCodec.Host> host = RowCodec.host(row);
                 if (host instanceof Result.Ok<RowCodec.Host> known) {
                     hosts.put(row.key(), known.value());
                 } else {
-                    log.event(DispatchEvent.ROW_REFUSED)
-                            .with("table", Rows.HOSTS)
-                            .with("key", row.key())
-                            .with("version", row.version())
-                            .with("reason", host.failure().orElseThrow().message())
-                            .write();
+                    RowLog.refused(log, row, host.failure().orElseThrow());
                 }
             }
             loop.after(READ_PERIOD_MILLIS, this::read);
         } else {
-            health.onTrouble((StoreTrouble) result.failure().orElseThrow(), loop.now());
             loop.after(RETRY_MILLIS, this::read);
         }
     }
--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/JobDesk.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/JobDesk.java
@@ -5,7 +5,6 @@
 import java.util.function.Consumer;
 import java.util.function.ToIntFunction;
 import org.peridotcourse.Result;
-import org.peridotcourse.daemon.ring.EventLoop;
 import org.peridotcourse.dispatch.ClusterConfig;
 import org.peridotcourse.dispatch.JobRecord;
 import org.peridotcourse.dispatch.JobState;
@@ -23,12 +22,10 @@
     /** Pause before a caller should come back while the store is away. */
     private static final long RETRY_AFTER_MILLIS = 1_000;
 
-    private final EventLoop loop;
     private final HostParts parts;
     private final ToIntFunction<String> pending;
 
     JobDesk(HostParts parts, ToIntFunction<String> pending) {
-        this.loop = parts.loop();
         this.parts = parts;
         this.pending = pending;
     }
@@ -79,6 +76,30 @@
             handler.accept(new Answered(new JobAnswer.Malformed("the job is larger than a row")));
             return;
         }
+        if (parts.health().isAway()) {
+            acceptOnceReached(submit, row, handler);
+        } else {
+            store(submit, row, handler);
+        }
+    }
+
+    /** A read has no effect, so that a job is not left in doubt while the store is away. */
+    private void acceptOnceReached(
+            JobRequest.Submit submit, byte[] row, Consumer<Outcome> handler) {
+        parts.store()
+                .read(
+                        RowRange.one(Rows.PROGRESS, Rows.PART, submit.id()),
+                        TIMEOUT_MILLIS,
+                        result -> {
+                            if (result instanceof Result.Ok<RowSet>) {
+                                store(submit, row, handler);
+                            } else {
+                                handler.accept(away(result));
+                            }
+                        });
+    }
+
+    private void store(JobRequest.Submit submit, byte[] row, Consumer<Outcome> handler) {
         RowWrite write =
                 RowWrite.builder(Rows.PART)
                         .expect(Rows.JOBS, submit.id(), 0)
@@ -91,7 +112,6 @@
                         write,
                         TIMEOUT_MILLIS,
                         outcome -> {
-                            note(outcome);
                             if (outcome instanceof RowOutcome.Written) {
                                 handler.accept(new Answered(new JobAnswer.Accepted()));
                             } else if (outcome instanceof RowOutcome.Conflict conflict) {
@@ -122,7 +142,6 @@
         if (!(result instanceof Result.Ok<RowSet> ok)) {
             return away(result);
         }
-        parts.health().onOk(loop.now());
         Optional<StoredRow> row =
                 ok.value().rows().stream().filter(one -> one.key().equals(id)).findFirst();
         if (row.isEmpty()) {
@@ -144,7 +163,6 @@
                                 handler.accept(away(result));
                                 return;
                             }
-                            parts.health().onOk(loop.now());
                             Optional<StoredRow> row =
                                     ok.value().rows().stream()
                                             .filter(one -> one.key().equals(id))
@@ -168,7 +186,6 @@
                         write,
                         TIMEOUT_MILLIS,
                         outcome -> {
-                            note(outcome);
                             if (outcome instanceof RowOutcome.Written) {
                                 handler.accept(new Answered(new JobAnswer.Cancelled()));
                             } else if (outcome instanceof RowOutcome.Conflict) {
@@ -191,25 +208,12 @@
                 });
     }
 
-    private void note(RowOutcome outcome) {
-        if (outcome instanceof RowOutcome.Written || outcome instanceof RowOutcome.Conflict) {
-            parts.health().onOk(loop.now());
-        }
-    }
-
-    private Away away(RowOutcome outcome) {
-        boolean unknown = outcome instanceof RowOutcome.Unknown;
-        StoreTrouble trouble =
-                unknown
-                        ? ((RowOutcome.Unknown) outcome).trouble()
-                        : ((RowOutcome.NotDone) outcome).trouble();
-        parts.health().onTrouble(trouble, loop.now());
-        return new Away(trouble, unknown);
+    private static Away away(RowOutcome outcome) {
+        StoreTrouble trouble = outcome.trouble().orElseThrow();
+        return new Away(trouble, outcome instanceof RowOutcome.Unknown);
     }
 
-    private Away away(Result<RowSet> result) {
-        StoreTrouble trouble = (StoreTrouble) result.failure().orElseThrow();
-        parts.health().onTrouble(trouble, loop.now());
-        return new Away(trouble, false);
+    private static Away away(Result<RowSet> result) {
+        return new Away(StoreTrouble.of(result), false);
     }
 }
--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/OwnerDuty.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/OwnerDuty.java
@@ -144,8 +144,7 @@
             boolean once) {
         TableFeed.Mode mode =
                 new TableFeed.Mode(table, part, waitMillis, pauseMillis, FEED_TIMEOUT_MILLIS);
-        TableFeed feed =
-                new TableFeed(loop, parts.store(), parts.health(), log, mode, listener, once);
+        TableFeed feed = new TableFeed(loop, parts.store(), log, mode, listener, once);
         feeds.add(feed);
         feed.start();
     }
@@ -163,7 +162,6 @@
             return;
         }
         if (!(result instanceof Result.Ok<RowSet> ok)) {
-            parts.health().onTrouble((StoreTrouble) result.failure().orElseThrow(), loop.now());
             loop.after(TICK_MILLIS, this::readFleet);
             return;
         }
@@ -179,7 +177,7 @@
                     }
                 }
             } else {
-                refuse(row, fleet.failure().orElseThrow().message());
+                RowLog.refused(log, row, fleet.failure().orElseThrow());
             }
         }
         leases.onFleetKnown();
@@ -194,7 +192,7 @@
                 records.put(row.key(), ok.value());
                 progress.onProgressRead(row.key(), row.version(), ok.value());
             } else {
-                refuse(row, record.failure().orElseThrow().message());
+                RowLog.refused(log, row, record.failure().orElseThrow());
             }
         }
 
@@ -245,7 +243,7 @@
             progress.onJobKnown(row.key(), row.version());
             owner.onJob(ok.value(), inherited, loop.now(), System.currentTimeMillis());
         } else {
-            refuse(row, entry.failure().orElseThrow().message());
+            RowLog.refused(log, row, entry.failure().orElseThrow());
         }
     }
 
@@ -282,7 +280,7 @@
             if (worker instanceof Result.Ok<WorkerInfo> ok) {
                 leases.onWorker(ok.value(), loop.now());
             } else {
-                refuse(row, worker.failure().orElseThrow().message());
+                RowLog.refused(log, row, worker.failure().orElseThrow());
                 leases.onWorkerUnlisted(row.key(), loop.now());
             }
         }
@@ -298,15 +296,6 @@
         }
     }
 
-    private void refuse(StoredRow row, String reason) {
-        log.event(DispatchEvent.ROW_REFUSED)
-                .with("table", row.table())
-                .with("key", row.key())
-                .with("version", row.version())
-                .with("reason", reason)
-                .write();
-    }
-
     private void logDecision(Decision decision) {
         parts.metrics().decided(decision);
         EventLog.Line line =
--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/OwnerElection.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/OwnerElection.java
@@ -120,7 +120,7 @@
         RowWrite write = ownerWrite(held.commit(), row).build();
         holder = Optional.empty();
         listener.onLost("released");
-        store.write(write, TIMEOUT_MILLIS, outcome -> note(outcome));
+        store.write(write, TIMEOUT_MILLIS, outcome -> {});
         challenger = new LeaseChallenger(directory.holderName(), MARGIN_MILLIS);
     }
 
@@ -162,21 +162,25 @@
     private void onPoll(Result<RowSet> result, long sentAt) {
         long now = loop.now();
         if (!(result instanceof Result.Ok<RowSet> ok)) {
-            health.onTrouble((StoreTrouble) result.failure().orElseThrow(), now);
             return;
         }
-        health.onOk(now);
         distanceMillis = Math.min(LONGEST_DISTANCE_MILLIS, DISTANCE_FACTOR * (loop.now() - sentAt));
         Optional<LeaseRow> lease = Optional.empty();
         long version = 0;
         for (StoredRow row : ok.value().rows()) {
             if (row.key().equals(Rows.OWNER_KEY)) {
-                lease = RowCodec.lease(row.value()).toOptional();
+                lease = lease(row);
                 version = row.version();
             } else if (row.key().equals(Rows.PENDING_KEY)) {
-                RowCodec.pending(row.value()).toOptional().ifPresent(counts -> pending = counts);
+                Result<Map<String, Integer>> counts = RowCodec.pending(row.value());
+                counts.toOptional().ifPresent(known -> pending = known);
+                counts.failure().ifPresent(why -> RowLog.refused(log, row, why));
             }
         }
+        if (version > 0 && lease.isEmpty()) {
+            // Its epoch is not known, so that a takeover could give a lower one.
+            return;
+        }
         if (holder.isPresent()) {
             checkHeld(lease, version);
         } else {
@@ -187,6 +191,12 @@
         }
     }
 
+    private Optional<LeaseRow> lease(StoredRow row) {
+        Result<LeaseRow> lease = RowCodec.lease(row.value());
+        lease.failure().ifPresent(why -> RowLog.refused(log, row, why));
+        return lease.toOptional();
+    }
+
     /** Tells whether an earlier takeover without an answer has taken effect. */
     private boolean settle(Optional<LeaseRow> lease, long version) {
         Optional<Takeover> mine =
@@ -251,7 +261,6 @@
                 TIMEOUT_MILLIS,
                 outcome -> {
                     writing = false;
-                    note(outcome);
                     if (outcome instanceof RowOutcome.Written written && !stopping) {
                         onTaken(takeover, written.version());
                     } else if (outcome instanceof RowOutcome.Conflict conflict) {
@@ -265,7 +274,7 @@
     /** An earlier try without an answer may have succeeded. */
     private void onConflict(RowOutcome.Conflict conflict, Takeover takeover) {
         Optional<StoredRow> found = conflict.row(Rows.DUTIES, Rows.OWNER_KEY);
-        Optional<LeaseRow> present = found.flatMap(one -> RowCodec.lease(one.value()).toOptional());
+        Optional<LeaseRow> present = found.flatMap(this::lease);
         if (present.isPresent() && present.get().equals(takeover.row()) && !stopping) {
             onTaken(takeover, found.get().version());
         } else if (present.isPresent()) {
@@ -308,7 +317,6 @@
                 ownerWrite(held.commit(), row.get()).build(),
                 TIMEOUT_MILLIS,
                 outcome -> {
-                    note(outcome);
                     onRenewed(held, row.get(), now, outcome);
                     loop.after(LEASE_MILLIS / 10, () -> renew(epoch));
                 });
@@ -322,8 +330,7 @@
             held.confirmed(row, written.version(), sentAt);
         } else if (outcome instanceof RowOutcome.Conflict conflict) {
             Optional<StoredRow> found = conflict.row(Rows.DUTIES, Rows.OWNER_KEY);
-            Optional<LeaseRow> present =
-                    found.flatMap(one -> RowCodec.lease(one.value()).toOptional());
+            Optional<LeaseRow> present = found.flatMap(this::lease);
             boolean own =
                     present.isPresent()
                             && present.get().holder().equals(row.holder())
@@ -342,14 +349,4 @@
                 .expect(Rows.DUTIES, Rows.OWNER_KEY, version)
                 .put(Rows.DUTIES, Rows.OWNER_KEY, RowCodec.lease(row));
     }
-
-    private void note(RowOutcome outcome) {
-        if (outcome instanceof RowOutcome.NotDone notDone) {
-            health.onTrouble(notDone.trouble(), loop.now());
-        } else if (outcome instanceof RowOutcome.Unknown unknown) {
-            health.onTrouble(unknown.trouble(), loop.now());
-        } else {
-            health.onOk(loop.now());
-        }
-    }
 }
--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/PlatformFormat.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/PlatformFormat.java
@@ -1,5 +1,6 @@
 package org.peridotcourse.daemon.dispatch;
 
+import java.util.Optional;
 import org.peridotcourse.Result;
 import org.peridotcourse.daemon.entry.CallerAnswer;
 import org.peridotcourse.daemon.entry.IncomingCall;
@@ -58,6 +59,14 @@
      */
     Result<JobRequest> request(IncomingCall call, String prefix);
 
+    /**
+     * Reads how long a caller waits for the answer to a call.
+     *
+     * @param call the call
+     * @return the time in milliseconds, or empty if the call does not tell it
+     */
+    Optional<Long> callerMillis(IncomingCall call);
+
     /**
      * Writes an answer.
      *
--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/ProgressWriter.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/ProgressWriter.java
@@ -155,16 +155,13 @@
             RecordBatch batch, Map<String, byte[]> values, long sentAt, RowOutcome outcome) {
         long now = loop.now();
         if (outcome instanceof RowOutcome.Written written) {
-            parts.health().onOk(now);
             parts.metrics().storedMillis(now - sentAt);
             batch.changes().forEach(change -> versions.put(change.job(), written.version()));
             confirm(batch, written.version(), now - sentAt);
         } else if (outcome instanceof RowOutcome.Conflict conflict) {
-            parts.health().onOk(now);
             onConflict(batch, values, conflict, now - sentAt);
         } else {
-            StoreTrouble trouble = troubleOf(outcome);
-            parts.health().onTrouble(trouble, now);
+            StoreTrouble trouble = outcome.trouble().orElseThrow();
             log.event(DispatchEvent.NOT_STORED)
                     .with("jobs", batch.changes().size())
                     .with("reason", trouble.code())
@@ -175,13 +172,6 @@
         }
     }
 
-    private static StoreTrouble troubleOf(RowOutcome outcome) {
-        if (outcome instanceof RowOutcome.NotDone notDone) {
-            return notDone.trouble();
-        }
-        return ((RowOutcome.Unknown) outcome).trouble();
-    }
-
     private void confirm(RecordBatch batch, long version, long millis) {
         for (RecordBatch.Change change : batch.changes()) {
             if (change.record().state().isFinal()) {
@@ -291,12 +281,10 @@
                         outcome -> {
                             writing = false;
                             if (outcome instanceof RowOutcome.Written) {
-                                parts.health().onOk(loop.now());
                                 done.run();
                             } else if (outcome instanceof RowOutcome.Conflict) {
                                 deposed.accept("the epoch row has another version");
                             } else {
-                                parts.health().onTrouble(troubleOf(outcome), loop.now());
                                 notBefore = loop.now() + RETRY_MILLIS;
                             }
                         });
--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/RowCodec.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/RowCodec.java
@@ -62,6 +62,9 @@
         try {
             int end = headEnd(row.value());
             JsonNode head = JSON.readTree(row.value(), 0, end);
+            if (head.path("queue").asText().isEmpty()) {
+                return Result.failed(new RowFault("job: no queue"));
+            }
             QueueRules queue =
                     new QueueRules(
                             head.path("queue").asText(),
@@ -175,6 +178,10 @@
     static Result<LeaseRow> lease(byte[] value) {
         try {
             JsonNode node = JSON.readTree(value);
+            boolean whole = node.path("holder").isTextual() && node.path("epoch").asLong() > 0;
+            if (!whole) {
+                return Result.failed(new RowFault("lease: no holder or no epoch"));
+            }
             return Result.ok(
                     new LeaseRow(
                             node.path("holder").asText(),
@@ -197,6 +204,9 @@
     static Result<Host> host(StoredRow row) {
         try {
             JsonNode node = JSON.readTree(row.value());
+            if (node.path("address").asText().isEmpty()) {
+                return Result.failed(new RowFault("host: no address"));
+            }
             return Result.ok(
                     new Host(
                             row.key(),
@@ -216,9 +226,11 @@
     static Result<Map<String, Integer>> pending(byte[] value) {
         try {
             Map<String, Integer> counts = new TreeMap<>();
-            JSON.readTree(value)
-                    .fields()
-                    .forEachRemaining(one -> counts.put(one.getKey(), one.getValue().asInt()));
+            JsonNode node = JSON.readTree(value);
+            if (!node.isObject()) {
+                return Result.failed(new RowFault("pending: no object"));
+            }
+            node.properties().forEach(one -> counts.put(one.getKey(), one.getValue().asInt()));
             return Result.ok(counts);
         } catch (IOException malformed) {
             return Result.failed(new RowFault("pending: " + malformed.getMessage()));
@@ -233,8 +245,12 @@
 
     static Result<List<String>> names(byte[] value) {
         try {
+            JsonNode list = JSON.readTree(value);
+            if (!list.isArray()) {
+                return Result.failed(new RowFault("names: no list"));
+            }
             List<String> names = new ArrayList<>();
-            JSON.readTree(value).forEach(name -> names.add(name.asText()));
+            list.forEach(name -> names.add(name.asText()));
             return Result.ok(names);
         } catch (IOException malformed) {
             return Result.failed(new RowFault("names: " + malformed.getMessage()));
@@ -260,8 +276,12 @@
 
     static Result<List<WorkerInfo>> fleet(byte[] value) {
         try {
+            JsonNode list = JSON.readTree(value);
+            if (!list.isArray()) {
+                return Result.failed(new RowFault("fleet: no list"));
+            }
             List<WorkerInfo> workers = new ArrayList<>();
-            for (JsonNode node : JSON.readTree(value)) {
+            for (JsonNode node : list) {
                 List<String> labels = new ArrayList<>();
                 node.path("labels").forEach(label -> labels.add(label.asText()));
                 workers.add(
--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/RowOutcome.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/RowOutcome.java
@@ -6,6 +6,15 @@
 /** The outcome of a {@link RowWrite}. Instances are immutable and thread-safe. */
 public sealed interface RowOutcome
         permits RowOutcome.Written, RowOutcome.Conflict, RowOutcome.NotDone, RowOutcome.Unknown {
+    /**
+     * Returns why the store did not decide on the write.
+     *
+     * @return the trouble, or empty if the write was done or found a conflict
+     */
+    default Optional<StoreTrouble> trouble() {
+        return Optional.empty();
+    }
+
     /**
      * The write took effect.
      *
@@ -37,14 +46,24 @@
     /**
      * The write certainly has no effect, now or later.
      *
-     * @param trouble why
+     * @param cause why
      */
-    record NotDone(StoreTrouble trouble) implements RowOutcome {}
+    record NotDone(StoreTrouble cause) implements RowOutcome {
+        @Override
+        public Optional<StoreTrouble> trouble() {
+            return Optional.of(cause);
+        }
+    }
 
     /**
      * There is no answer; the write may have taken effect or may still do so.
      *
-     * @param trouble why
+     * @param cause why
      */
-    record Unknown(StoreTrouble trouble) implements RowOutcome {}
+    record Unknown(StoreTrouble cause) implements RowOutcome {
+        @Override
+        public Optional<StoreTrouble> trouble() {
+            return Optional.of(cause);
+        }
+    }
 }
--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/StoreHealth.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/StoreHealth.java
@@ -1,5 +1,6 @@
 package org.peridotcourse.daemon.dispatch;
 
+import org.peridotcourse.Result;
 import org.peridotcourse.daemon.log.EventLog;
 
 /** Judges from the outcomes of calls whether this host reaches the store. Confined to the loop. */
@@ -25,7 +26,21 @@
         this.log = log;
     }
 
-    void onOk(long now) {
+    /** Takes the outcome of a write. */
+    void onWrite(RowOutcome outcome, long now) {
+        outcome.trouble().ifPresentOrElse(trouble -> onTrouble(trouble, now), () -> onOk(now));
+    }
+
+    /** Takes the outcome of a read. */
+    void onRead(Result<RowSet> result, long now) {
+        if (result instanceof Result.Ok<RowSet>) {
+            onOk(now);
+        } else {
+            onTrouble(StoreTrouble.of(result), now);
+        }
+    }
+
+    private void onOk(long now) {
         if (away) {
             log.event(DispatchEvent.STORE_REGAINED)
                     .with("awayMillis", now - firstFailureAt)
@@ -36,7 +51,7 @@
         lastOkAt = now;
     }
 
-    void onTrouble(StoreTrouble trouble, long now) {
+    private void onTrouble(StoreTrouble trouble, long now) {
         if (trouble.isAnswered()) {
             onOk(now);
             return;
@@ -58,9 +73,4 @@
     boolean isAway() {
         return away;
     }
-
-    /** Time since the last good answer. */
-    long silentMillis(long now) {
-        return now - lastOkAt;
-    }
 }
--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/StoreTrouble.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/StoreTrouble.java
@@ -2,6 +2,7 @@
 
 import java.util.Locale;
 import org.peridotcourse.Failure;
+import org.peridotcourse.Result;
 
 /** Tells why a call to the store has no result. Constants are immutable and thread-safe. */
 public enum StoreTrouble implements Failure {
@@ -24,6 +25,16 @@
         this.message = message;
     }
 
+    /**
+     * Returns why a read failed.
+     *
+     * @param failed a result without rows
+     * @return the trouble
+     */
+    public static StoreTrouble of(Result<RowSet> failed) {
+        return (StoreTrouble) failed.failure().orElseThrow();
+    }
+
     /**
      * Tells whether the store itself answered, so that it can be reached.
      *
--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/TableFeed.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/TableFeed.java
@@ -45,7 +45,6 @@
 
     private final EventLoop loop;
     private final RowStore store;
-    private final StoreHealth health;
     private final EventLog log;
     private final Mode mode;
     private final Listener listener;
@@ -63,7 +62,6 @@
     TableFeed(
             EventLoop loop,
             RowStore store,
-            StoreHealth health,
             EventLog log,
             Mode mode,
             Listener listener,
@@ -71,7 +69,6 @@
         this.once = once;
         this.loop = loop;
         this.store = store;
-        this.health = health;
         this.log = log;
         this.mode = mode;
         this.listener = listener;
@@ -98,11 +95,10 @@
 
     private void onPage(RowRange range, long firstVersion, Result<RowSet> result) {
         if (!(result instanceof Result.Ok<RowSet> ok)) {
-            onTrouble(result, this::start);
+            retry(this::start);
             pages = new ArrayList<>();
             return;
         }
-        health.onOk(loop.now());
         RowSet page = ok.value();
         pages.addAll(page.rows());
         long first = firstVersion == 0 ? page.version() : firstVersion;
@@ -165,7 +161,6 @@
 
     private void onChanges(Result<RowSet> result) {
         if (result instanceof Result.Ok<RowSet> ok) {
-            health.onOk(loop.now());
             ok.value().rows().forEach(this::deliver);
             position = Math.max(position, ok.value().version());
             if (mode.pauseMillis() > 0) {
@@ -175,7 +170,7 @@
             }
             return;
         }
-        StoreTrouble trouble = (StoreTrouble) result.failure().orElseThrow();
+        StoreTrouble trouble = StoreTrouble.of(result);
         if (trouble == StoreTrouble.HISTORY_GONE) {
             log.event(DispatchEvent.FEED_RESTARTED)
                     .with("table", mode.table())
@@ -184,17 +179,16 @@
                     .write();
             start();
         } else {
-            onTrouble(result, this::follow);
+            retry(this::follow);
         }
     }
 
-    private void onTrouble(Result<RowSet> result, Runnable retry) {
-        health.onTrouble((StoreTrouble) result.failure().orElseThrow(), loop.now());
+    private void retry(Runnable call) {
         loop.after(
                 RETRY_MILLIS,
                 () -> {
                     if (!stopped) {
-                        retry.run();
+                        call.run();
                     }
                 });
     }
--- /dev/null
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/WatchedRowStore.java
@@ -0,0 +1,52 @@
+package org.peridotcourse.daemon.dispatch;
+
+import java.util.function.Consumer;
+import org.peridotcourse.Result;
+import org.peridotcourse.daemon.ring.EventLoop;
+
+/** A store whose outcomes are all reported to {@link StoreHealth}. Confined to the loop. */
+public final class WatchedRowStore implements RowStore {
+    private final RowStore store;
+    private final StoreHealth health;
+    private final EventLoop loop;
+
+    /**
+     * Creates a watched store.
+     *
+     * @param store carries the calls out
+     * @param health takes the outcomes
+     * @param loop the loop
+     */
+    public WatchedRowStore(RowStore store, StoreHealth health, EventLoop loop) {
+        this.store = store;
+        this.health = health;
+        this.loop = loop;
+    }
+
+    @Override
+    public void read(RowRange range, long timeoutMillis, Consumer<Result<RowSet>> handler) {
+        store.read(range, timeoutMillis, result -> pass(result, handler));
+    }
+
+    @Override
+    public void write(RowWrite write, long timeoutMillis, Consumer<RowOutcome> handler) {
+        store.write(
+                write,
+                timeoutMillis,
+                outcome -> {
+                    health.onWrite(outcome, loop.now());
+                    handler.accept(outcome);
+                });
+    }
+
+    @Override
+    public void changes(
+            String table, long after, long waitMillis, Consumer<Result<RowSet>> handler) {
+        store.changes(table, after, waitMillis, result -> pass(result, handler));
+    }
+
+    private void pass(Result<RowSet> result, Consumer<Result<RowSet>> handler) {
+        health.onRead(result, loop.now());
+        handler.accept(result);
+    }
+}
