Learn the own load of serving tasks as a wave, and the strength of each pair

Cause: the model took the swing of a serving task's own load for noise, so that harmful pairs of images were believed harmless and harmless ones harmful. Beside it most pairs of images press weakly (0.3 of the mean headroom for each share of the processor), a third 2 to 9 times as much.

Now PeriodicFit fits the wave of each job, TailModel chooses the period for all of them, and StrengthBelief keeps a probability for each of six strengths. Filling tasks are planned for the least headroom while they stay. A pair that is not known is tried by one start at a time.

TailModelTest now plays the traced pattern, a wave over time in place of a random load for each report, with the same bounds; it adds the forecast of the load, the room in a trough and at a peak, and trials one at a time.

--- a/core/src/main/java/org/peridotcourse/dispatch/DispatchOwner.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/DispatchOwner.java
@@ -20,6 +20,9 @@
     /** How often rates are compared and slow runs are looked for. */
     private static final long WATCH_MILLIS = 200;
 
+    /** Time after which waiting tasks are looked at although nothing has changed. */
+    private static final long PLAN_MILLIS = 100;
+
     private final OwnerState state;
     private final JobBook jobs;
     private final RunBook runs;
@@ -29,6 +32,7 @@
     private final RunWatch watch;
     private final FillPacing pacing;
     private long watchedAt;
+    private long plannedAt;
 
     /**
      * Creates the state of a new ownership.
@@ -143,6 +147,7 @@
      */
     public void onConfig(ClusterConfig config) {
         state.config = config;
+        state.planDue = true;
     }
 
     /**
@@ -152,6 +157,7 @@
      */
     public void onEvacuated(Set<String> dataCentres) {
         state.evacuated = Set.copyOf(dataCentres);
+        state.planDue = true;
     }
 
     /**
@@ -367,7 +373,10 @@
             watch.look(now);
             jobs.forgetEnded();
         }
-        planner.plan(now);
+        if (state.planDue || now - plannedAt >= PLAN_MILLIS) {
+            plannedAt = now;
+            state.planDue = planner.plan(now);
+        }
         runs.sendStops(now);
         return state.takeOrders();
     }
@@ -426,6 +435,7 @@
             return;
         }
         state.censusComplete = true;
+        state.planDue = true;
         state.log(
                 Decision.Kind.CENSUS_COMPLETE,
                 "epoch-" + state.term.epoch(),
--- a/core/src/main/java/org/peridotcourse/dispatch/FillPacing.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/FillPacing.java
@@ -12,9 +12,6 @@
 final class FillPacing {
     static final int FULL = 100;
 
-    /** Pressure that is left free below the bound, for swings of the own load. */
-    static final double MARGIN = 0.08;
-
     /** Share of the bound from which a task counts as over it, since figures are rounded. */
     private static final double OVER = 0.95;
 
@@ -24,15 +21,15 @@
     /** A serving task over its bound for this long has all filling tasks beside it stopped. */
     private static final long ALL_STOPPED_MILLIS = 1_200;
 
-    /** Probability of harm below which a filling task is not slowed down. */
-    private static final double SUSPECT = 0.15;
-
     /** Figures cover half a second, so that closer reports repeat themselves. */
     private static final long SAMPLE_MILLIS = 500;
 
     /** Time in which a change of the pace shows in the reports. */
     private static final long SETTLE_MILLIS = 700;
 
+    /** Share of a worker's processor that has no effect. */
+    private static final double NO_USE = 0.001;
+
     /** Smaller changes of the pace are not worth an order. */
     private static final int LEAST_CHANGE = 15;
 
@@ -44,8 +41,14 @@
     /** A task that cannot resume is moved if it has not got farther than this. */
     private static final int MOVED_BELOW_PERCENT = 35;
 
-    /** Weight of a new reading of the own load of a serving task. */
-    private static final double LOAD_WEIGHT = 0.4;
+    /** Tails follow the use of the processor with about this delay. */
+    private static final double USE_DELAY_MILLIS = 400;
+
+    /** A serving task that has just started has not settled. */
+    private static final long START_MILLIS = 2_000;
+
+    /** Time for which the pace of a filling task has to hold: the next report, and its effect. */
+    private static final long PACE_HOLDS_MILLIS = 700;
 
     private final OwnerState state;
     private final RunBook runs;
@@ -68,14 +71,14 @@
                 serving.add(run);
             }
         }
+        followUse(worker, fills, now);
         if (serving.isEmpty()) {
             fills.forEach(fill -> pace(fill, FULL, now));
             return;
         }
-        Map<String, Double> uses = uses(worker, fills);
         for (Run run : serving) {
             noteBound(run, fills, now);
-            learn(run, uses, now);
+            learn(run, now);
         }
         for (Run fill : fills) {
             int pace = FULL;
@@ -86,19 +89,30 @@
         }
     }
 
-    private static Map<String, Double> uses(Worker worker, List<Run> fills) {
+    /** Follows the use of the processor by image, delayed as its effect on tails is. */
+    private static void followUse(Worker worker, List<Run> fills, long now) {
         double capacity = Math.max(1, worker.info.capacity().milliCores());
-        Map<String, Double> uses = new HashMap<>();
+        Map<String, Double> present = new HashMap<>();
         for (Run fill : fills) {
-            uses.merge(image(fill), fill.figure / capacity, Double::sum);
+            present.merge(image(fill), fill.figure / capacity, Double::sum);
         }
-        return uses;
+        double weight = 1 - Math.exp((worker.fillUsesAt - now) / USE_DELAY_MILLIS);
+        worker.fillUsesAt = now;
+        present.keySet().forEach(image -> worker.fillUses.putIfAbsent(image, 0.0));
+        worker.fillUses.replaceAll(
+                (image, use) -> use + weight * (present.getOrDefault(image, 0.0) - use));
+        worker.fillUses.values().removeIf(use -> use < NO_USE);
     }
 
     static String image(Run run) {
         return run.spec().image().orElse("");
     }
 
+    /** Names the load that the tasks of a step share. */
+    static String loadOf(Run run) {
+        return run.task.step.load;
+    }
+
     private void noteBound(Run run, List<Run> fills, long now) {
         if (run.figure < OVER * run.spec().targetMillis()) {
             run.overSince = 0;
@@ -106,10 +120,13 @@
             run.overSince = now;
             StringBuilder beside = new StringBuilder();
             for (Run fill : fills) {
-                long harmful = Math.round(FULL * state.tails.harmful(image(run), image(fill), now));
+                double strength = state.tails.strength(image(run), image(fill));
                 beside.append(beside.length() == 0 ? "" : ",").append(image(fill));
                 beside.append(':').append(fill.spec().need().milliCores());
-                beside.append(':').append(fill.pace).append(':').append(harmful);
+                beside.append(':')
+                        .append(fill.pace)
+                        .append(':')
+                        .append(Math.round(FULL * strength));
                 beside.append(':').append(now - fill.orderedAt);
             }
             state.log(
@@ -121,53 +138,60 @@
                             + Math.round(run.figure)
                             + " bound="
                             + run.spec().targetMillis()
-                            + " room="
-                            + Math.round(FULL * choice.room(run))
+                            + " slack="
+                            + Math.round(FULL * choice.slack(run, now, 0))
                             + " beside="
                             + beside);
         }
     }
 
-    private void learn(Run run, Map<String, Double> uses, long now) {
-        if (now - run.sampledAt < SAMPLE_MILLIS) {
+    private void learn(Run run, long now) {
+        if (now - run.sampledAt < SAMPLE_MILLIS || now - run.confirmedAt < START_MILLIS) {
             return;
         }
         run.sampledAt = now;
-        String image = image(run);
-        state.tails.observe(image, run.figure, uses, now);
-        double added = 0;
-        for (Map.Entry<String, Double> use : uses.entrySet()) {
-            added += state.tails.added(image, use.getKey(), use.getValue(), now);
-        }
-        double own = Math.max(0, state.tails.pressure(image, run.figure) - added);
-        run.load = run.load < 0 ? own : run.load + LOAD_WEIGHT * (own - run.load);
+        state.tails.observe(
+                loadOf(run),
+                image(run),
+                run.spec().targetMillis(),
+                run.figure,
+                run.worker.fillUses,
+                now);
     }
 
     /** The pace at which a filling task leaves a serving one under its bound. */
     private int allowed(Run run, Run fill, List<Run> fills, long now) {
-        double harmful = state.tails.harmful(image(run), image(fill), now);
+        boolean harmful = isHarmful(run, fill);
         if (run.overSince > 0 && now - run.overSince >= ALL_STOPPED_MILLIS) {
             return 0;
         }
         if (run.overSince > 0 && now - run.overSince >= SUSPECTS_STOPPED_MILLIS) {
-            return harmful >= SUSPECT ? 0 : FULL;
+            return harmful ? 0 : FULL;
         }
-        if (harmful < SUSPECT) {
+        if (!harmful) {
             return FULL;
         }
-        double sum = 0;
+        double room = choice.slack(run, now, PACE_HOLDS_MILLIS);
+        double taken = 0;
         for (Run other : fills) {
-            sum += full(run, other, now);
+            if (isHarmful(run, other)) {
+                taken += full(run, other);
+            } else {
+                room -= full(run, other);
+            }
         }
-        double room = choice.room(run);
-        return sum <= room ? FULL : (int) Math.round(FULL * Math.max(0, room) / sum);
+        return taken <= room ? FULL : (int) Math.round(FULL * Math.max(0, room) / taken);
+    }
+
+    private boolean isHarmful(Run run, Run fill) {
+        return state.tails.strength(image(run), image(fill)) >= TailModel.HARMFUL;
     }
 
-    /** The pressure of a filling task on a serving one at full pace. */
-    private double full(Run run, Run fill, long now) {
+    /** The headroom that a filling task takes from a serving one at full pace. */
+    private double full(Run run, Run fill) {
         double capacity = Math.max(1, run.worker.info.capacity().milliCores());
         double use = fill.spec().need().milliCores() / capacity;
-        return state.tails.planned(image(run), image(fill), use, now);
+        return state.tails.added(image(run), image(fill), use);
     }
 
     private void apply(Run fill, int wanted, long now) {
--- a/core/src/main/java/org/peridotcourse/dispatch/JobBook.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/JobBook.java
@@ -42,6 +42,7 @@
         long first = schedule.isTimed() ? now + schedule.startAtMillis() - wallNow : acceptedAt;
         firstDueAt.put(job.id, first);
         state.jobs.put(job.id, job);
+        state.planDue = true;
         entry.record().tasks().forEach(record -> restore(job, record, first, now));
         job.openDue(now, first);
         state.log(
@@ -224,6 +225,7 @@
         if (!job.hasRuns()) {
             state.jobs.remove(job.id);
             firstDueAt.remove(job.id);
+            state.tails.forget(job.id);
         }
     }
 
--- a/core/src/main/java/org/peridotcourse/dispatch/OwnerState.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/OwnerState.java
@@ -25,6 +25,9 @@
 
     boolean deposed;
 
+    /** True if something has changed that may let a waiting task start. */
+    boolean planDue = true;
+
     OwnerState(OwnerTerm term, Decision.Sink sink) {
         this.term = term;
         this.sink = sink;
--- a/core/src/main/java/org/peridotcourse/dispatch/ReportReader.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/ReportReader.java
@@ -39,6 +39,7 @@
         if (!worker.reachable || !worker.counted) {
             worker.reachable = true;
             worker.counted = true;
+            state.planDue = true;
             state.log(
                     Decision.Kind.WORKER_USABLE,
                     worker.id,
--- a/core/src/main/java/org/peridotcourse/dispatch/Run.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/Run.java
@@ -52,9 +52,6 @@
     /** When its figure was last used to learn. */
     long sampledAt;
 
-    /** Pressure of a serving task by its own load, negative if it is not known. */
-    double load = -1;
-
     Run(Task task, int attempt, Worker worker, long orderedAt) {
         this.task = task;
         this.attempt = attempt;
--- a/core/src/main/java/org/peridotcourse/dispatch/RunBook.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/RunBook.java
@@ -39,6 +39,11 @@
         task.runs.add(run);
         worker.add(run);
         StepSpec spec = task.step.spec;
+        if (spec.isFilling()) {
+            for (Run serving : worker.servingLoads()) {
+                state.tails.onStart(FillPacing.image(serving), FillPacing.image(run), now);
+            }
+        }
         String checkpoint = spec.isCheckpointing() ? task.checkpoint : "";
         state.order(
                 new Order.Start(
@@ -255,6 +260,7 @@
         if (task.done) {
             return;
         }
+        state.planDue = true;
         if (!checkpoint.isEmpty() && task.step.spec.isCheckpointing()) {
             task.checkpoint = checkpoint;
             job.changed |= kind == EndKind.STOPPED || kind == EndKind.LAPSED;
@@ -282,6 +288,7 @@
         run.worker.remove(run);
         run.task.runs.remove(run);
         run.task.waitingSince = now;
+        state.planDue = true;
     }
 
     /** Ends all runs of workers whose leases have run out. */
--- a/core/src/main/java/org/peridotcourse/dispatch/Step.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/Step.java
@@ -7,6 +7,9 @@
     final StepSpec spec;
     final Task[] tasks;
 
+    /** Names the load that the tasks share if they serve. */
+    final String load;
+
     /** Tasks that are not done. */
     int remaining;
 
@@ -25,6 +28,7 @@
         this.tasks = new Task[spec.count()];
         this.remaining = tasks.length;
         String job = occurrence.job.id;
+        this.load = job + TailModel.STEP_MARK + number;
         for (int i = 0; i < tasks.length; i++) {
             TaskRef ref = new TaskRef(job, occurrence.number, number, i);
             tasks[i] = new Task(ref, this, attemptFloor, now);
--- a/core/src/main/java/org/peridotcourse/dispatch/TailModel.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/TailModel.java
@@ -4,163 +4,320 @@
 import java.util.Map;
 
 /**
- * Learns which filling images press on which serving ones, from the tails of response times that
- * serving tasks report.
+ * Learns how the response times of serving tasks depend on their own load and on the filling images
+ * beside them.
  *
- * <p>A tail is taken as that of a queue, {@code base / (1 - pressure)}, so {@code 1 - base / tail}
- * is a pressure: the task's own load, and for each harmful filling image beside it the share of the
- * worker's processor that the image uses times a common strength. A pair of images is either
- * harmful or not, and the model keeps the log-odds of that. Confined to one thread.
+ * <p>A tail is taken as that of a queue, so that its inverse is the headroom that a task has left,
+ * up to a constant. The own load of a job is a wave with a period that all jobs share; its tasks
+ * have the same load at any time. Each filling image beside a task takes headroom in proportion to
+ * the share of the worker's processor that it uses. Headrooms are given in multiples of the mean of
+ * the job without neighbours. Confined to one thread.
  */
 final class TailModel {
-    /** Pressure above which a tail says only that it is high. */
-    private static final double SATURATED = 0.95;
+    /** Stands between the id of a job and the number of its step. */
+    static final char STEP_MARK = '/';
 
-    /** Share of the shortest tail that an idle task would have. */
-    private static final double BASE_OF_SHORTEST = 0.8;
+    /** Strength from which a pair counts as harmful. */
+    static final double HARMFUL = 0.8;
 
-    private static final double PRIOR_LOAD = 0.5;
-    private static final double LOAD_WEIGHT = 0.02;
+    /** Headroom that a task needs to stay under its bound, before its tails are known. */
+    private static final double USUAL_NEED = 0.45;
 
-    /** Share of pairs that are harmful. */
-    private static final double PRIOR_HARMFUL = 0.35;
+    /** Deviation of the headroom of a job whose wave is not known. */
+    private static final double UNKNOWN_DEVIATION = 0.28;
 
-    private static final double PRIOR_STRENGTH = 1.8;
-    private static final double LEAST_STRENGTH = 0.6;
-    private static final double MOST_STRENGTH = 6;
-    private static final double STRENGTH_WEIGHT = 0.03;
+    /** Weight of the unknown deviation, in readings. */
+    private static final double UNKNOWN_WEIGHT = 4;
 
-    /** Strong pairs press about this much more than the mean of all harmful ones. */
-    private static final double SAFETY = 2.4;
+    /** Share of a period that must be seen before a wave is extrapolated. */
+    private static final double SEEN_SHARE = 0.6;
 
-    /** Standard deviation of a pressure, since the own load swings within seconds. */
-    private static final double DEVIATION = 0.17;
+    /** Multiple of the deviation that is left free when filling tasks are planned. */
+    private static final double CAUTION = 1.4;
 
-    /** Reports that follow each other say much the same. */
-    private static final double EVIDENCE_WEIGHT = 0.5;
+    /** Below this headroom a tail says only that it is high. */
+    private static final double SATURATED = 0.1;
 
-    private static final double MOST_LOG_ODDS = 5;
-    private static final double HALF_LIFE_MILLIS = 60_000;
+    /** Errors that no reading is free of. */
+    private static final double LEAST_DEVIATION = 0.05;
 
-    /** Probability from which a pair counts as certain. */
-    private static final double CERTAIN = 0.9;
+    /** Tails are whole milliseconds; the standard deviation of the rounding. */
+    private static final double ROUNDING_MILLIS = 0.3;
 
-    private final Map<String, Serving> serving = new HashMap<>();
-    private double strength = PRIOR_STRENGTH;
+    /** Tasks of a job on one worker, and reports that follow each other, say much the same. */
+    private static final double EVIDENCE_WEIGHT = 0.3;
 
-    /** What is known of one serving image. */
-    private static final class Serving {
-        final Map<String, Belief> beliefs = new HashMap<>();
-        double shortest = Double.MAX_VALUE;
-        double load = PRIOR_LOAD;
-    }
+    /** Loss of headroom by neighbours that halves the weight of a reading for the own load. */
+    private static final double DISTURBED = 0.1;
+
+    /** Multiple of the deviation from which a reading counts less for the own load. */
+    private static final double OUTLIER = 2;
+
+    /** Outliers keep this weight, so that a load that has really changed is learned. */
+    private static final double LEAST_WEIGHT = 0.03;
+
+    private static final double LEAST_USE = 0.005;
+    private static final double IMAGE_WEIGHT = 0.02;
+    private static final long CHOICE_MILLIS = 1_000;
+    private static final long STEP_MILLIS = 250;
+
+    /** Filling tasks are planned for 5 s ahead at most. */
+    private static final int FORESEEN_STEPS = 21;
+
+    /** Time in which reports tell the strength of a pair that is tried. */
+    private static final long TRIAL_MILLIS = 1_500;
 
-    /** Evidence that a pair is harmful, beyond the share of harmful pairs. */
-    private static final class Belief {
-        double evidence;
-        long at;
+    private final Map<String, Load> loads = new HashMap<>();
+    private final Map<String, Double> imageMeans = new HashMap<>();
+    private final Map<String, Map<String, StrengthBelief>> beliefs = new HashMap<>();
+    private final StrengthBelief unknown = new StrengthBelief();
+    private int period;
+    private long trials;
+    private long chosenAt;
 
-        double faded(long now) {
-            return evidence * Math.pow(0.5, (now - at) / HALF_LIFE_MILLIS);
+    /** The own load of one job. */
+    private static final class Load {
+        final PeriodicFit fit = new PeriodicFit();
+        final long since;
+        double expectedMean;
+        private final double[] least = new double[FORESEEN_STEPS];
+        private PeriodicFit.Wave wave;
+        private int period = -1;
+        private double deviation = UNKNOWN_DEVIATION;
+        private long foreseenAt;
+
+        Load(long since, double expectedMean) {
+            this.since = since;
+            this.expectedMean = expectedMean;
+        }
+
+        void add(double reading, double weight, long now) {
+            fit.add(reading, weight, now);
+            wave = null;
+        }
+
+        double headroom(int chosen, double atMillis) {
+            PeriodicFit.Wave present = wave(chosen);
+            return Math.max(2 * SATURATED, present.at(chosen, atMillis) / present.mean());
+        }
+
+        /** Returns the standard deviation of the headroom. */
+        double deviation(int chosen, long now) {
+            if (now - since < SEEN_SHARE * PeriodicFit.periodMillis(chosen)) {
+                return UNKNOWN_DEVIATION;
+            }
+            PeriodicFit.Wave present = wave(chosen);
+            double error = present.error() / (present.mean() * present.mean());
+            error += UNKNOWN_WEIGHT * UNKNOWN_DEVIATION * UNKNOWN_DEVIATION;
+            double variance = error / (fit.weight() + UNKNOWN_WEIGHT);
+            return Math.max(LEAST_DEVIATION, Math.sqrt(variance));
         }
-    }
 
-    /** Returns the pressure that a tail shows, between 0 and 1. */
-    double pressure(String image, double tailMillis) {
-        Serving known = serving.get(image);
-        if (known == null || known.shortest == Double.MAX_VALUE || tailMillis <= 0) {
-            return PRIOR_LOAD;
+        /** Returns what is certainly left during some time from now. */
+        double leastHeadroom(int chosen, long now, long forMillis) {
+            if (now - foreseenAt >= STEP_MILLIS || foreseenAt == 0) {
+                foreseenAt = now;
+                deviation = deviation(chosen, now);
+                double lowest = Double.MAX_VALUE;
+                for (int i = 0; i < FORESEEN_STEPS; i++) {
+                    lowest = Math.min(lowest, headroom(chosen, now + i * STEP_MILLIS));
+                    least[i] = lowest;
+                }
+            }
+            int steps = (int) Math.min(FORESEEN_STEPS - 1, forMillis / STEP_MILLIS);
+            return least[steps] - CAUTION * deviation;
+        }
+
+        PeriodicFit.Wave wave(int chosen) {
+            if (wave == null || period != chosen) {
+                period = chosen;
+                wave = fit.fit(chosen, expectedMean);
+            }
+            return wave;
         }
-        return Math.max(0, 1 - BASE_OF_SHORTEST * known.shortest / tailMillis);
     }
 
-    /** Returns the usual load of a serving image. */
-    double load(String image) {
-        Serving known = serving.get(image);
-        return known == null ? PRIOR_LOAD : known.load;
+    /** Returns the headroom to expect without neighbours. */
+    double headroom(String key, double atMillis) {
+        Load load = loads.get(key);
+        return load == null ? 1 : load.headroom(period, atMillis);
+    }
+
+    /** Returns the headroom that a task needs to stay under its bound. */
+    double needed(String key, String image, long targetMillis) {
+        Load load = loads.get(key);
+        double mean = load == null ? expectedMean(image, targetMillis) : load.wave(period).mean();
+        return 1.0 / targetMillis / mean;
     }
 
     /**
-     * Returns the pressure to plan for from a filling image: more than to expect, since the common
-     * strength is a mean.
+     * Returns the headroom that filling tasks may take until a given time from now.
      *
-     * @param use the share of the worker's processor that it uses
+     * @param forMillis how long they will stay
      */
-    double planned(String image, String filling, double use, long now) {
-        return SAFETY * added(image, filling, use, now);
+    double slack(String key, String image, long targetMillis, long now, long forMillis) {
+        Load load = loads.get(key);
+        double least =
+                load == null
+                        ? 1 - CAUTION * UNKNOWN_DEVIATION
+                        : load.leastHeadroom(period, now, forMillis);
+        return least - needed(key, image, targetMillis);
+    }
+
+    /** Returns the strength to expect of a pair. */
+    double strength(String image, String filling) {
+        return belief(image, filling).mean();
     }
 
-    /** Returns the probability that a filling image is harmful to a serving one. */
-    double harmful(String image, String filling, long now) {
-        Serving known = serving.get(image);
-        Belief belief = known == null ? null : known.beliefs.get(filling);
-        double odds = PRIOR_HARMFUL / (1 - PRIOR_HARMFUL);
-        odds *= Math.exp(belief == null ? 0 : belief.faded(now));
-        return odds / (1 + odds);
+    /**
+     * Returns the headroom to expect to be taken by a filling image.
+     *
+     * @param use the share of the worker's processor that it uses
+     */
+    double added(String image, String filling, double use) {
+        return belief(image, filling).mean() * use;
     }
 
     /**
-     * Returns the pressure to expect from a filling image.
+     * Returns the headroom to plan for: more than to expect while the pair is not well known,
+     * unless nobody tries it just now.
      *
      * @param use the share of the worker's processor that it uses
      */
-    double added(String image, String filling, double use, long now) {
-        return harmful(image, filling, now) * strength * use;
+    double planned(String image, String filling, double use, long now) {
+        StrengthBelief belief = belief(image, filling);
+        if (belief.isKnown()) {
+            return belief.mean() * use;
+        }
+        boolean tried = now - belief.triedAt() < TRIAL_MILLIS;
+        return tried ? (belief.mean() + belief.deviation()) * use : StrengthBelief.WEAK * use;
+    }
+
+    /** Takes note that a filling image starts beside a serving one. */
+    void onStart(String image, String filling, long now) {
+        StrengthBelief belief =
+                beliefs.computeIfAbsent(image, key -> new HashMap<>())
+                        .computeIfAbsent(filling, key -> new StrengthBelief());
+        if (!belief.isKnown() && now - belief.triedAt() >= TRIAL_MILLIS) {
+            belief.onTry(now);
+            trials++;
+        }
+    }
+
+    /** Returns the number of trials of pairs that are not well known. */
+    long trials() {
+        return trials;
+    }
+
+    private StrengthBelief belief(String image, String filling) {
+        Map<String, StrengthBelief> known = beliefs.get(image);
+        return known == null ? unknown : known.getOrDefault(filling, unknown);
+    }
+
+    private double expectedMean(String image, long targetMillis) {
+        return imageMeans.getOrDefault(image, 1.0 / targetMillis / USUAL_NEED);
+    }
+
+    /** Forgets the loads of a job that has ended. */
+    void forget(String job) {
+        loads.keySet().removeIf(load -> load.startsWith(job + STEP_MARK));
     }
 
     /**
      * Takes a report of a serving task.
      *
+     * @param targetMillis the bound of its tail
      * @param tailMillis the tail of its response times
      * @param uses by filling image beside it, the share of the worker's processor in use
      */
-    void observe(String image, double tailMillis, Map<String, Double> uses, long now) {
+    void observe(
+            String key,
+            String image,
+            long targetMillis,
+            double tailMillis,
+            Map<String, Double> uses,
+            long now) {
         if (tailMillis <= 0) {
             return;
         }
-        Serving known = serving.computeIfAbsent(image, key -> new Serving());
-        known.shortest = Math.min(known.shortest, tailMillis);
-        double pressure = pressure(image, tailMillis);
-        double expected = known.load;
+        choosePeriod(now);
+        double expectedMean = expectedMean(image, targetMillis);
+        Load load = loads.computeIfAbsent(key, absent -> new Load(now, expectedMean));
+        load.expectedMean = expectedMean;
+        double mean = load.wave(period).mean();
+        double seen = Math.max(SATURATED, 1 / tailMillis / mean);
+        double own = load.headroom(period, now);
+        double rounding = ROUNDING_MILLIS / tailMillis * seen;
+        double deviation = Math.hypot(load.deviation(period, now), rounding);
+        learnStrengths(image, own, seen, deviation, uses, now);
+        double taken = 0;
         for (Map.Entry<String, Double> use : uses.entrySet()) {
-            expected += added(image, use.getKey(), use.getValue(), now);
+            taken += added(image, use.getKey(), use.getValue());
         }
-        Map<String, Double> evidence = new HashMap<>();
+        double weight = 1 / (1 + square(taken / DISTURBED));
+        if (!uses.isEmpty()) {
+            weight /= 1 + square((own - taken - seen) / (OUTLIER * deviation));
+        }
+        load.add((seen + taken) * mean, Math.max(LEAST_WEIGHT, weight), now);
+        double fitted = load.wave(period).mean();
+        imageMeans.merge(image, fitted, (old, found) -> old + IMAGE_WEIGHT * (found - old));
+    }
+
+    private void learnStrengths(
+            String image,
+            double own,
+            double seen,
+            double deviation,
+            Map<String, Double> uses,
+            long now) {
+        double taken = 0;
+        double variance = deviation * deviation;
         for (Map.Entry<String, Double> use : uses.entrySet()) {
-            String filling = use.getKey();
-            double others = expected - added(image, filling, use.getValue(), now);
-            double harmed = others + strength * use.getValue();
-            evidence.put(filling, logRatio(pressure, others, harmed));
-            learnStrength(image, filling, use.getValue(), pressure - others, pressure, now);
+            taken += added(image, use.getKey(), use.getValue());
+            variance += square(belief(image, use.getKey()).deviation() * use.getValue());
         }
-        evidence.forEach((filling, change) -> add(known, filling, change, now));
-        if (pressure < SATURATED) {
-            double own = Math.max(0, pressure - (expected - known.load));
-            known.load += LOAD_WEIGHT * (own - known.load);
+        for (Map.Entry<String, Double> entry : uses.entrySet()) {
+            double use = entry.getValue();
+            if (use < LEAST_USE) {
+                continue;
+            }
+            StrengthBelief belief = belief(image, entry.getKey());
+            double others = own - (taken - belief.mean() * use);
+            double noise = variance - square(belief.deviation() * use);
+            beliefs.computeIfAbsent(image, key -> new HashMap<>())
+                    .computeIfAbsent(entry.getKey(), key -> new StrengthBelief())
+                    .observe(strength -> logLikelihood(seen, others - strength * use, noise), now);
         }
     }
 
-    private static double logRatio(double pressure, double calm, double harmed) {
-        double seen = Math.min(pressure, SATURATED);
-        double fromCalm = seen - Math.min(calm, SATURATED);
-        double fromHarmed = seen - Math.min(harmed, SATURATED);
-        double scale = 2 * DEVIATION * DEVIATION;
-        return EVIDENCE_WEIGHT * (fromCalm * fromCalm - fromHarmed * fromHarmed) / scale;
+    private static double logLikelihood(double seen, double expected, double variance) {
+        double error = seen - Math.max(SATURATED, expected);
+        return -EVIDENCE_WEIGHT * error * error / (2 * variance);
     }
 
-    private void learnStrength(
-            String image, String filling, double use, double rest, double pressure, long now) {
-        boolean tells = pressure < SATURATED && use > 0.05;
-        if (tells && harmful(image, filling, now) > CERTAIN) {
-            double sample = Math.max(LEAST_STRENGTH, Math.min(MOST_STRENGTH, rest / use));
-            strength += STRENGTH_WEIGHT * (sample - strength);
+    /** Takes the period that explains the loads of all jobs best. */
+    private void choosePeriod(long now) {
+        if (now - chosenAt < CHOICE_MILLIS) {
+            return;
+        }
+        chosenAt = now;
+        double least = Double.MAX_VALUE;
+        int best = period;
+        for (int i = 0; i < PeriodicFit.PERIODS; i++) {
+            double sum = 0;
+            for (Load load : loads.values()) {
+                double mean = load.wave(period).mean();
+                sum += load.fit.fit(i, mean).error() / (mean * mean);
+            }
+            if (sum < least) {
+                least = sum;
+                best = i;
+            }
         }
+        period = best;
     }
 
-    private static void add(Serving known, String filling, double change, long now) {
-        Belief belief = known.beliefs.computeIfAbsent(filling, key -> new Belief());
-        double evidence = belief.faded(now) + change;
-        belief.evidence = Math.max(-MOST_LOG_ODDS, Math.min(MOST_LOG_ODDS, evidence));
-        belief.at = now;
+    private static double square(double value) {
+        return value * value;
     }
 }
--- a/core/src/main/java/org/peridotcourse/dispatch/Worker.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/Worker.java
@@ -1,8 +1,10 @@
 package org.peridotcourse.dispatch;
 
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Optional;
 import org.peridotcourse.Resources;
 
 /** What the owner knows of one worker. Confined to one thread. */
@@ -42,12 +44,26 @@
     /** Processor that filling tasks would like to use. */
     long fillMilliCores;
 
+    /** By filling image, the share of the processor in use, delayed as its effects are. */
+    final Map<String, Double> fillUses = new HashMap<>();
+
+    long fillUsesAt;
+
+    /** What was last found out about a filling step. */
+    Optional<WorkerChoice.Tightest> tightest = Optional.empty();
+
     /** Processor that is reserved for lasting tasks. */
     long lastingMilliCores;
 
     /** Monotonic time after which no run of this worker is alive without a renewal. */
     long leaseOverAt;
 
+    /** One run for each load of serving tasks. */
+    private final Map<String, Run> servingLoads = new HashMap<>();
+
+    /** Counts changes of the runs. */
+    private long changes;
+
     private boolean hasClock;
     private long clock;
     private long clockAt;
@@ -80,17 +96,44 @@
     }
 
     void add(Run run) {
+        changes++;
         runs.put(run.key(), run);
         used = used.plus(run.spec().reserved());
         count(run, 1);
+        if (run.spec().targetMillis() > 0) {
+            servingLoads.putIfAbsent(FillPacing.loadOf(run), run);
+        }
     }
 
     void remove(Run run) {
         if (runs.remove(run.key()) == null) {
             return;
         }
+        changes++;
         used = used.minus(run.spec().reserved());
         count(run, -1);
+        if (servingLoads.remove(FillPacing.loadOf(run), run)) {
+            findServing(FillPacing.loadOf(run));
+        }
+    }
+
+    private void findServing(String load) {
+        for (Run other : runs.values()) {
+            if (other.spec().targetMillis() > 0 && FillPacing.loadOf(other).equals(load)) {
+                servingLoads.put(load, other);
+                return;
+            }
+        }
+    }
+
+    /** Returns a number that grows with each run that begins or ends here. */
+    long changes() {
+        return changes;
+    }
+
+    /** Returns one run for each load of serving tasks. */
+    Collection<Run> servingLoads() {
+        return servingLoads.values();
     }
 
     private void count(Run run, int sign) {
--- a/core/src/main/java/org/peridotcourse/dispatch/WorkerChoice.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/WorkerChoice.java
@@ -22,9 +22,15 @@
     private static final double RISK_PER_MILLI = 0.2 / 4_000;
     private static final double MOST_RISK = 0.25;
 
-    /** Pressure of a filling task that makes no difference. */
+    /** Headroom taken by a filling task that makes no difference. */
     private static final double NEGLIGIBLE = 0.015;
 
+    /** Estimates are rough, so that filling tasks stay longer than they say. */
+    private static final long STAY_MARGIN_MILLIS = 1_000;
+
+    /** Headrooms change within seconds. */
+    private static final long TIGHTEST_MILLIS = 100;
+
     private static final double SUSPECT_COST = 4;
     private static final double SLOW_COST = 6;
     private static final double RETRY_THERE_COST = 8;
@@ -118,42 +124,64 @@
         return tightest(worker, spec, now) + Math.min(MOST_RISK, risked) >= 0;
     }
 
-    /** Pressure that the most sensitive task of a worker has left once a filling task joins. */
+    /**
+     * The headroom that the most sensitive task of a worker has left once a filling task joins, and
+     * what it was found from.
+     */
+    record Tightest(StepSpec filling, long changes, long trials, long at, double headroom) {
+        boolean holds(StepSpec present, Worker worker, long presentTrials, long now) {
+            return filling == present
+                    && changes == worker.changes()
+                    && trials == presentTrials
+                    && now - at < TIGHTEST_MILLIS;
+        }
+    }
+
     private double tightest(Worker worker, StepSpec filling, long now) {
+        long trials = state.tails.trials();
+        Optional<Tightest> known =
+                worker.tightest.filter(one -> one.holds(filling, worker, trials, now));
+        if (known.isPresent()) {
+            return known.get().headroom();
+        }
+        double found = findTightest(worker, filling, now);
+        worker.tightest = Optional.of(new Tightest(filling, worker.changes(), trials, now, found));
+        return found;
+    }
+
+    private double findTightest(Worker worker, StepSpec filling, long now) {
         double capacity = Math.max(1, worker.info.capacity().milliCores());
         double use = filling.need().milliCores() / capacity;
         String image = filling.image().orElse("");
+        long stay = filling.estimateMillis() + STAY_MARGIN_MILLIS;
         double tightest = 1;
-        for (Run run : worker.runs.values()) {
-            if (run.spec().targetMillis() > 0) {
-                double added = state.tails.planned(FillPacing.image(run), image, use, now);
-                if (added > NEGLIGIBLE) {
-                    double left = room(run) - pressureOn(run, now) - added;
-                    tightest = Math.min(tightest, left);
-                }
+        for (Run run : worker.servingLoads()) {
+            double added = state.tails.planned(FillPacing.image(run), image, use, now);
+            if (added > NEGLIGIBLE) {
+                double left = slack(run, now, stay) - planned(run, now) - added;
+                tightest = Math.min(tightest, left);
             }
         }
         return tightest;
     }
 
-    /** Pressure by filling tasks that keeps a serving task under its bound. */
-    double room(Run run) {
+    /** Headroom of a serving task that filling tasks may take for some time. */
+    double slack(Run run, long now, long forMillis) {
         String image = FillPacing.image(run);
-        double most = state.tails.pressure(image, run.spec().targetMillis());
-        double usual = state.tails.load(image);
-        double load = run.load < 0 ? usual : (run.load + usual) / 2;
-        return most - FillPacing.MARGIN - load;
+        return state.tails.slack(
+                FillPacing.loadOf(run), image, run.spec().targetMillis(), now, forMillis);
     }
 
-    /** Pressure of the filling tasks on a serving one, at full pace. */
-    private double pressureOn(Run run, long now) {
+    /** Headroom that the filling tasks beside a serving one may take at full pace. */
+    private double planned(Run run, long now) {
         double capacity = Math.max(1, run.worker.info.capacity().milliCores());
         double sum = 0;
         for (Run other : run.worker.runs.values()) {
             if (other.spec().isFilling()) {
                 double use = other.spec().need().milliCores() / capacity;
-                String filling = FillPacing.image(other);
-                sum += state.tails.planned(FillPacing.image(run), filling, use, now);
+                sum +=
+                        state.tails.planned(
+                                FillPacing.image(run), FillPacing.image(other), use, now);
             }
         }
         return sum;
@@ -204,14 +232,14 @@
         if (spec.isFilling()) {
             return load - TIGHTNESS_COST * Math.min(0.5, tightest(worker, spec, now));
         }
-        return spec.targetMillis() > 0 ? company(worker, spec, now) + load / 10 : load;
+        return spec.targetMillis() > 0 ? company(worker, spec) + load / 10 : load;
     }
 
     /**
      * What a serving task meets on a worker. The fewer serving images a worker has, the more
      * filling images can work there.
      */
-    private double company(Worker worker, StepSpec spec, long now) {
+    private double company(Worker worker, StepSpec spec) {
         String image = spec.image().orElse("");
         double capacity = Math.max(1, worker.info.capacity().milliCores());
         boolean served = false;
@@ -223,7 +251,7 @@
                 other |= !FillPacing.image(run).equals(image);
             } else if (run.spec().isFilling()) {
                 double use = run.spec().need().milliCores() / capacity;
-                pressure += state.tails.planned(image, FillPacing.image(run), use, now);
+                pressure += state.tails.added(image, FillPacing.image(run), use);
             }
         }
         return (served ? 0 : NEW_SENSITIVE_COST) + (other ? OTHER_IMAGE_COST : 0) + pressure;
--- a/core/src/test/java/org/peridotcourse/dispatch/TailModelTest.java
+++ b/core/src/test/java/org/peridotcourse/dispatch/TailModelTest.java
@@ -7,56 +7,132 @@
 import java.util.Random;
 import org.junit.jupiter.api.Test;
 
-/** Guards the attribution of response times to the filling images beside a serving task. */
+/**
+ * Guards the attribution of response times to the filling images beside a serving task.
+ *
+ * <p>The pattern is that of played days: the load of each job is a wave of a common period with a
+ * phase of its own; most filling images press weakly, a third of them several times as strongly;
+ * tails are whole milliseconds.
+ */
 class TailModelTest {
-    private static final double BASE_MILLIS = 4;
+    private static final String IMAGE = "serving";
+    private static final long TARGET_MILLIS = 45;
+    private static final double BASE_MILLIS = 10;
+    private static final double MEAN_LOAD = 0.45;
+    private static final double SWING = 0.21;
+    private static final double PERIOD_MILLIS = 14_000;
+    private static final double MILD = 0.15;
+    private static final double HEAVY = 2.2;
+    private static final long REPORT_MILLIS = 500;
+    private static final int JOBS = 6;
 
     private final TailModel model = new TailModel();
-    private long now;
     private final Random random = new Random(11);
+    private long now = 1_000_000;
 
-    /** The pattern of the shared workers: few pairs press hard, the load of a task swings. */
-    private double tail(double mildUse, double heavyUse) {
-        double load = 0.42 + 0.2 * Math.sin(random.nextDouble() * 2 * Math.PI);
-        double pressure = Math.min(0.985, load + 0.05 * mildUse + 2.2 * heavyUse);
-        return Math.round(BASE_MILLIS / (1 - pressure));
+    private static double load(int job, double at) {
+        double angle = 2 * Math.PI * at / PERIOD_MILLIS + 1.1 * job;
+        return MEAN_LOAD + SWING * Math.sin(angle);
     }
 
-    private void learn(int reports) {
-        for (int i = 0; i < reports; i++) {
-            double mild = random.nextInt(3) * 0.12;
-            double heavy = random.nextInt(4) == 0 ? 0.1 : 0;
-            model.observe(
-                    "serving", tail(mild, heavy), Map.of("mild", mild, "heavy", heavy), now += 700);
+    private double tail(int job, double mildUse, double heavyUse) {
+        double pressure = load(job, now) + MILD * mildUse + HEAVY * heavyUse;
+        return Math.round(BASE_MILLIS / (1 - Math.min(0.985, pressure)));
+    }
+
+    /** Plays time with varying neighbours beside two tasks of each job. */
+    private void learn(long millis) {
+        for (long end = now + millis; now < end; now += REPORT_MILLIS) {
+            for (int job = 0; job < JOBS; job++) {
+                report(job, 0, 0);
+                double mild = random.nextInt(3) * 0.12;
+                double heavy = random.nextInt(4) == 0 ? 0.1 : 0;
+                report(job, mild, heavy);
+            }
         }
     }
 
+    private void report(int job, double mild, double heavy) {
+        Map<String, Double> uses = Map.of("mild", mild, "heavy", heavy);
+        model.observe(key(job), IMAGE, TARGET_MILLIS, tail(job, mild, heavy), uses, now);
+    }
+
+    private static String key(int job) {
+        return "job-" + job + TailModel.STEP_MARK + 0;
+    }
+
+    private static double truth(int job, double at) {
+        return (1 - load(job, at)) / (1 - MEAN_LOAD);
+    }
+
     @Test
     void theHarmfulImageIsToldFromTheMildOneBesideIt() {
-        learn(60);
-        assertTrue(model.added("serving", "heavy", 0.1, now) > 0.12);
-        assertTrue(model.added("serving", "mild", 0.1, now) < 0.06);
+        learn(15_000);
+        assertTrue(model.strength(IMAGE, "heavy") > 2, "heavy " + model.strength(IMAGE, "heavy"));
+        assertTrue(model.strength(IMAGE, "mild") < 0.6, "mild " + model.strength(IMAGE, "mild"));
     }
 
     @Test
     void theOwnLoadOfATaskIsNotBlamedOnItsNeighbours() {
-        learn(200);
-        assertEquals(0.42, model.load("serving"), 0.15);
+        learn(40_000);
+        for (int job = 0; job < JOBS; job++) {
+            assertEquals(truth(job, now), model.headroom(key(job), now), 0.1, "job " + job);
+        }
+    }
+
+    /** Half a period ahead, the load is on the other side of its mean. */
+    @Test
+    void theOwnLoadIsForeseen() {
+        learn(40_000);
+        double ahead = now + PERIOD_MILLIS / 2;
+        for (int job = 0; job < JOBS; job++) {
+            assertEquals(truth(job, ahead), model.headroom(key(job), ahead), 0.15, "job " + job);
+        }
+    }
+
+    /** A bound at 45 ms leaves a peak of this load a sixth of the mean headroom. */
+    @Test
+    void thereIsMoreRoomInATroughThanAtAPeak() {
+        learn(40_000);
+        double most = -1;
+        double least = 1;
+        for (int i = 0; i < PERIOD_MILLIS / REPORT_MILLIS; i++) {
+            double slack = model.slack(key(0), IMAGE, TARGET_MILLIS, now + i * REPORT_MILLIS, 0);
+            most = Math.max(most, slack);
+            least = Math.min(least, slack);
+        }
+        double needed = BASE_MILLIS / TARGET_MILLIS / (1 - MEAN_LOAD);
+        double room = 1 - needed;
+        double swing = SWING / (1 - MEAN_LOAD);
+        assertEquals(room + swing, most, 0.2);
+        assertEquals(room - swing, least, 0.15);
     }
 
     @Test
     void anUnknownImageCountsAsModeratelyHarmful() {
-        double added = model.added("serving", "unknown", 0.1, now);
+        double added = model.added(IMAGE, "unknown", 0.1);
         assertTrue(added > 0.02 && added < 0.2, "added " + added);
     }
 
+    /** Many tasks of one image beside one serving image would all do harm before a report tells. */
+    @Test
+    void anUnknownPairIsTriedOnceAtATime() {
+        double use = 0.1;
+        assertTrue(model.planned(IMAGE, "unknown", use, now) < use);
+        model.onStart(IMAGE, "unknown", now);
+        assertTrue(model.planned(IMAGE, "unknown", use, now) > 2 * use);
+        assertTrue(model.planned(IMAGE, "unknown", use, now + 3_000) < use);
+    }
+
     @Test
     void aTailThatIsOutOfScaleDoesNotEraseWhatIsKnown() {
-        learn(60);
-        double before = model.added("serving", "heavy", 0.1, now);
+        learn(40_000);
+        double before = model.strength(IMAGE, "heavy");
         for (int i = 0; i < 30; i++) {
-            model.observe("serving", 300, Map.of("heavy", 0.4), now += 700);
+            now += REPORT_MILLIS;
+            report(0, 0, 0.6);
         }
-        assertEquals(before, model.added("serving", "heavy", 0.1, now), 0.3 * before);
+        assertEquals(before, model.strength(IMAGE, "heavy"), 0.3 * before);
+        assertEquals(truth(0, now), model.headroom(key(0), now), 0.25);
     }
 }
