Bear filling tasks that are known to press weakly, and plan less cautiously

A trace of what kept them waiting showed open workers refused at the peak of a serving task's load for tasks that press weakly, of which any number is borne, and 1.5 s of waiting for each trial of a pair, anew after each change of the owner.

Removes what nothing called: Task.isAtWork, Run.isWanted, OrderReply.isWithoutEffect, JobSpec.coreMillis, ClusterConfig.Service.

--- a/core/src/main/java/org/peridotcourse/dispatch/ClusterConfig.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/ClusterConfig.java
@@ -6,24 +6,22 @@
 import java.util.Optional;
 
 /**
- * One version of the operator's configuration: queues, where callers find them, and services.
+ * One version of the operator's configuration: queues, and where callers find them.
  *
  * <p>Instances are immutable and thread-safe.
  */
 public final class ClusterConfig {
     /** No queue; in force until the first configuration is known. */
-    public static final ClusterConfig NONE = new ClusterConfig(0, List.of(), List.of());
+    public static final ClusterConfig NONE = new ClusterConfig(0, List.of());
 
     private final long version;
     private final List<Route> routes;
     private final Map<String, QueueRules> queues = new HashMap<>();
-    private final Map<String, Service> services = new HashMap<>();
 
-    private ClusterConfig(long version, List<Route> routes, List<Service> services) {
+    private ClusterConfig(long version, List<Route> routes) {
         this.version = version;
         this.routes = List.copyOf(routes);
         routes.forEach(route -> queues.put(route.queue().name(), route.queue()));
-        services.forEach(service -> this.services.put(service.name(), service));
     }
 
     /**
@@ -31,11 +29,10 @@
      *
      * @param version increases with each change
      * @param routes where callers find the queues
-     * @param services the services
      * @return the configuration
      */
-    public static ClusterConfig of(long version, List<Route> routes, List<Service> services) {
-        return new ClusterConfig(version, routes, services);
+    public static ClusterConfig of(long version, List<Route> routes) {
+        return new ClusterConfig(version, routes);
     }
 
     /**
@@ -47,14 +44,6 @@
      */
     public record Route(String host, String prefix, QueueRules queue) {}
 
-    /**
-     * A service that runs tasks.
-     *
-     * @param name the name
-     * @param rejectsOverload whether its workers refuse what does not fit
-     */
-    public record Service(String name, boolean rejectsOverload) {}
-
     /**
      * Returns the version.
      *
@@ -92,16 +81,6 @@
         return Optional.ofNullable(queues.get(name));
     }
 
-    /**
-     * Returns a service.
-     *
-     * @param name its name
-     * @return the service, or empty if there is none
-     */
-    public Optional<Service> service(String name) {
-        return Optional.ofNullable(services.get(name));
-    }
-
     /**
      * Finds the route of a call: same host, longest prefix.
      *
--- a/core/src/main/java/org/peridotcourse/dispatch/JobSpec.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/JobSpec.java
@@ -134,18 +134,4 @@
         }
         return text.toString();
     }
-
-    /**
-     * Returns the estimated work of one occurrence.
-     *
-     * @return processor time in core milliseconds
-     */
-    public double coreMillis() {
-        double sum = 0;
-        for (StepSpec step : steps) {
-            double cores = step.need().milliCores() / 1e3;
-            sum += cores * step.count() * step.estimateMillis();
-        }
-        return sum;
-    }
 }
--- a/core/src/main/java/org/peridotcourse/dispatch/OrderReply.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/OrderReply.java
@@ -23,14 +23,5 @@
     /** No connection; the order was not sent. */
     NOT_SENT,
     /** No answer; the order may have been carried out, or may still be. */
-    UNANSWERED;
-
-    /**
-     * Tells whether the order certainly has no effect, now or later.
-     *
-     * @return true for refusals and orders that were not sent
-     */
-    public boolean isWithoutEffect() {
-        return this != ACCEPTED && this != UNANSWERED;
-    }
+    UNANSWERED
 }
--- a/core/src/main/java/org/peridotcourse/dispatch/Run.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/Run.java
@@ -72,10 +72,6 @@
         return stopReason != null;
     }
 
-    boolean isWanted() {
-        return stopReason == null && !unanswered;
-    }
-
     void confirm(long now) {
         if (!confirmed) {
             confirmed = true;
--- a/core/src/main/java/org/peridotcourse/dispatch/RunWatch.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/RunWatch.java
@@ -80,7 +80,7 @@
     private void moveStalled(Worker worker, long now) {
         List<Run> stalled = new ArrayList<>();
         for (Run run : worker.runs.values()) {
-            if (isStalled(run, now)) {
+            if (isStalled(run)) {
                 stalled.add(run);
             }
         }
@@ -96,7 +96,7 @@
         }
     }
 
-    private static boolean isStalled(Run run, long now) {
+    private static boolean isStalled(Run run) {
         if (!run.confirmed || run.isStopping() || run.worker.lastReportAt <= run.percentAt) {
             return false;
         }
--- a/core/src/main/java/org/peridotcourse/dispatch/TailModel.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/TailModel.java
@@ -33,7 +33,7 @@
     private static final double SEEN_SHARE = 0.6;
 
     /** Multiple of the deviation that is left free when filling tasks are planned. */
-    private static final double CAUTION = 1.4;
+    private static final double CAUTION = 1;
 
     /** Below this headroom a tail says only that it is high. */
     private static final double SATURATED = 0.1;
@@ -169,6 +169,12 @@
         return belief(image, filling).mean();
     }
 
+    /** Tells whether a pair is known to press weakly, so that any number of such tasks is borne. */
+    boolean isMild(String image, String filling) {
+        StrengthBelief belief = belief(image, filling);
+        return belief.isKnown() && belief.mean() < HARMFUL;
+    }
+
     /**
      * Returns the headroom to expect to be taken by a filling image.
      *
@@ -179,8 +185,8 @@
     }
 
     /**
-     * Returns the headroom to plan for: more than to expect while the pair is not well known,
-     * unless nobody tries it just now.
+     * Returns the headroom to plan for. The first start of a pair that is not well known counts as
+     * weak, so that the pair is tried; others count for what is to be expected until then.
      *
      * @param use the share of the worker's processor that it uses
      */
@@ -190,7 +196,7 @@
             return belief.mean() * use;
         }
         boolean tried = now - belief.triedAt() < TRIAL_MILLIS;
-        return tried ? (belief.mean() + belief.deviation()) * use : StrengthBelief.WEAK * use;
+        return (tried ? belief.mean() : StrengthBelief.WEAK) * use;
     }
 
     /** Takes note that a filling image starts beside a serving one. */
--- a/core/src/main/java/org/peridotcourse/dispatch/Task.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/Task.java
@@ -48,16 +48,6 @@
         return now - Math.max(waitingSince, step.openedAt);
     }
 
-    /** Tells whether some run is neither being stopped nor in doubt. */
-    boolean isAtWork() {
-        for (Run run : runs) {
-            if (run.isWanted()) {
-                return true;
-            }
-        }
-        return false;
-    }
-
     boolean isKnownFailure(int attempt) {
         return failedAttempts.contains(attempt);
     }
--- a/core/src/main/java/org/peridotcourse/dispatch/WorkerChoice.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/WorkerChoice.java
@@ -157,7 +157,7 @@
         double tightest = 1;
         for (Run run : worker.servingLoads()) {
             double added = state.tails.planned(FillPacing.image(run), image, use, now);
-            if (added > NEGLIGIBLE) {
+            if (added > NEGLIGIBLE && !state.tails.isMild(FillPacing.image(run), image)) {
                 double left = slack(run, now, stay) - planned(run, now) - added;
                 tightest = Math.min(tightest, left);
             }
