Move filling tasks that have been slow for a second

One that had got farther than 35 % and could not resume was never moved, so that it waited for a trough of its neighbours' load; its job was late.

--- a/core/src/main/java/org/peridotcourse/dispatch/FillPacing.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/FillPacing.java
@@ -38,7 +38,10 @@
     /** A filling task below this pace is moved if it can be. */
     private static final int MOVED_BELOW_PACE = 50;
 
-    /** A task that cannot resume is moved if it has not got farther than this. */
+    /** A filling task that is slow for this long is moved although its work is lost. */
+    private static final long SLOW_BORNE_MILLIS = 1_000;
+
+    /** A task that cannot resume is moved at once if it has not got farther than this. */
     private static final int MOVED_BELOW_PERCENT = 35;
 
     /** Tails follow the use of the processor with about this delay. */
@@ -199,7 +202,7 @@
         if (wanted < MOVED_BELOW_PACE
                 && fill.pace < MOVED_BELOW_PACE
                 && settled
-                && isMovable(fill)
+                && isMovable(fill, now)
                 && choice.choose(fill.task, now).isPresent()) {
             runs.stop(fill, StopReason.DISTURBS, now);
             return;
@@ -213,8 +216,9 @@
         }
     }
 
-    private static boolean isMovable(Run fill) {
-        return fill.spec().isCheckpointing() || fill.percent < MOVED_BELOW_PERCENT;
+    private static boolean isMovable(Run fill, long now) {
+        boolean waited = fill.slowSince > 0 && now - fill.slowSince >= SLOW_BORNE_MILLIS;
+        return fill.spec().isCheckpointing() || fill.percent < MOVED_BELOW_PERCENT || waited;
     }
 
     private void pace(Run fill, int percent, long now) {
@@ -222,6 +226,11 @@
             return;
         }
         fill.pace = percent;
+        if (percent >= MOVED_BELOW_PACE) {
+            fill.slowSince = 0;
+        } else if (fill.slowSince == 0) {
+            fill.slowSince = now;
+        }
         fill.wasPaced |= percent < FULL;
         fill.pacedAt = now;
         state.log(Decision.Kind.FILL_PACED, fill, "pace=" + percent);
--- a/core/src/main/java/org/peridotcourse/dispatch/Run.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/Run.java
@@ -43,6 +43,9 @@
 
     long pacedAt;
 
+    /** Since when a filling task is at a low pace, 0 if it is not. */
+    long slowSince;
+
     /** True if it has worked at less than full speed by an order. */
     boolean wasPaced;
 
--- a/core/src/test/java/org/peridotcourse/dispatch/DispatchOwnerTest.java
+++ b/core/src/test/java/org/peridotcourse/dispatch/DispatchOwnerTest.java
@@ -168,7 +168,7 @@
                         .build();
         world.submit(QUEUE, serving);
         world.run(500);
-        world.tail = fills -> fills > 0 ? 200 : 5;
+        world.tail = (task, spec, uses, at) -> uses.isEmpty() ? 5 : 200;
         String first = world.submit(QUEUE, filling());
         world.run(12_000);
         String second = world.submit(QUEUE, filling());
--- a/core/src/test/java/org/peridotcourse/dispatch/DispatchWorld.java
+++ b/core/src/test/java/org/peridotcourse/dispatch/DispatchWorld.java
@@ -13,7 +13,6 @@
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
-import java.util.function.LongUnaryOperator;
 import java.util.function.ToLongFunction;
 import org.peridotcourse.Resources;
 
@@ -48,8 +47,8 @@
     /** Duration of a run; the estimate by default. */
     ToLongFunction<StepSpec> work = step -> step.estimateMillis();
 
-    /** Tail of a serving task by the number of filling tasks at work beside it. */
-    LongUnaryOperator tail = fills -> 0;
+    /** Tails of serving tasks. */
+    FakeRunner.TailRule tail = (task, serving, uses, at) -> 0;
 
     long now = 1_000;
     DispatchOwner owner;
@@ -149,7 +148,7 @@
                 events.poll().action().run();
             }
             runners.values().forEach(runner -> runner.tick(now, TICK));
-            runners.values().forEach(runner -> runner.measure(tail));
+            runners.values().forEach(runner -> runner.measure(tail, now));
             step();
             check();
         }
--- a/core/src/test/java/org/peridotcourse/dispatch/FakeRunner.java
+++ b/core/src/test/java/org/peridotcourse/dispatch/FakeRunner.java
@@ -7,7 +7,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.function.LongUnaryOperator;
 import org.peridotcourse.Resources;
 
 /** A worker by the rules of the platform: leases on its own clock, fencing, refusals, ends. */
@@ -199,16 +198,35 @@
         }
     }
 
+    /** Tells the tail of response times of a serving task. */
+    interface TailRule {
+        /**
+         * Returns the tail in milliseconds.
+         *
+         * @param uses by image of the filling tasks beside it, the share of the processor in use
+         */
+        double of(TaskRef task, StepSpec serving, Map<String, Double> uses, long now);
+    }
+
     /** Sets the figures that the next report shows. */
-    void measure(LongUnaryOperator tail) {
-        long fills =
-                active.values().stream()
-                        .filter(run -> run.spec.isFilling() && run.pace > 0)
-                        .count();
+    void measure(TailRule tail, long now) {
+        Map<String, Double> uses = new HashMap<>();
         for (Active run : active.values()) {
-            double use = run.spec.need().milliCores() * run.pace / 100.0;
-            run.figure = run.spec.targetMillis() > 0 ? tail.applyAsLong(fills) : use;
+            if (run.spec.isFilling() && run.pace > 0) {
+                double use = run.spec.need().milliCores() * run.pace / 100.0;
+                run.figure = use;
+                double share = use / capacity.milliCores();
+                uses.merge(run.spec.image().orElse(""), share, Double::sum);
+            } else {
+                run.figure = 0;
+            }
         }
+        active.forEach(
+                (key, run) -> {
+                    if (run.spec.targetMillis() > 0) {
+                        run.figure = tail.of(key.task(), run.spec, uses, now);
+                    }
+                });
     }
 
     private void end(Run.Key key, EndKind kind) {
