--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/DispatchEvent.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/DispatchEvent.java
@@ -107,7 +107,7 @@
             "call.answered",
             Level.INFO,
             "A call about a job was answered; fields request, job, queue, call, answer, status, "
-                    + "config, via, millis"),
+                    + "config, via, repeats, millis"),
     /** A call was passed on. */
     CALL_FORWARDED(
             6051,
