Refuse at once while the store is known to be away

Now such a host passes calls on or refuses them, without a try of its own. The poll of the election has 0.5 s for its answer meanwhile, so that the return of a silent store is noticed within a second.

Test whileTheStoreIsSilentACallIsRefusedAtOnce: refused after 828 ms before. The read before a write while the store is away is no longer needed.

store.lost tells the time since the first failure on a host that has never reached the store.

--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/CallDesk.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/CallDesk.java
@@ -169,7 +169,8 @@
     private void carryOut(Handling handling, ClusterConfig.Route route, JobRequest request) {
         boolean needsStore = !(request instanceof JobRequest.CountPending);
         List<InetSocketAddress> others = handling.forwarded ? List.of() : candidates();
-        if (needsStore && parts.health().isAway() && !others.isEmpty()) {
+        if (needsStore && parts.health().isAway()) {
+            // A try would hold the call, and leave a job in doubt that need not be sent.
             JobDesk.Away away = new JobDesk.Away(StoreTrouble.UNREACHABLE, false);
             forward(handling, route, request, others, away);
             return;
--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/JobDesk.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/JobDesk.java
@@ -76,30 +76,6 @@
             handler.accept(new Answered(new JobAnswer.Malformed("the job is larger than a row")));
             return;
         }
-        if (parts.health().isAway()) {
-            acceptOnceReached(submit, row, handler);
-        } else {
-            store(submit, row, handler);
-        }
-    }
-
-    /** A read has no effect, so that a job is not left in doubt while the store is away. */
-    private void acceptOnceReached(
-            JobRequest.Submit submit, byte[] row, Consumer<Outcome> handler) {
-        parts.store()
-                .read(
-                        RowRange.one(Rows.PROGRESS, Rows.PART, submit.id()),
-                        TIMEOUT_MILLIS,
-                        result -> {
-                            if (result instanceof Result.Ok<RowSet>) {
-                                store(submit, row, handler);
-                            } else {
-                                handler.accept(away(result));
-                            }
-                        });
-    }
-
-    private void store(JobRequest.Submit submit, byte[] row, Consumer<Outcome> handler) {
         RowWrite write =
                 RowWrite.builder(Rows.PART)
                         .expect(Rows.JOBS, submit.id(), 0)
--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/OwnerElection.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/OwnerElection.java
@@ -30,6 +30,9 @@
     private static final long POLL_MILLIS = 350;
     private static final long TIMEOUT_MILLIS = 1_200;
 
+    /** A store that is away is asked often, so that its return is noticed within a second. */
+    private static final long AWAY_TIMEOUT_MILLIS = 500;
+
     /** Hosts that are farther from the store wait this multiple of their round trip. */
     private static final int DISTANCE_FACTOR = 10;
 
@@ -152,7 +155,7 @@
                         RowRange.MAX_ROWS);
         store.read(
                 range,
-                TIMEOUT_MILLIS,
+                health.isAway() ? AWAY_TIMEOUT_MILLIS : TIMEOUT_MILLIS,
                 result -> {
                     onPoll(result, sentAt);
                     loop.after(POLL_MILLIS, this::poll);
--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/StoreHealth.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/StoreHealth.java
@@ -59,6 +59,9 @@
         if (failures == 0) {
             firstFailureAt = now;
         }
+        if (lastOkAt == 0) {
+            lastOkAt = now;
+        }
         failures++;
         if (!away && failures >= FAILURES && now - lastOkAt >= SILENT_MILLIS) {
             away = true;
