--- a/core/src/main/java/org/peridotcourse/dispatch/TailModel.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/TailModel.java
@@ -56,9 +56,16 @@
     /** Outliers keep this weight, so that a load that has really changed is learned. */
     private static final double LEAST_WEIGHT = 0.03;
 
+    /** Share of the processor from which a reading tells something of a pair. */
     private static final double LEAST_USE = 0.005;
+
+    /** Weight of a job's mean for the mean that is expected of its image. */
     private static final double IMAGE_WEIGHT = 0.02;
+
+    /** Time between two choices of the period, which takes one fit for each job and period. */
     private static final long CHOICE_MILLIS = 1_000;
+
+    /** Headrooms are foreseen in steps of this length, a small part of the shortest period. */
     private static final long STEP_MILLIS = 250;
 
     /** Filling tasks are planned for 5 s ahead at most. */
@@ -113,7 +120,7 @@
             return Math.max(LEAST_DEVIATION, Math.sqrt(variance));
         }
 
-        /** Returns what is certainly left during some time from now. */
+        /** Returns the least headroom during some time from now, less a margin. */
         double leastHeadroom(int chosen, long now, long forMillis) {
             if (now - foreseenAt >= STEP_MILLIS || foreseenAt == 0) {
                 foreseenAt = now;
@@ -232,6 +239,8 @@
     /**
      * Takes a report of a serving task.
      *
+     * @param key names the load that the tasks of its step share
+     * @param image what the task runs
      * @param targetMillis the bound of its tail
      * @param tailMillis the tail of its response times
      * @param uses by filling image beside it, the share of the worker's processor in use
--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/OwnerElection.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/OwnerElection.java
@@ -123,6 +123,7 @@
         RowWrite write = ownerWrite(held.commit(), row).build();
         holder = Optional.empty();
         listener.onLost("released");
+        // A lost release only costs the successor the lease.
         store.write(write, TIMEOUT_MILLIS, outcome -> {});
         challenger = new LeaseChallenger(directory.holderName(), MARGIN_MILLIS);
     }
