Read addresses and shares of a worker in one place

The share of a worker's processor was computed in six places, the row of one key was looked for in three. CallDesk passed the route and the request of a call through every step.

Now HostPort, Worker.share and RowSet.row serve all of them, Run tells its image and load, and a call keeps its route and request. Shares in StrengthBelief are local to their update.

--- a/core/src/main/java/org/peridotcourse/dispatch/FillPacing.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/FillPacing.java
@@ -70,7 +70,7 @@
         for (Run run : worker.runs.values()) {
             if (run.spec().isFilling() && run.confirmed && !run.isStopping()) {
                 fills.add(run);
-            } else if (run.spec().targetMillis() > 0 && run.percent > 0) {
+            } else if (run.isServing() && run.percent > 0) {
                 serving.add(run);
             }
         }
@@ -94,10 +94,9 @@
 
     /** Follows the use of the processor by image, delayed as its effect on tails is. */
     private static void followUse(Worker worker, List<Run> fills, long now) {
-        double capacity = Math.max(1, worker.info.capacity().milliCores());
         Map<String, Double> present = new HashMap<>();
         for (Run fill : fills) {
-            present.merge(image(fill), fill.figure / capacity, Double::sum);
+            present.merge(fill.image(), worker.share(fill.figure), Double::sum);
         }
         double weight = 1 - Math.exp((worker.fillUsesAt - now) / USE_DELAY_MILLIS);
         worker.fillUsesAt = now;
@@ -107,15 +106,6 @@
         worker.fillUses.values().removeIf(use -> use < NO_USE);
     }
 
-    static String image(Run run) {
-        return run.spec().image().orElse("");
-    }
-
-    /** Names the load that the tasks of a step share. */
-    static String loadOf(Run run) {
-        return run.task.step.load;
-    }
-
     private void noteBound(Run run, List<Run> fills, long now) {
         if (run.figure < OVER * run.spec().targetMillis()) {
             run.overSince = 0;
@@ -123,8 +113,8 @@
             run.overSince = now;
             StringBuilder beside = new StringBuilder();
             for (Run fill : fills) {
-                double strength = state.tails.strength(image(run), image(fill));
-                beside.append(beside.length() == 0 ? "" : ",").append(image(fill));
+                double strength = state.tails.strength(run.image(), fill.image());
+                beside.append(beside.length() == 0 ? "" : ",").append(fill.image());
                 beside.append(':').append(fill.spec().need().milliCores());
                 beside.append(':')
                         .append(fill.pace)
@@ -136,7 +126,7 @@
                     Decision.Kind.SERVING_SLOW,
                     run,
                     "image="
-                            + image(run)
+                            + run.image()
                             + " tail="
                             + Math.round(run.figure)
                             + " bound="
@@ -154,8 +144,8 @@
         }
         run.sampledAt = now;
         state.tails.observe(
-                loadOf(run),
-                image(run),
+                run.load(),
+                run.image(),
                 run.spec().targetMillis(),
                 run.figure,
                 run.worker.fillUses,
@@ -187,14 +177,13 @@
     }
 
     private boolean isHarmful(Run run, Run fill) {
-        return state.tails.strength(image(run), image(fill)) >= TailModel.HARMFUL;
+        return state.tails.strength(run.image(), fill.image()) >= TailModel.HARMFUL;
     }
 
     /** The headroom that a filling task takes from a serving one at full pace. */
     private double full(Run run, Run fill) {
-        double capacity = Math.max(1, run.worker.info.capacity().milliCores());
-        double use = fill.spec().need().milliCores() / capacity;
-        return state.tails.added(image(run), image(fill), use);
+        double use = run.worker.share(fill.spec().need().milliCores());
+        return state.tails.added(run.image(), fill.image(), use);
     }
 
     private void apply(Run fill, int wanted, long now) {
--- a/core/src/main/java/org/peridotcourse/dispatch/Run.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/Run.java
@@ -71,6 +71,21 @@
         return task.step.spec;
     }
 
+    /** What the task runs, empty if its step does not tell. */
+    String image() {
+        return spec().image().orElse("");
+    }
+
+    /** Names the load that the tasks of a step share. */
+    String load() {
+        return task.step.load;
+    }
+
+    /** Tells whether the task serves users of its own and has a bound for its response times. */
+    boolean isServing() {
+        return spec().targetMillis() > 0;
+    }
+
     boolean isStopping() {
         return stopReason != null;
     }
--- a/core/src/main/java/org/peridotcourse/dispatch/RunBook.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/RunBook.java
@@ -41,7 +41,7 @@
         StepSpec spec = task.step.spec;
         if (spec.isFilling()) {
             for (Run serving : worker.servingLoads()) {
-                state.tails.onStart(FillPacing.image(serving), FillPacing.image(run), now);
+                state.tails.onStart(serving.image(), run.image(), now);
             }
         }
         String checkpoint = spec.isCheckpointing() ? task.checkpoint : "";
--- a/core/src/main/java/org/peridotcourse/dispatch/StrengthBelief.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/StrengthBelief.java
@@ -25,7 +25,6 @@
     private static final double UNKNOWN_SHARE = 0.8;
 
     private final double[] evidence = new double[STRENGTHS.length];
-    private final double[] shares = PRIOR.clone();
     private double mean;
     private double deviation;
     private long at;
@@ -82,6 +81,7 @@
     }
 
     private void update() {
+        double[] shares = new double[STRENGTHS.length];
         double sum = 0;
         for (int i = 0; i < STRENGTHS.length; i++) {
             shares[i] = PRIOR[i] * Math.exp(evidence[i]);
--- a/core/src/main/java/org/peridotcourse/dispatch/Worker.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/Worker.java
@@ -84,6 +84,11 @@
         return hasClock;
     }
 
+    /** The share of the processor that an amount of it is. */
+    double share(double milliCores) {
+        return milliCores / Math.max(1, info.capacity().milliCores());
+    }
+
     boolean fits(StepSpec step) {
         return used.plus(step.reserved()).isWithin(info.capacity());
     }
@@ -100,8 +105,8 @@
         runs.put(run.key(), run);
         used = used.plus(run.spec().reserved());
         count(run, 1);
-        if (run.spec().targetMillis() > 0) {
-            servingLoads.putIfAbsent(FillPacing.loadOf(run), run);
+        if (run.isServing()) {
+            servingLoads.putIfAbsent(run.load(), run);
         }
     }
 
@@ -112,14 +117,14 @@
         changes++;
         used = used.minus(run.spec().reserved());
         count(run, -1);
-        if (servingLoads.remove(FillPacing.loadOf(run), run)) {
-            findServing(FillPacing.loadOf(run));
+        if (servingLoads.remove(run.load(), run)) {
+            findServing(run.load());
         }
     }
 
     private void findServing(String load) {
         for (Run other : runs.values()) {
-            if (other.spec().targetMillis() > 0 && FillPacing.loadOf(other).equals(load)) {
+            if (other.isServing() && other.load().equals(load)) {
                 servingLoads.put(load, other);
                 return;
             }
@@ -171,7 +176,7 @@
     int sensitiveRuns() {
         int count = 0;
         for (Run run : runs.values()) {
-            if (run.spec().targetMillis() > 0) {
+            if (run.isServing()) {
                 count++;
             }
         }
--- a/core/src/main/java/org/peridotcourse/dispatch/WorkerChoice.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/WorkerChoice.java
@@ -150,14 +150,13 @@
     }
 
     private double findTightest(Worker worker, StepSpec filling, long now) {
-        double capacity = Math.max(1, worker.info.capacity().milliCores());
-        double use = filling.need().milliCores() / capacity;
+        double use = worker.share(filling.need().milliCores());
         String image = filling.image().orElse("");
         long stay = filling.estimateMillis() + STAY_MARGIN_MILLIS;
         double tightest = 1;
         for (Run run : worker.servingLoads()) {
-            double added = state.tails.planned(FillPacing.image(run), image, use, now);
-            if (added > NEGLIGIBLE && !state.tails.isMild(FillPacing.image(run), image)) {
+            double added = state.tails.planned(run.image(), image, use, now);
+            if (added > NEGLIGIBLE && !state.tails.isMild(run.image(), image)) {
                 double left = slack(run, now, stay) - planned(run, now) - added;
                 tightest = Math.min(tightest, left);
             }
@@ -167,21 +166,17 @@
 
     /** Headroom of a serving task that filling tasks may take for some time. */
     double slack(Run run, long now, long forMillis) {
-        String image = FillPacing.image(run);
         return state.tails.slack(
-                FillPacing.loadOf(run), image, run.spec().targetMillis(), now, forMillis);
+                run.load(), run.image(), run.spec().targetMillis(), now, forMillis);
     }
 
     /** Headroom that the filling tasks beside a serving one may take at full pace. */
     private double planned(Run run, long now) {
-        double capacity = Math.max(1, run.worker.info.capacity().milliCores());
         double sum = 0;
         for (Run other : run.worker.runs.values()) {
             if (other.spec().isFilling()) {
-                double use = other.spec().need().milliCores() / capacity;
-                sum +=
-                        state.tails.planned(
-                                FillPacing.image(run), FillPacing.image(other), use, now);
+                double use = run.worker.share(other.spec().need().milliCores());
+                sum += state.tails.planned(run.image(), other.image(), use, now);
             }
         }
         return sum;
@@ -226,9 +221,8 @@
 
     /** Tasks spread evenly, but for serving ones, which share workers by image. */
     private double load(Worker worker, StepSpec spec, long now) {
-        double capacity = Math.max(1, worker.info.capacity().milliCores());
         double wanted = worker.used().milliCores() + worker.fillMilliCores;
-        double load = (wanted + spec.need().milliCores()) / capacity;
+        double load = worker.share(wanted + spec.need().milliCores());
         if (spec.isFilling()) {
             return load - TIGHTNESS_COST * Math.min(0.5, tightest(worker, spec, now));
         }
@@ -241,17 +235,16 @@
      */
     private double company(Worker worker, StepSpec spec) {
         String image = spec.image().orElse("");
-        double capacity = Math.max(1, worker.info.capacity().milliCores());
         boolean served = false;
         boolean other = false;
         double pressure = 0;
         for (Run run : worker.runs.values()) {
-            if (run.spec().targetMillis() > 0) {
+            if (run.isServing()) {
                 served = true;
-                other |= !FillPacing.image(run).equals(image);
+                other |= !run.image().equals(image);
             } else if (run.spec().isFilling()) {
-                double use = run.spec().need().milliCores() / capacity;
-                pressure += state.tails.added(image, FillPacing.image(run), use);
+                double use = worker.share(run.spec().need().milliCores());
+                pressure += state.tails.added(image, run.image(), use);
             }
         }
         return (served ? 0 : NEW_SENSITIVE_COST) + (other ? OTHER_IMAGE_COST : 0) + pressure;
--- a/daemon/src/main/java/org/peridotcourse/daemon/RoutingFeed.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/RoutingFeed.java
@@ -21,6 +21,7 @@
 import org.peridotcourse.daemon.control.SnapshotHolder;
 import org.peridotcourse.daemon.entry.EntryView;
 import org.peridotcourse.daemon.entry.RouterDuty;
+import org.peridotcourse.daemon.http.HostPort;
 import org.peridotcourse.membership.Host;
 import org.peridotcourse.membership.Peer;
 import org.peridotcourse.routing.BackendInfo;
@@ -67,7 +68,7 @@
         List<BackendInfo> infos = new ArrayList<>();
         Map<BackendId, InetSocketAddress> known = new HashMap<>();
         for (Host host : membership.backends()) {
-            Optional<InetSocketAddress> address = toAddress(host.address());
+            Optional<InetSocketAddress> address = HostPort.parse(host.address());
             if (address.isEmpty() || host.serving().isEmpty()) {
                 continue;
             }
@@ -142,15 +143,4 @@
                         .count();
         return new EntryHosts(membership.entryHosts(), (int) before);
     }
-
-    private static Optional<InetSocketAddress> toAddress(String text) {
-        int colon = text.lastIndexOf(':');
-        if (colon <= 0 || !text.substring(colon + 1).matches("[0-9]{1,5}")) {
-            return Optional.empty();
-        }
-        int port = Integer.parseInt(text.substring(colon + 1));
-        return port <= 65_535
-                ? Optional.of(new InetSocketAddress(text.substring(0, colon), port))
-                : Optional.empty();
-    }
 }
--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/CallDesk.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/CallDesk.java
@@ -71,6 +71,13 @@
         final long since = loop.now();
         final boolean forwarded;
         final long settleUntil;
+
+        /** Set once the call is understood. */
+        ClusterConfig.Route route;
+
+        /** Set once the call is understood. */
+        JobRequest request;
+
         String queue = "";
         String job = "";
         String kind = "";
@@ -151,8 +158,10 @@
             handling.answer(new JobAnswer.Malformed(request.failure().orElseThrow().message()));
             return;
         }
+        handling.route = route.get();
+        handling.request = ok.value();
         name(handling, ok.value());
-        carryOut(handling, route.get(), ok.value());
+        carryOut(handling);
     }
 
     private static void name(Handling handling, JobRequest request) {
@@ -166,24 +175,24 @@
         }
     }
 
-    private void carryOut(Handling handling, ClusterConfig.Route route, JobRequest request) {
-        boolean needsStore = !(request instanceof JobRequest.CountPending);
+    private void carryOut(Handling handling) {
+        boolean needsStore = !(handling.request instanceof JobRequest.CountPending);
         List<InetSocketAddress> others = handling.forwarded ? List.of() : candidates();
         if (needsStore && parts.health().isAway()) {
             // A try would hold the call, and leave a job in doubt that need not be sent.
             JobDesk.Away away = new JobDesk.Away(StoreTrouble.UNREACHABLE, false);
-            forward(handling, route, request, others, away);
+            forward(handling, others, away);
             return;
         }
         jobs.handle(
-                route,
-                request,
+                handling.route,
+                handling.request,
                 outcome -> {
                     if (outcome instanceof JobDesk.Answered answered) {
                         handling.answer(answered.answer());
                     } else {
                         handling.inDoubt |= ((JobDesk.Away) outcome).mayHaveEffect();
-                        forward(handling, route, request, others, (JobDesk.Away) outcome);
+                        forward(handling, others, (JobDesk.Away) outcome);
                     }
                 });
     }
@@ -204,19 +213,14 @@
         return chosen;
     }
 
-    private void forward(
-            Handling handling,
-            ClusterConfig.Route route,
-            JobRequest request,
-            List<InetSocketAddress> others,
-            JobDesk.Away away) {
+    private void forward(Handling handling, List<InetSocketAddress> others, JobDesk.Away away) {
         if (others.isEmpty()) {
-            giveUpOrRepeat(handling, route, request, away);
+            giveUpOrRepeat(handling, away);
             return;
         }
         InetSocketAddress peer = others.get(0);
         List<InetSocketAddress> rest = others.subList(1, others.size());
-        Runnable next = () -> forward(handling, route, request, rest, away);
+        Runnable next = () -> forward(handling, rest, away);
         handling.via = peer.getHostString();
         parts.log()
                 .event(DispatchEvent.CALL_FORWARDED)
@@ -255,14 +259,13 @@
     }
 
     /** A call that may have taken effect is repeated, which the store makes harmless. */
-    private void giveUpOrRepeat(
-            Handling handling, ClusterConfig.Route route, JobRequest request, JobDesk.Away away) {
+    private void giveUpOrRepeat(Handling handling, JobDesk.Away away) {
         if (!handling.maySettle()) {
             handling.answer(new JobDesk.Away(away.trouble(), handling.inDoubt).toAnswer());
             return;
         }
         handling.via = "store";
         handling.repeats++;
-        loop.after(SETTLE_PAUSE_MILLIS, () -> carryOut(handling, route, request));
+        loop.after(SETTLE_PAUSE_MILLIS, () -> carryOut(handling));
     }
 }
--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/EarlierOwners.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/EarlierOwners.java
@@ -71,19 +71,19 @@
             loop.after(PERIOD_MILLIS, this::read);
             return;
         }
-        for (StoredRow row : ok.value().rows()) {
-            if (row.key().equals(Rows.EARLIER_KEY)) {
-                Result<List<String>> names = RowCodec.names(row.value());
-                names.toOptional().ifPresent(open::addAll);
-                names.failure().ifPresent(why -> RowLog.refused(parts.log(), row, why));
-            }
-        }
+        ok.value().row(Rows.EARLIER_KEY).ifPresent(this::addEarlier);
         open.remove(directory.holderName());
         read = true;
         write();
         ask();
     }
 
+    private void addEarlier(StoredRow row) {
+        Result<List<String>> names = RowCodec.names(row.value());
+        names.toOptional().ifPresent(open::addAll);
+        names.failure().ifPresent(why -> RowLog.refused(parts.log(), row, why));
+    }
+
     private void ask() {
         if (stopped) {
             return;
--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/HostDirectory.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/HostDirectory.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import org.peridotcourse.Result;
+import org.peridotcourse.daemon.http.HostPort;
 import org.peridotcourse.daemon.log.EventLog;
 import org.peridotcourse.daemon.ring.EventLoop;
 
@@ -106,14 +107,7 @@
     }
 
     private static Optional<InetSocketAddress> address(RowCodec.Host host) {
-        int colon = host.address().lastIndexOf(':');
-        OptionalLong port =
-                colon < 0 ? OptionalLong.empty() : parse(host.address().substring(colon + 1));
-        return port.isEmpty()
-                ? Optional.empty()
-                : Optional.of(
-                        new InetSocketAddress(
-                                host.address().substring(0, colon), (int) port.getAsLong()));
+        return HostPort.parse(host.address());
     }
 
     private void register() {
--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/JobDesk.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/JobDesk.java
@@ -118,8 +118,7 @@
         if (!(result instanceof Result.Ok<RowSet> ok)) {
             return away(result);
         }
-        Optional<StoredRow> row =
-                ok.value().rows().stream().filter(one -> one.key().equals(id)).findFirst();
+        Optional<StoredRow> row = ok.value().row(id);
         if (row.isEmpty()) {
             return new Answered(new JobAnswer.Unknown());
         }
@@ -139,10 +138,7 @@
                                 handler.accept(away(result));
                                 return;
                             }
-                            Optional<StoredRow> row =
-                                    ok.value().rows().stream()
-                                            .filter(one -> one.key().equals(id))
-                                            .findFirst();
+                            Optional<StoredRow> row = ok.value().row(id);
                             if (row.isPresent()) {
                                 writeCancel(id, row.get().version(), handler);
                             } else {
--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/RowSet.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/RowSet.java
@@ -1,6 +1,7 @@
 package org.peridotcourse.daemon.dispatch;
 
 import java.util.List;
+import java.util.Optional;
 
 /**
  * Rows that one read returned.
@@ -11,4 +12,14 @@
  * @param more true if further rows follow
  * @param version the newest version that the read saw
  */
-public record RowSet(List<StoredRow> rows, boolean more, long version) {}
+public record RowSet(List<StoredRow> rows, boolean more, long version) {
+    /**
+     * Returns the row with a key.
+     *
+     * @param key the key
+     * @return the row, or empty if the read did not return it
+     */
+    public Optional<StoredRow> row(String key) {
+        return rows.stream().filter(row -> row.key().equals(key)).findFirst();
+    }
+}
--- a/daemon/src/main/java/org/peridotcourse/daemon/placement/WorkerDirectory.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/placement/WorkerDirectory.java
@@ -5,10 +5,10 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import org.peridotcourse.DataCentreId;
 import org.peridotcourse.Result;
 import org.peridotcourse.WorkerId;
+import org.peridotcourse.daemon.http.HostPort;
 import org.peridotcourse.daemon.platform.HostSource;
 import org.peridotcourse.membership.Host;
 import org.peridotcourse.membership.HostList;
@@ -65,19 +65,10 @@
         Map<WorkerId, InetSocketAddress> addresses = new HashMap<>();
         for (Host host : workers) {
             if (host.dataCentre().equals(dataCentre)) {
-                address(host).ifPresent(at -> addresses.put(WorkerId.of(host.name()), at));
+                HostPort.parse(host.address())
+                        .ifPresent(at -> addresses.put(WorkerId.of(host.name()), at));
             }
         }
         return addresses;
     }
-
-    private static Optional<InetSocketAddress> address(Host host) {
-        int colon = host.address().lastIndexOf(':');
-        try {
-            int port = Integer.parseInt(host.address().substring(colon + 1));
-            return Optional.of(new InetSocketAddress(host.address().substring(0, colon), port));
-        } catch (IllegalArgumentException | StringIndexOutOfBoundsException malformed) {
-            return Optional.empty();
-        }
-    }
 }
