--- a/core/src/main/java/org/peridotcourse/dispatch/DispatchOwner.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/DispatchOwner.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.function.Predicate;
 
 /**
  * Decides for one ownership where and when tasks run.
@@ -384,12 +385,14 @@
     /**
      * Returns what must be stored.
      *
+     * @param limit the largest number of jobs
+     * @param leftOut tells which jobs wait for a later batch
      * @param now the present time
      * @param wallNow the present wall-clock time
      * @return the batch, possibly empty
      */
-    public RecordBatch takeChanges(long now, long wallNow) {
-        return jobs.takeChanges(now, wallNow);
+    public RecordBatch takeChanges(int limit, Predicate<String> leftOut, long now, long wallNow) {
+        return jobs.takeChanges(limit, leftOut, now, wallNow);
     }
 
     /**
--- a/core/src/main/java/org/peridotcourse/dispatch/Job.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/Job.java
@@ -1,8 +1,10 @@
 package org.peridotcourse.dispatch;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 
 /** A job that has not ended, with its progress. Confined to one thread. */
 final class Job {
@@ -26,6 +28,9 @@
     /** True while the stored record is older than this state. */
     boolean changed;
 
+    /** Workers whose ends changed this job since it was last taken to be stored. */
+    final Set<String> unstoredEnds = new HashSet<>();
+
     long endedAt;
 
     private final int attemptFloor;
--- a/core/src/main/java/org/peridotcourse/dispatch/JobBook.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/JobBook.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Predicate;
 
 /** Takes jobs in, ends them and keeps track of what must be stored. Confined to one thread. */
 final class JobBook {
@@ -154,33 +155,45 @@
         }
     }
 
-    /** Returns what has changed since the last call. */
-    RecordBatch takeChanges(long now, long wallNow) {
+    /**
+     * Returns what has changed since the last call. Ends of a worker are acknowledged with the
+     * batch only if no job that they changed is left out.
+     *
+     * @param leftOut tells which jobs wait for a later batch
+     */
+    RecordBatch takeChanges(int limit, Predicate<String> leftOut, long now, long wallNow) {
         List<RecordBatch.Change> changes = new ArrayList<>();
+        Set<String> waiting = new HashSet<>();
         for (Job job : state.jobs.values()) {
-            if (job.changed && changes.size() < RecordBatch.MAX_JOBS) {
-                job.changed = false;
-                long endedAt = job.isActive() ? 0 : wallNow - (now - job.endedAt);
-                boolean keepTasks = job.isActive();
-                changes.add(
-                        new RecordBatch.Change(
-                                job.id,
-                                new JobRecord(
-                                        job.state,
-                                        endedAt,
-                                        keepTasks ? job.taskRecords() : List.of())));
+            if (!job.changed) {
+                continue;
+            }
+            if (changes.size() < limit && !leftOut.test(job.id)) {
+                changes.add(take(job, now, wallNow));
+            } else {
+                waiting.addAll(job.unstoredEnds);
             }
         }
         Map<String, RecordBatch.Cursor> cursors = new HashMap<>();
-        boolean whole = changes.size() < RecordBatch.MAX_JOBS;
         for (Worker worker : state.workers.values()) {
-            if (whole && worker.seenEnd > worker.storedEnd) {
+            if (worker.seenEnd > worker.storedEnd && !waiting.contains(worker.id)) {
                 cursors.put(worker.id, new RecordBatch.Cursor(worker.life, worker.seenEnd));
             }
         }
         return new RecordBatch(changes, cursors);
     }
 
+    private static RecordBatch.Change take(Job job, long now, long wallNow) {
+        long endedAt = job.isActive() ? 0 : wallNow - (now - job.endedAt);
+        List<JobRecord.TaskRecord> tasks = job.isActive() ? job.taskRecords() : List.of();
+        RecordBatch.Change change =
+                new RecordBatch.Change(
+                        job.id, new JobRecord(job.state, endedAt, tasks), job.unstoredEnds);
+        job.changed = false;
+        job.unstoredEnds.clear();
+        return change;
+    }
+
     /** Takes note that a batch is stored. */
     void onStored(RecordBatch batch) {
         batch.cursors()
@@ -206,6 +219,7 @@
             Job job = state.jobs.get(change.job());
             if (job != null) {
                 job.changed = true;
+                job.unstoredEnds.addAll(change.workers());
             }
         }
     }
--- a/core/src/main/java/org/peridotcourse/dispatch/JobRecord.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/JobRecord.java
@@ -1,5 +1,6 @@
 package org.peridotcourse.dispatch;
 
+import java.util.ArrayList;
 import java.util.List;
 
 /**
@@ -26,6 +27,28 @@
         tasks = List.copyOf(tasks);
     }
 
+    /**
+     * Returns this record without checkpoints, so that tasks begin anew.
+     *
+     * @return what is done and what has failed
+     */
+    public JobRecord withoutCheckpoints() {
+        List<TaskRecord> shorter = new ArrayList<>();
+        for (TaskRecord task : tasks) {
+            if (task.done() || !task.failedAttempts().isEmpty()) {
+                shorter.add(
+                        new TaskRecord(
+                                task.occurrence(),
+                                task.step(),
+                                task.index(),
+                                task.done(),
+                                task.failedAttempts(),
+                                ""));
+            }
+        }
+        return new JobRecord(state, endedAtMillis, shorter);
+    }
+
     /**
      * The stored progress of one task.
      *
--- a/core/src/main/java/org/peridotcourse/dispatch/RecordBatch.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/RecordBatch.java
@@ -1,7 +1,9 @@
 package org.peridotcourse.dispatch;
 
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * Changes that must be stored together before the ends behind them are acknowledged.
@@ -31,8 +33,20 @@
      *
      * @param job the id of the job
      * @param record its progress
+     * @param workers the workers whose ends are part of it and were not stored before
      */
-    public record Change(String job, JobRecord record) {}
+    public record Change(String job, JobRecord record, Set<String> workers) {
+        /**
+         * Copies the set.
+         *
+         * @param job the id of the job
+         * @param record its progress
+         * @param workers the workers whose ends are part of it
+         */
+        public Change {
+            workers = Set.copyOf(workers);
+        }
+    }
 
     /**
      * The last end of a worker that a batch covers.
@@ -42,6 +56,29 @@
      */
     public record Cursor(long life, long end) {}
 
+    /**
+     * Returns the first changes, with the ends that depend on no other change.
+     *
+     * @param count the number of changes
+     * @return the beginning of this batch
+     */
+    public RecordBatch head(int count) {
+        Map<String, Cursor> free = new HashMap<>(cursors);
+        changes.subList(count, changes.size())
+                .forEach(change -> free.keySet().removeAll(change.workers()));
+        return new RecordBatch(changes.subList(0, count), free);
+    }
+
+    /**
+     * Returns what {@link #head} leaves out.
+     *
+     * @param count the number of changes that are left out
+     * @return the rest, which acknowledges no end by itself
+     */
+    public RecordBatch tail(int count) {
+        return new RecordBatch(changes.subList(count, changes.size()), Map.of());
+    }
+
     /**
      * Tells whether nothing is to be stored or acknowledged.
      *
--- a/core/src/main/java/org/peridotcourse/dispatch/ReportReader.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/ReportReader.java
@@ -112,7 +112,12 @@
                                     worker,
                                     "kind=" + ended.kind() + " of=earlier");
                             runs.apply(
-                                    task, ended.attempt(), ended.kind(), ended.checkpoint(), now);
+                                    task,
+                                    ended.attempt(),
+                                    worker,
+                                    ended.kind(),
+                                    ended.checkpoint(),
+                                    now);
                         });
     }
 
--- a/core/src/main/java/org/peridotcourse/dispatch/RunBook.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/RunBook.java
@@ -219,7 +219,7 @@
         } else if (kind == EndKind.FAILED) {
             onFailed(run, now);
         }
-        apply(run.task, run.attempt, kind, checkpoint, now);
+        apply(run.task, run.attempt, run.worker, kind, checkpoint, now);
     }
 
     private void onFailed(Run run, long now) {
@@ -253,8 +253,9 @@
     }
 
     /** Applies the end of a run to its task; repeats have no further effect. */
-    void apply(Task task, int attempt, EndKind kind, String checkpoint, long now) {
+    void apply(Task task, int attempt, Worker worker, EndKind kind, String checkpoint, long now) {
         Job job = task.job();
+        job.unstoredEnds.add(worker.id);
         task.lastAttempt = Math.max(task.lastAttempt, attempt);
         begin(job);
         if (task.done) {
--- a/core/src/test/java/org/peridotcourse/dispatch/DispatchWorld.java
+++ b/core/src/test/java/org/peridotcourse/dispatch/DispatchWorld.java
@@ -293,7 +293,7 @@
         if (storing || storeAway) {
             return;
         }
-        RecordBatch batch = acting.takeChanges(now, WALL + now);
+        RecordBatch batch = acting.takeChanges(RecordBatch.MAX_JOBS, job -> false, now, WALL + now);
         if (batch.isEmpty()) {
             return;
         }
--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/DispatchEvent.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/DispatchEvent.java
@@ -101,6 +101,27 @@
             "progress.delayed",
             Level.WARNING,
             "Progress of jobs could not be stored yet; fields jobs, reason, epoch"),
+    /** The store refuses the record of a job. */
+    RECORD_REFUSED(
+            6043,
+            "progress.refused",
+            Level.ERROR,
+            "The store refuses the record of one job as wrong, which is tried again while other "
+                    + "jobs go on; fields job, bytes, epoch"),
+    /** The record of a job is longer than a row. */
+    RECORD_SHORTENED(
+            6045,
+            "progress.shortened",
+            Level.WARNING,
+            "The record of a job is longer than a row and was stored without checkpoints; fields "
+                    + "job, bytes, stored"),
+    /** Rows beside the progress could not be written. */
+    ROW_NOT_WRITTEN(
+            6044,
+            "row.delayed",
+            Level.WARNING,
+            "Rows of the owner other than progress could not be written yet; fields rows, reason, "
+                    + "epoch"),
     /** A call was answered. */
     CALL_ANSWERED(
             6050,
--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/DispatchHost.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/DispatchHost.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
@@ -110,6 +111,11 @@
 
     /** Begins and ends duties with the ownership. */
     private final class Ownership implements OwnerElection.Listener {
+        @Override
+        public Optional<PendingCounts> counts() {
+            return duty.flatMap(OwnerDuty::pending);
+        }
+
         @Override
         public void onTaken(
                 long epoch, long epochVersion, long earlierOrdersUntil, Optional<String> before) {
@@ -263,9 +269,10 @@
         duty.ifPresent(OwnerDuty::onConfig);
     }
 
-    private int pendingOf(String queue) {
-        Map<String, Integer> counts = duty.flatMap(OwnerDuty::pending).orElseGet(election::pending);
-        return counts.getOrDefault(queue, 0);
+    private OptionalInt pendingOf(String queue) {
+        Optional<PendingCounts> counts =
+                duty.flatMap(OwnerDuty::pending).or(() -> election.counts(loop.now()));
+        return counts.map(known -> OptionalInt.of(known.of(queue))).orElseGet(OptionalInt::empty);
     }
 
     /** A host that has become slow is a bad owner. */
--- /dev/null
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/FleetRecord.java
@@ -0,0 +1,80 @@
+package org.peridotcourse.daemon.dispatch;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.peridotcourse.dispatch.WorkerInfo;
+
+/**
+ * Keeps a row for each worker that may run tasks of this owner, so that a successor asks also those
+ * that are no longer listed. Only differences are written. Confined to the loop.
+ */
+final class FleetRecord {
+    /** Rows of one write, well below the store's bound for a transaction. */
+    private static final int ROWS_PER_WRITE = 90;
+
+    /** Pause between writes, so that workers which come and go cost little. */
+    private static final long PERIOD_MILLIS = 300;
+
+    private final GuardedWriter writer;
+
+    /** Addresses and births by id, as stored. */
+    private final Map<String, Place> stored = new HashMap<>();
+
+    private long writtenAt;
+
+    /** What must be known of a worker to call it. */
+    private record Place(String address, long bornMillis) {
+        static Place of(WorkerInfo worker) {
+            return new Place(worker.address(), worker.bornMillis());
+        }
+    }
+
+    FleetRecord(GuardedWriter writer) {
+        this.writer = writer;
+    }
+
+    /** Takes a row that an earlier owner left. */
+    void onRead(WorkerInfo worker) {
+        stored.put(worker.id(), Place.of(worker));
+    }
+
+    /** Writes some of the differences; true if a write was sent. */
+    boolean step(List<WorkerInfo> fleet, long now) {
+        if (now - writtenAt < PERIOD_MILLIS) {
+            return false;
+        }
+        List<WorkerInfo> changed = new ArrayList<>();
+        Set<String> present = new HashSet<>();
+        for (WorkerInfo worker : fleet) {
+            present.add(worker.id());
+            boolean differs = !Place.of(worker).equals(stored.get(worker.id()));
+            if (differs && changed.size() < ROWS_PER_WRITE) {
+                changed.add(worker);
+            }
+        }
+        List<String> gone = new ArrayList<>();
+        for (String id : stored.keySet()) {
+            if (!present.contains(id) && changed.size() + gone.size() < ROWS_PER_WRITE) {
+                gone.add(id);
+            }
+        }
+        if (changed.isEmpty() && gone.isEmpty()) {
+            return false;
+        }
+        writtenAt = now;
+        RowWrite.Builder write = writer.begin();
+        changed.forEach(worker -> write.put(Rows.FLEET, worker.id(), RowCodec.worker(worker)));
+        gone.forEach(id -> write.delete(Rows.FLEET, id));
+        writer.send("fleet", write.build(), () -> confirm(changed, gone));
+        return true;
+    }
+
+    private void confirm(List<WorkerInfo> changed, List<String> gone) {
+        changed.forEach(worker -> stored.put(worker.id(), Place.of(worker)));
+        gone.forEach(stored::remove);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/GuardedWriter.java
@@ -0,0 +1,86 @@
+package org.peridotcourse.daemon.dispatch;
+
+import java.util.function.Consumer;
+import org.peridotcourse.daemon.log.EventLog;
+
+/**
+ * Writes rows of an owner that may be repeated without harm, one write at a time, each under the
+ * condition that no later owner exists. Confined to the loop.
+ */
+final class GuardedWriter {
+    private static final long TIMEOUT_MILLIS = 1_200;
+    private static final long RETRY_MILLIS = 60;
+
+    /** Pause after a write that the store refuses as wrong, which the next try hardly mends. */
+    private static final long REFUSED_PAUSE_MILLIS = 2_000;
+
+    private final HostParts parts;
+    private final EventLog log;
+    private final long epoch;
+    private final long epochVersion;
+    private final Consumer<String> deposed;
+
+    private boolean writing;
+    private boolean stopped;
+    private long notBefore;
+
+    GuardedWriter(HostParts parts, long epoch, long epochVersion, Consumer<String> deposed) {
+        this.parts = parts;
+        this.log = parts.log();
+        this.epoch = epoch;
+        this.epochVersion = epochVersion;
+        this.deposed = deposed;
+    }
+
+    void stop() {
+        stopped = true;
+    }
+
+    /** Tells whether a write may be sent now. */
+    boolean isIdle(long now) {
+        return !writing && !stopped && now >= notBefore;
+    }
+
+    /** Returns a write that takes effect only while no later owner exists. */
+    RowWrite.Builder begin() {
+        return RowWrite.builder(Rows.PART).expect(Rows.DUTIES, Rows.EPOCH_KEY, epochVersion);
+    }
+
+    /**
+     * Sends a write.
+     *
+     * @param what names the write in the log
+     * @param write the write
+     * @param done runs once the write took effect
+     */
+    void send(String what, RowWrite write, Runnable done) {
+        writing = true;
+        parts.store()
+                .write(
+                        write,
+                        TIMEOUT_MILLIS,
+                        outcome -> {
+                            writing = false;
+                            if (!stopped) {
+                                onOutcome(what, outcome, done);
+                            }
+                        });
+    }
+
+    private void onOutcome(String what, RowOutcome outcome, Runnable done) {
+        if (outcome instanceof RowOutcome.Written) {
+            done.run();
+        } else if (outcome instanceof RowOutcome.Conflict) {
+            deposed.accept("the epoch row has another version");
+        } else {
+            StoreTrouble trouble = outcome.trouble().orElseThrow();
+            boolean refused = trouble == StoreTrouble.MISUNDERSTOOD;
+            notBefore = parts.loop().now() + (refused ? REFUSED_PAUSE_MILLIS : RETRY_MILLIS);
+            log.event(DispatchEvent.ROW_NOT_WRITTEN)
+                    .with("rows", what)
+                    .with("reason", trouble.code())
+                    .with("epoch", epoch)
+                    .write();
+        }
+    }
+}
--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/JobDesk.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/JobDesk.java
@@ -2,8 +2,9 @@
 
 import java.util.Arrays;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.function.Consumer;
-import java.util.function.ToIntFunction;
+import java.util.function.Function;
 import org.peridotcourse.Result;
 import org.peridotcourse.dispatch.ClusterConfig;
 import org.peridotcourse.dispatch.JobRecord;
@@ -23,9 +24,9 @@
     private static final long RETRY_AFTER_MILLIS = 1_000;
 
     private final HostParts parts;
-    private final ToIntFunction<String> pending;
+    private final Function<String, OptionalInt> pending;
 
-    JobDesk(HostParts parts, ToIntFunction<String> pending) {
+    JobDesk(HostParts parts, Function<String, OptionalInt> pending) {
         this.parts = parts;
         this.pending = pending;
     }
@@ -64,11 +65,17 @@
         } else if (request instanceof JobRequest.Cancel cancel) {
             cancel(cancel.id(), handler);
         } else {
-            int count = pending.applyAsInt(route.queue().name());
-            handler.accept(new Answered(new JobAnswer.Pending(count)));
+            handler.accept(count(route.queue().name()));
         }
     }
 
+    private Outcome count(String queue) {
+        OptionalInt count = pending.apply(queue);
+        return count.isPresent()
+                ? new Answered(new JobAnswer.Pending(count.getAsInt()))
+                : new Away(StoreTrouble.OUTDATED, false);
+    }
+
     private void accept(
             ClusterConfig.Route route, JobRequest.Submit submit, Consumer<Outcome> handler) {
         byte[] row = RowCodec.job(route.queue(), System.currentTimeMillis(), submit.body());
@@ -81,7 +88,7 @@
                         .expect(Rows.JOBS, submit.id(), 0)
                         .expect(Rows.PROGRESS, submit.id(), 0)
                         .put(Rows.JOBS, submit.id(), row)
-                        .put(Rows.PROGRESS, submit.id(), RowCodec.record(JobRecord.NEW))
+                        .put(Rows.PROGRESS, submit.id(), RecordCodec.encode(JobRecord.NEW))
                         .build();
         parts.store()
                 .write(
@@ -123,7 +130,7 @@
             return new Answered(new JobAnswer.Unknown());
         }
         Optional<JobState> state =
-                RowCodec.record(row.get().value()).toOptional().map(JobRecord::state);
+                RecordCodec.decode(row.get().value()).toOptional().map(JobRecord::state);
         return state.<Outcome>map(known -> new Answered(new JobAnswer.State(known)))
                 .orElseGet(() -> new Away(StoreTrouble.MISUNDERSTOOD, false));
     }
--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/OwnerDuty.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/OwnerDuty.java
@@ -73,7 +73,7 @@
         owner.onConfig(config.config());
         owner.onEvacuated(config.evacuated());
         earlier.start(() -> owner.onEarlierOwnersEnded(loop.now()));
-        readFleet();
+        feed(Rows.FLEET, Rows.PART, FEED_WAIT_MILLIS, 0, new FleetRows(), true);
         feed(Rows.PROGRESS, Rows.PART, FEED_WAIT_MILLIS, 0, new ProgressRows(), true);
         feed(parts.format().workerTable(), "", 0, WORKERS_PAUSE_MILLIS, new WorkerRows(), false);
         loop.after(TICK_MILLIS, this::tick);
@@ -149,45 +149,38 @@
         feed.start();
     }
 
-    private void readFleet() {
-        parts.store()
-                .read(
-                        RowRange.one(Rows.DUTIES, Rows.PART, Rows.FLEET_KEY),
-                        FEED_TIMEOUT_MILLIS,
-                        this::onFleet);
-    }
-
-    private void onFleet(Result<RowSet> result) {
-        if (stopped) {
-            return;
-        }
-        if (!(result instanceof Result.Ok<RowSet> ok)) {
-            loop.after(TICK_MILLIS, this::readFleet);
-            return;
-        }
-        long now = loop.now();
-        for (StoredRow row : ok.value().rows()) {
-            Result<List<WorkerInfo>> fleet = RowCodec.fleet(row.value());
-            if (fleet instanceof Result.Ok<List<WorkerInfo>> known) {
-                progress.onFleetRead(known.value(), row.version());
-                for (WorkerInfo worker : known.value()) {
-                    if (!leases.isKnown(worker.id())) {
-                        leases.onWorker(worker, now);
-                        leases.onWorkerUnlisted(worker.id(), now);
-                    }
+    /** Workers that an earlier owner recorded; those that are not listed are asked all the same. */
+    private final class FleetRows implements TableFeed.Listener {
+        @Override
+        public void onRow(StoredRow row) {
+            Result<WorkerInfo> worker = RowCodec.worker(row);
+            if (worker instanceof Result.Ok<WorkerInfo> ok) {
+                progress.onFleetRead(ok.value());
+                if (!leases.isKnown(row.key())) {
+                    leases.onWorker(ok.value(), loop.now());
+                    leases.onWorkerUnlisted(row.key(), loop.now());
                 }
             } else {
-                RowLog.refused(log, row, fleet.failure().orElseThrow());
+                RowLog.refused(log, row, worker.failure().orElseThrow());
             }
         }
-        leases.onFleetKnown();
+
+        @Override
+        public void onGone(String key) {
+            // Only owners remove these rows.
+        }
+
+        @Override
+        public void onCaughtUp() {
+            leases.onFleetKnown();
+        }
     }
 
     /** Progress must be known before the jobs themselves. */
     private final class ProgressRows implements TableFeed.Listener {
         @Override
         public void onRow(StoredRow row) {
-            Result<JobRecord> record = RowCodec.record(row.value());
+            Result<JobRecord> record = RecordCodec.decode(row.value());
             if (record instanceof Result.Ok<JobRecord> ok) {
                 records.put(row.key(), ok.value());
                 progress.onProgressRead(row.key(), row.version(), ok.value());
@@ -309,7 +302,10 @@
         line.detail(decision.detail()).write();
     }
 
-    Optional<Map<String, Integer>> pending() {
-        return loaded ? Optional.of(owner.pending()) : Optional.empty();
+    /** Returns the jobs that have not begun, or empty until the store is read. */
+    Optional<PendingCounts> pending() {
+        return loaded
+                ? Optional.of(new PendingCounts(owner.term().epoch(), owner.pending()))
+                : Optional.empty();
     }
 }
--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/OwnerElection.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/OwnerElection.java
@@ -1,7 +1,5 @@
 package org.peridotcourse.daemon.dispatch;
 
-import java.util.HashMap;
-import java.util.Map;
 import java.util.Optional;
 import org.peridotcourse.Result;
 import org.peridotcourse.base.LeaseChallenger;
@@ -28,6 +26,10 @@
     private static final long MARGIN_MILLIS = 100;
 
     private static final long POLL_MILLIS = 350;
+
+    /** Counts come with renewals, so older ones mean that the owner or the store is in trouble. */
+    private static final long COUNTS_VALID_MILLIS = 2_500;
+
     private static final long TIMEOUT_MILLIS = 1_200;
 
     /** A store that is away is asked often, so that its return is noticed within a second. */
@@ -46,6 +48,11 @@
 
         /** Takes the end of the ownership of this host. */
         void onLost(String reason);
+
+        /** Returns what is published with each renewal, or empty if it is not known yet. */
+        default Optional<PendingCounts> counts() {
+            return Optional.empty();
+        }
     }
 
     private final EventLoop loop;
@@ -57,7 +64,9 @@
 
     private LeaseChallenger challenger;
     private Optional<LeaseHolder> holder = Optional.empty();
-    private Map<String, Integer> pending = new HashMap<>();
+    private Optional<PendingCounts> published = Optional.empty();
+    private long publishedVersion;
+    private long publishedAt;
 
     /** A takeover without an answer, which may have taken effect or may still do so. */
     private Optional<Takeover> unsettled = Optional.empty();
@@ -106,9 +115,15 @@
         return challenger.row().filter(row -> !row.isReleased()).map(LeaseRow::holder);
     }
 
-    /** Returns the published numbers of jobs that have not begun. */
-    Map<String, Integer> pending() {
-        return pending;
+    /**
+     * Returns the numbers of jobs that have not begun as the owner published them, or empty if they
+     * are too old or those of an earlier owner.
+     */
+    Optional<PendingCounts> counts(long now) {
+        long epoch = challenger.row().map(LeaseRow::epoch).orElse(0L);
+        return now - publishedAt > COUNTS_VALID_MILLIS
+                ? Optional.empty()
+                : published.filter(counts -> counts.epoch() >= epoch);
     }
 
     /** Gives the ownership up so that another host takes it at once. */
@@ -176,9 +191,7 @@
                 lease = lease(row);
                 version = row.version();
             } else if (row.key().equals(Rows.PENDING_KEY)) {
-                Result<Map<String, Integer>> counts = RowCodec.pending(row.value());
-                counts.toOptional().ifPresent(known -> pending = known);
-                counts.failure().ifPresent(why -> RowLog.refused(log, row, why));
+                readCounts(row, sentAt);
             }
         }
         if (version > 0 && lease.isEmpty()) {
@@ -195,6 +208,21 @@
         }
     }
 
+    /**
+     * Each renewal rewrites the row, so a version that is seen anew tells the age of the counts.
+     */
+    private void readCounts(StoredRow row, long sentAt) {
+        if (row.version() <= publishedVersion) {
+            return;
+        }
+        boolean ageKnown = publishedVersion > 0;
+        publishedVersion = row.version();
+        publishedAt = sentAt;
+        Result<PendingCounts> counts = RowCodec.pending(row.value());
+        counts.failure().ifPresent(why -> RowLog.refused(log, row, why));
+        published = ageKnown ? counts.toOptional() : Optional.empty();
+    }
+
     private Optional<LeaseRow> lease(StoredRow row) {
         Result<LeaseRow> lease = RowCodec.lease(row.value());
         lease.failure().ifPresent(why -> RowLog.refused(log, row, why));
@@ -317,8 +345,13 @@
             loop.after(LEASE_MILLIS / 10, () -> renew(epoch));
             return;
         }
+        RowWrite.Builder write = ownerWrite(held.commit(), row.get());
+        listener.counts()
+                .ifPresent(
+                        counts ->
+                                write.put(Rows.DUTIES, Rows.PENDING_KEY, RowCodec.pending(counts)));
         store.write(
-                ownerWrite(held.commit(), row.get()).build(),
+                write.build(),
                 TIMEOUT_MILLIS,
                 outcome -> {
                     onRenewed(held, row.get(), now, outcome);
--- /dev/null
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/PendingCounts.java
@@ -0,0 +1,21 @@
+package org.peridotcourse.daemon.dispatch;
+
+import java.util.Map;
+
+/**
+ * Numbers of accepted jobs that have not begun, as one owner counted them.
+ *
+ * <p>Instances are immutable and thread-safe.
+ *
+ * @param epoch the epoch of the owner
+ * @param byQueue the numbers by name of the queue; queues that are not named have none
+ */
+record PendingCounts(long epoch, Map<String, Integer> byQueue) {
+    PendingCounts {
+        byQueue = Map.copyOf(byQueue);
+    }
+
+    int of(String queue) {
+        return byQueue.getOrDefault(queue, 0);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/ProgressCleaner.java
@@ -0,0 +1,70 @@
+package org.peridotcourse.daemon.dispatch;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+
+/**
+ * Removes the progress of jobs that ended so long ago that nobody may ask for it. Confined to the
+ * loop.
+ */
+final class ProgressCleaner {
+    private static final long PERIOD_MILLIS = 5_000;
+
+    /** Ended jobs are kept this much longer than callers may ask for them. */
+    private static final long KEEP_MARGIN_MILLIS = 30_000;
+
+    /** Two rows for each job fit one transaction. */
+    private static final int JOBS_PER_WRITE = 40;
+
+    private final GuardedWriter writer;
+    private final long keepMillis;
+    private final Consumer<String> removed;
+
+    /** Wall-clock times by job. */
+    private final Map<String, Long> endedAt = new LinkedHashMap<>();
+
+    private long triedAt;
+
+    /** Creates a cleaner; the consumer takes each job whose rows are gone. */
+    ProgressCleaner(GuardedWriter writer, long stateMillis, Consumer<String> removed) {
+        this.writer = writer;
+        this.keepMillis = stateMillis + KEEP_MARGIN_MILLIS;
+        this.removed = removed;
+    }
+
+    void onEnded(String job, long wallMillis) {
+        endedAt.put(job, wallMillis);
+    }
+
+    /** Removes some rows; true if a write was sent. */
+    boolean step(long now, long wallNow) {
+        if (now - triedAt < PERIOD_MILLIS) {
+            return false;
+        }
+        triedAt = now;
+        List<String> old = new ArrayList<>();
+        endedAt.forEach(
+                (job, at) -> {
+                    if (wallNow - at > keepMillis && old.size() < JOBS_PER_WRITE) {
+                        old.add(job);
+                    }
+                });
+        if (old.isEmpty()) {
+            return false;
+        }
+        RowWrite.Builder write = writer.begin();
+        old.forEach(job -> write.delete(Rows.PROGRESS, job).delete(Rows.CANCELS, job));
+        writer.send("old-progress", write.build(), () -> confirm(old));
+        return true;
+    }
+
+    private void confirm(List<String> old) {
+        for (String job : old) {
+            endedAt.remove(job);
+            removed.accept(job);
+        }
+    }
+}
--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/ProgressWriter.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/ProgressWriter.java
@@ -4,7 +4,6 @@
 import java.util.Arrays;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -19,18 +18,18 @@
 
 /**
  * Stores the progress of jobs, one transaction at a time, each under the condition that no later
- * owner exists. Confined to the loop.
+ * owner exists. A transaction that the store refuses as wrong is split, so that one job delays no
+ * other. Confined to the loop.
  */
 final class ProgressWriter {
     private static final long TIMEOUT_MILLIS = 1_200;
     private static final long RETRY_MILLIS = 60;
-    private static final long PENDING_PERIOD_MILLIS = 500;
-    private static final long CLEANUP_PERIOD_MILLIS = 5_000;
 
-    /** Ended jobs are kept this much longer than callers may ask for them. */
-    private static final long KEEP_MARGIN_MILLIS = 30_000;
+    /** Pause before a job is tried again whose record alone was refused. */
+    private static final long REFUSED_PAUSE_MILLIS = 3_000;
 
-    private static final int CLEANUP_ROWS = 40;
+    /** Records of one transaction; the store takes 1 MB, and base64 adds a third. */
+    private static final int MAX_BYTES = 600_000;
 
     private final EventLoop loop;
     private final HostParts parts;
@@ -38,15 +37,20 @@
     private final DispatchOwner owner;
     private final long epochVersion;
     private final Consumer<String> deposed;
+    private final GuardedWriter aside;
+    private final FleetRecord fleet;
+    private final ProgressCleaner cleaner;
     private final Map<String, Long> versions = new HashMap<>();
     private final Set<String> cancelled = new HashSet<>();
-    private final Map<String, Long> endedAt = new LinkedHashMap<>();
+
+    /** Jobs whose records were refused, with the time of the next try. */
+    private final Map<String, Long> refused = new HashMap<>();
 
     private Runnable storedListener = () -> {};
-    private byte[] publishedPending = new byte[0];
-    private Set<String> recordedFleet = Set.of();
-    private long pendingAt;
-    private long cleanupAt;
+
+    /** Jobs of the next transaction; one after a refusal, to find the cause. */
+    private int batchJobs = RecordBatch.MAX_JOBS;
+
     private long notBefore;
     private boolean writing;
     private boolean stopped;
@@ -59,6 +63,11 @@
         this.owner = owner;
         this.epochVersion = epochVersion;
         this.deposed = deposed;
+        this.aside = new GuardedWriter(parts, owner.term().epoch(), epochVersion, deposed);
+        this.fleet = new FleetRecord(aside);
+        this.cleaner =
+                new ProgressCleaner(
+                        aside, parts.settings().limits().stateMillis(), this::onRemoved);
     }
 
     void onStored(Runnable listener) {
@@ -67,12 +76,13 @@
 
     void stop() {
         stopped = true;
+        aside.stop();
     }
 
     void onProgressRead(String job, long version, JobRecord record) {
         versions.merge(job, version, Math::max);
         if (record.state().isFinal()) {
-            endedAt.put(job, record.endedAtMillis());
+            cleaner.onEnded(job, record.endedAtMillis());
         }
     }
 
@@ -85,52 +95,80 @@
         cancelled.add(job);
     }
 
-    void onFleetRead(List<WorkerInfo> workers, long version) {
-        Set<String> ids = new HashSet<>();
-        workers.forEach(worker -> ids.add(worker.id()));
-        recordedFleet = ids;
+    void onFleetRead(WorkerInfo worker) {
+        fleet.onRead(worker);
     }
 
-    /** Writes what is to be written, unless a write is under way. */
+    private void onRemoved(String job) {
+        versions.remove(job);
+        owner.forget(job);
+    }
+
+    /** Writes what is to be written; progress and the other rows do not wait for each other. */
     void step(long now) {
-        if (writing || stopped || now < notBefore) {
+        if (stopped) {
             return;
         }
-        RecordBatch batch = owner.takeChanges(now, System.currentTimeMillis());
+        if (!writing && now >= notBefore) {
+            storeProgress(now);
+        }
+        if (aside.isIdle(now) && !fleet.step(owner.fleet(), now)) {
+            cleaner.step(now, System.currentTimeMillis());
+        }
+    }
+
+    private void storeProgress(long now) {
+        refused.values().removeIf(until -> until <= now);
+        RecordBatch batch =
+                owner.takeChanges(batchJobs, refused::containsKey, now, System.currentTimeMillis());
         if (!batch.changes().isEmpty()) {
             write(batch, now);
-            return;
-        }
-        if (!batch.isEmpty()) {
+        } else if (!batch.isEmpty()) {
             owner.onStored(batch);
             storedListener.run();
         }
-        if (recordFleet()) {
-            return;
-        }
-        if (now - pendingAt >= PENDING_PERIOD_MILLIS) {
-            pendingAt = now;
-            publishPending();
-        }
-        if (!writing && now - cleanupAt >= CLEANUP_PERIOD_MILLIS) {
-            cleanupAt = now;
-            cleanUp();
+    }
+
+    private void write(RecordBatch batch, long now) {
+        List<byte[]> values = new ArrayList<>();
+        int bytes = 0;
+        for (RecordBatch.Change change : batch.changes()) {
+            byte[] value = encode(change);
+            bytes += value.length;
+            if (!values.isEmpty() && bytes > MAX_BYTES) {
+                break;
+            }
+            values.add(value);
         }
+        owner.onNotStored(batch.tail(values.size()));
+        send(batch.head(values.size()), values, now);
     }
 
-    private RowWrite.Builder guarded() {
-        return RowWrite.builder(Rows.PART).expect(Rows.DUTIES, Rows.EPOCH_KEY, epochVersion);
+    /** Checkpoints only save work, so a record that does not fit a row goes without them. */
+    private byte[] encode(RecordBatch.Change change) {
+        byte[] whole = RecordCodec.encode(change.record());
+        if (whole.length <= parts.settings().limits().maxRow()) {
+            return whole;
+        }
+        byte[] shorter = RecordCodec.encode(change.record().withoutCheckpoints());
+        log.event(DispatchEvent.RECORD_SHORTENED)
+                .with("job", change.job())
+                .with("bytes", whole.length)
+                .with("stored", shorter.length)
+                .write();
+        return shorter;
     }
 
-    private void write(RecordBatch batch, long now) {
-        RowWrite.Builder write = guarded();
-        Map<String, byte[]> values = new HashMap<>();
-        for (RecordBatch.Change change : batch.changes()) {
+    private void send(RecordBatch batch, List<byte[]> values, long now) {
+        RowWrite.Builder write =
+                RowWrite.builder(Rows.PART).expect(Rows.DUTIES, Rows.EPOCH_KEY, epochVersion);
+        Map<String, byte[]> sent = new HashMap<>();
+        for (int i = 0; i < values.size(); i++) {
+            RecordBatch.Change change = batch.changes().get(i);
             String job = change.job();
-            byte[] value = RowCodec.record(change.record());
-            values.put(job, value);
+            sent.put(job, values.get(i));
             write.expect(Rows.PROGRESS, job, versions.getOrDefault(job, 0L));
-            write.put(Rows.PROGRESS, job, value);
+            write.put(Rows.PROGRESS, job, values.get(i));
             if (change.record().state().isFinal()) {
                 write.delete(Rows.JOBS, job);
                 if (cancelled.contains(job)) {
@@ -146,7 +184,7 @@
                         outcome -> {
                             writing = false;
                             if (!stopped) {
-                                onOutcome(batch, values, now, outcome);
+                                onOutcome(batch, sent, now, outcome);
                             }
                         });
     }
@@ -161,21 +199,38 @@
         } else if (outcome instanceof RowOutcome.Conflict conflict) {
             onConflict(batch, values, conflict, now - sentAt);
         } else {
-            StoreTrouble trouble = outcome.trouble().orElseThrow();
-            log.event(DispatchEvent.NOT_STORED)
-                    .with("jobs", batch.changes().size())
-                    .with("reason", trouble.code())
+            onTrouble(batch, values, outcome.trouble().orElseThrow(), now);
+        }
+    }
+
+    private void onTrouble(
+            RecordBatch batch, Map<String, byte[]> values, StoreTrouble trouble, long now) {
+        log.event(DispatchEvent.NOT_STORED)
+                .with("jobs", batch.changes().size())
+                .with("reason", trouble.code())
+                .with("epoch", owner.term().epoch())
+                .write();
+        owner.onNotStored(batch);
+        if (trouble != StoreTrouble.MISUNDERSTOOD) {
+            notBefore = now + RETRY_MILLIS;
+        } else if (batch.changes().size() > 1) {
+            batchJobs = 1;
+        } else {
+            String job = batch.changes().get(0).job();
+            refused.put(job, now + REFUSED_PAUSE_MILLIS);
+            log.event(DispatchEvent.RECORD_REFUSED)
+                    .with("job", job)
+                    .with("bytes", values.get(job).length)
                     .with("epoch", owner.term().epoch())
                     .write();
-            owner.onNotStored(batch);
-            notBefore = now + RETRY_MILLIS;
         }
     }
 
     private void confirm(RecordBatch batch, long version, long millis) {
+        batchJobs = Math.min(RecordBatch.MAX_JOBS, 2 * batchJobs);
         for (RecordBatch.Change change : batch.changes()) {
             if (change.record().state().isFinal()) {
-                endedAt.put(change.job(), change.record().endedAtMillis());
+                cleaner.onEnded(change.job(), change.record().endedAtMillis());
                 cancelled.remove(change.job());
             }
         }
@@ -218,75 +273,4 @@
             owner.onNotStored(batch);
         }
     }
-
-    /** Records the workers that may run tasks; true if a write is under way. */
-    private boolean recordFleet() {
-        List<WorkerInfo> workers = owner.fleet();
-        Set<String> ids = new HashSet<>();
-        workers.forEach(worker -> ids.add(worker.id()));
-        if (ids.equals(recordedFleet) || ids.isEmpty()) {
-            return false;
-        }
-        RowWrite write =
-                guarded().put(Rows.DUTIES, Rows.FLEET_KEY, RowCodec.fleet(workers)).build();
-        writeAside(write, () -> recordedFleet = ids);
-        return true;
-    }
-
-    private void publishPending() {
-        byte[] value = RowCodec.pending(owner.pending());
-        if (Arrays.equals(value, publishedPending)) {
-            return;
-        }
-        RowWrite write = guarded().put(Rows.DUTIES, Rows.PENDING_KEY, value).build();
-        writeAside(write, () -> publishedPending = value);
-    }
-
-    /** Removes the progress of jobs that ended long ago. */
-    private void cleanUp() {
-        long keep = parts.settings().limits().stateMillis() + KEEP_MARGIN_MILLIS;
-        long wallNow = System.currentTimeMillis();
-        List<String> old = new ArrayList<>();
-        endedAt.forEach(
-                (job, at) -> {
-                    if (wallNow - at > keep && old.size() < CLEANUP_ROWS) {
-                        old.add(job);
-                    }
-                });
-        if (old.isEmpty()) {
-            return;
-        }
-        RowWrite.Builder write = guarded();
-        for (String job : old) {
-            write.delete(Rows.PROGRESS, job).delete(Rows.CANCELS, job);
-        }
-        writeAside(
-                write.build(),
-                () ->
-                        old.forEach(
-                                job -> {
-                                    endedAt.remove(job);
-                                    versions.remove(job);
-                                    owner.forget(job);
-                                }));
-    }
-
-    /** Writes something that may be repeated without harm. */
-    private void writeAside(RowWrite write, Runnable done) {
-        writing = true;
-        parts.store()
-                .write(
-                        write,
-                        TIMEOUT_MILLIS,
-                        outcome -> {
-                            writing = false;
-                            if (outcome instanceof RowOutcome.Written) {
-                                done.run();
-                            } else if (outcome instanceof RowOutcome.Conflict) {
-                                deposed.accept("the epoch row has another version");
-                            } else {
-                                notBefore = loop.now() + RETRY_MILLIS;
-                            }
-                        });
-    }
 }
--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/RowCodec.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/RowCodec.java
@@ -20,7 +20,6 @@
 import org.peridotcourse.dispatch.JobEntry;
 import org.peridotcourse.dispatch.JobRecord;
 import org.peridotcourse.dispatch.JobSpec;
-import org.peridotcourse.dispatch.JobState;
 import org.peridotcourse.dispatch.QueueRules;
 import org.peridotcourse.dispatch.WorkerInfo;
 
@@ -97,74 +96,6 @@
         return row.length;
     }
 
-    static byte[] record(JobRecord record) {
-        ObjectNode node = JSON.createObjectNode();
-        node.put("state", record.state().code());
-        if (record.endedAtMillis() > 0) {
-            node.put("endedAtMillis", record.endedAtMillis());
-        }
-        ArrayNode done = JSON.createArrayNode();
-        ArrayNode other = JSON.createArrayNode();
-        for (JobRecord.TaskRecord task : record.tasks()) {
-            if (task.done() && task.failedAttempts().isEmpty()) {
-                done.add(task.occurrence()).add(task.step()).add(task.index());
-            } else {
-                ObjectNode one = other.addObject();
-                one.put("occurrence", task.occurrence());
-                one.put("step", task.step());
-                one.put("index", task.index());
-                one.put("done", task.done());
-                task.failedAttempts().forEach(one.putArray("failedAttempts")::add);
-                one.put("checkpoint", task.checkpoint());
-            }
-        }
-        if (!done.isEmpty()) {
-            node.set("done", done);
-        }
-        if (!other.isEmpty()) {
-            node.set("tasks", other);
-        }
-        return bytes(node);
-    }
-
-    static Result<JobRecord> record(byte[] value) {
-        try {
-            JsonNode node = JSON.readTree(value);
-            Optional<JobState> state = JobState.parse(node.path("state").asText());
-            if (state.isEmpty()) {
-                return Result.failed(new RowFault("progress: no state"));
-            }
-            List<JobRecord.TaskRecord> tasks = new ArrayList<>();
-            JsonNode done = node.path("done");
-            for (int i = 0; i + 2 < done.size(); i += 3) {
-                tasks.add(
-                        new JobRecord.TaskRecord(
-                                done.get(i).asInt(),
-                                done.get(i + 1).asInt(),
-                                done.get(i + 2).asInt(),
-                                true,
-                                List.of(),
-                                ""));
-            }
-            for (JsonNode one : node.path("tasks")) {
-                List<Integer> failed = new ArrayList<>();
-                one.path("failedAttempts").forEach(attempt -> failed.add(attempt.asInt()));
-                tasks.add(
-                        new JobRecord.TaskRecord(
-                                one.path("occurrence").asInt(),
-                                one.path("step").asInt(),
-                                one.path("index").asInt(),
-                                one.path("done").asBoolean(),
-                                failed,
-                                one.path("checkpoint").asText("")));
-            }
-            return Result.ok(
-                    new JobRecord(state.get(), node.path("endedAtMillis").asLong(), tasks));
-        } catch (IOException malformed) {
-            return Result.failed(new RowFault("progress: " + malformed.getMessage()));
-        }
-    }
-
     static byte[] lease(LeaseRow row) {
         ObjectNode node = JSON.createObjectNode();
         node.put("holder", row.holder());
@@ -217,21 +148,25 @@
         }
     }
 
-    static byte[] pending(Map<String, Integer> counts) {
+    static byte[] pending(PendingCounts pending) {
         ObjectNode node = JSON.createObjectNode();
-        new TreeMap<>(counts).forEach(node::put);
+        node.put("epoch", pending.epoch());
+        ObjectNode queues = node.putObject("queues");
+        new TreeMap<>(pending.byQueue()).forEach(queues::put);
         return bytes(node);
     }
 
-    static Result<Map<String, Integer>> pending(byte[] value) {
+    static Result<PendingCounts> pending(byte[] value) {
         try {
-            Map<String, Integer> counts = new TreeMap<>();
             JsonNode node = JSON.readTree(value);
-            if (!node.isObject()) {
-                return Result.failed(new RowFault("pending: no object"));
+            if (node.path("epoch").asLong() <= 0 || !node.path("queues").isObject()) {
+                return Result.failed(new RowFault("pending: no epoch or no queues"));
             }
-            node.properties().forEach(one -> counts.put(one.getKey(), one.getValue().asInt()));
-            return Result.ok(counts);
+            Map<String, Integer> counts = new TreeMap<>();
+            node.path("queues")
+                    .properties()
+                    .forEach(one -> counts.put(one.getKey(), one.getValue().asInt()));
+            return Result.ok(new PendingCounts(node.path("epoch").asLong(), counts));
         } catch (IOException malformed) {
             return Result.failed(new RowFault("pending: " + malformed.getMessage()));
         }
@@ -257,49 +192,41 @@
         }
     }
 
-    static byte[] fleet(List<WorkerInfo> workers) {
-        ArrayNode list = JSON.createArrayNode();
-        for (WorkerInfo worker : workers) {
-            ObjectNode node = list.addObject();
-            node.put("id", worker.id());
-            node.put("service", worker.service());
-            node.put("address", worker.address());
-            node.put("dataCentre", worker.dataCentre());
-            worker.labels().forEach(node.putArray("labels")::add);
-            node.put("milliCores", worker.capacity().milliCores());
-            node.put("memoryMib", worker.capacity().memoryMib());
-            node.put("accelerators", worker.capacity().accelerators());
-            node.put("bornMillis", worker.bornMillis());
-        }
-        return bytes(list);
+    static byte[] worker(WorkerInfo worker) {
+        ObjectNode node = JSON.createObjectNode();
+        node.put("service", worker.service());
+        node.put("address", worker.address());
+        node.put("dataCentre", worker.dataCentre());
+        worker.labels().forEach(node.putArray("labels")::add);
+        node.put("milliCores", worker.capacity().milliCores());
+        node.put("memoryMib", worker.capacity().memoryMib());
+        node.put("accelerators", worker.capacity().accelerators());
+        node.put("bornMillis", worker.bornMillis());
+        return bytes(node);
     }
 
-    static Result<List<WorkerInfo>> fleet(byte[] value) {
+    static Result<WorkerInfo> worker(StoredRow row) {
         try {
-            JsonNode list = JSON.readTree(value);
-            if (!list.isArray()) {
-                return Result.failed(new RowFault("fleet: no list"));
-            }
-            List<WorkerInfo> workers = new ArrayList<>();
-            for (JsonNode node : list) {
-                List<String> labels = new ArrayList<>();
-                node.path("labels").forEach(label -> labels.add(label.asText()));
-                workers.add(
-                        new WorkerInfo(
-                                node.path("id").asText(),
-                                node.path("service").asText(),
-                                node.path("address").asText(),
-                                node.path("dataCentre").asText(),
-                                labels,
-                                Resources.of(
-                                        node.path("milliCores").asLong(),
-                                        node.path("memoryMib").asLong(),
-                                        node.path("accelerators").asLong()),
-                                false,
-                                OptionalLong.empty(),
-                                node.path("bornMillis").asLong()));
+            JsonNode node = JSON.readTree(row.value());
+            if (node.path("address").asText().isEmpty()) {
+                return Result.failed(new RowFault("fleet: no address"));
             }
-            return Result.ok(workers);
+            List<String> labels = new ArrayList<>();
+            node.path("labels").forEach(label -> labels.add(label.asText()));
+            return Result.ok(
+                    new WorkerInfo(
+                            row.key(),
+                            node.path("service").asText(),
+                            node.path("address").asText(),
+                            node.path("dataCentre").asText(),
+                            labels,
+                            Resources.of(
+                                    node.path("milliCores").asLong(),
+                                    node.path("memoryMib").asLong(),
+                                    node.path("accelerators").asLong()),
+                            false,
+                            OptionalLong.empty(),
+                            node.path("bornMillis").asLong()));
         } catch (IOException malformed) {
             return Result.failed(new RowFault("fleet: " + malformed.getMessage()));
         }
--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/Rows.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/Rows.java
@@ -23,15 +23,15 @@
     /** Changes with each owner only, so that every write of an owner can check it. */
     static final String EPOCH_KEY = "epoch";
 
-    /** Jobs that have not begun, by queue. */
+    /** Jobs that have not begun, by queue; written with each renewal of the lease. */
     static final String PENDING_KEY = "pending";
 
-    /** Workers that may run tasks of this owner, for its successor. */
-    static final String FLEET_KEY = "fleet";
-
     /** Holders before the present owner that may still give orders. */
     static final String EARLIER_KEY = "earlier";
 
+    /** Workers that may run tasks of the owner, by id, for its successor. */
+    static final String FLEET = "fleet";
+
     /** Hosts by name. */
     static final String HOSTS = "hosts";
 
--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/StoreTrouble.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/StoreTrouble.java
@@ -16,6 +16,8 @@
     NO_ANSWER("the store did not answer"),
     /** The store no longer has the changes that were asked for. */
     HISTORY_GONE("the store no longer has these changes"),
+    /** What was read before is too old to be told. */
+    OUTDATED("what is known is too old"),
     /** The answer does not follow the protocol, or the call was refused as wrong. */
     MISUNDERSTOOD("the answer of the store was not understood");
 
--- a/daemon/src/test/java/org/peridotcourse/daemon/dispatch/FakeRowStore.java
+++ b/daemon/src/test/java/org/peridotcourse/daemon/dispatch/FakeRowStore.java
@@ -1,8 +1,10 @@
 package org.peridotcourse.daemon.dispatch;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Consumer;
 import org.peridotcourse.Result;
@@ -12,8 +14,21 @@
 final class FakeRowStore implements RowStore {
     private static final long LATENCY_MILLIS = 5;
 
+    /** Bounds of the platform's store. */
+    private static final int ROW_BYTES = 65_536;
+
+    private static final int ENTRIES = 100;
+    private static final int TRANSACTION_BYTES = 1_000_000;
+
     private final EventLoop loop;
     private final Map<String, StoredRow> rows = new TreeMap<>();
+
+    /** Names of rows, as {@code table/key}, that the store does not take. */
+    final Set<String> refusedRows = new HashSet<>();
+
+    /** Writes that were refused as wrong. */
+    int refusals;
+
     private long version;
 
     FakeRowStore(EventLoop loop) {
@@ -36,6 +51,12 @@
 
     @Override
     public void write(RowWrite write, long timeoutMillis, Consumer<RowOutcome> handler) {
+        if (isWrong(write)) {
+            refusals++;
+            RowOutcome refused = new RowOutcome.NotDone(StoreTrouble.MISUNDERSTOOD);
+            loop.after(LATENCY_MILLIS, () -> handler.accept(refused));
+            return;
+        }
         List<StoredRow> present = new ArrayList<>();
         boolean holds = true;
         for (RowWrite.Expected one : write.expected()) {
@@ -57,9 +78,27 @@
                     key.table() + "/" + key.key(),
                     new StoredRow(key.table(), key.key(), put.value(), written, false));
         }
+        write.deletes().forEach(key -> rows.remove(key.table() + "/" + key.key()));
         loop.after(LATENCY_MILLIS, () -> handler.accept(new RowOutcome.Written(written)));
     }
 
+    private boolean isWrong(RowWrite write) {
+        int entries = write.expected().size() + write.puts().size() + write.deletes().size();
+        int bytes = 0;
+        boolean wrong = entries > ENTRIES;
+        for (RowWrite.Put put : write.puts()) {
+            bytes += put.value().length * 4 / 3;
+            wrong |= put.value().length > ROW_BYTES;
+            wrong |= refusedRows.contains(put.row().table() + "/" + put.row().key());
+        }
+        return wrong || bytes > TRANSACTION_BYTES;
+    }
+
+    /** Returns the rows of a table. */
+    List<StoredRow> table(String table) {
+        return rows.values().stream().filter(row -> row.table().equals(table)).toList();
+    }
+
     @Override
     public void changes(
             String table, long after, long waitMillis, Consumer<Result<RowSet>> handler) {
--- a/daemon/src/test/java/org/peridotcourse/daemon/dispatch/OwnerElectionTest.java
+++ b/daemon/src/test/java/org/peridotcourse/daemon/dispatch/OwnerElectionTest.java
@@ -6,10 +6,13 @@
 
 import java.net.InetSocketAddress;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BooleanSupplier;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -32,23 +35,25 @@
 
     @BeforeEach
     void open() {
-        InetSocketAddress address = new InetSocketAddress("127.0.0.1", 1);
-        HostSettings settings =
-                new HostSettings(
-                        "host",
-                        "xela",
-                        address,
-                        address,
-                        address,
-                        Optional.empty(),
-                        List.of(),
-                        new HostSettings.Limits(new LeaseTimes(5_000, 6_000), 1, 1, 1, 1, 1));
         StoreHealth health = new StoreHealth(log);
-        HostDirectory directory = new HostDirectory(loop, store, log, settings, 7);
+        HostDirectory directory = new HostDirectory(loop, store, log, settings("host"), 7);
         election = new OwnerElection(loop, store, health, directory, log, new Counting());
         loop.start();
     }
 
+    private static HostSettings settings(String name) {
+        InetSocketAddress address = new InetSocketAddress("127.0.0.1", 1);
+        return new HostSettings(
+                name,
+                "xela",
+                address,
+                address,
+                address,
+                Optional.empty(),
+                List.of(),
+                new HostSettings.Limits(new LeaseTimes(5_000, 6_000), 1, 1, 1, 1, 1));
+    }
+
     @AfterEach
     void close() {
         loop.close();
@@ -67,6 +72,11 @@
         public void onLost(String reason) {
             // Only ownerships are counted.
         }
+
+        @Override
+        public Optional<PendingCounts> counts() {
+            return Optional.of(new PendingCounts(1, Map.of("q", 8)));
+        }
     }
 
     /** Seen in incident inc-f0dc of rutas-flipper: epoch 4 was taken twice by one host. */
@@ -106,4 +116,46 @@
         loop.post(() -> store.write(other, 0, outcome -> election.start()));
         assertTrue(firstTaken.await(OwnerElection.LEASE_MILLIS, TimeUnit.MILLISECONDS));
     }
+
+    /**
+     * Seen on rutas-flipper-large: a host told of one waiting job while eight had waited for 5 s,
+     * because the counts were written only when no progress waited to be stored.
+     */
+    @Test
+    void countsComeWithEachRenewalAndAreNotToldOnceTheyAreOld() throws Exception {
+        OwnerElection reader = other();
+        loop.post(election::start);
+        assertTrue(firstTaken.await(PATIENCE_SECONDS, TimeUnit.SECONDS));
+        loop.post(reader::start);
+        awaitOnLoop(() -> reader.counts(loop.now()).filter(one -> one.of("q") == 8).isPresent());
+        long age = 2 * OwnerElection.LEASE_MILLIS;
+        assertTrue(onLoop(() -> reader.counts(loop.now()).isPresent()));
+        assertFalse(onLoop(() -> reader.counts(loop.now() + age).isPresent()), "too old");
+    }
+
+    private OwnerElection other() {
+        StoreHealth health = new StoreHealth(log);
+        HostDirectory directory = new HostDirectory(loop, store, log, settings("other"), 8);
+        return new OwnerElection(loop, store, health, directory, log, new Counting());
+    }
+
+    private boolean onLoop(BooleanSupplier question) throws Exception {
+        CompletableFuture<Boolean> answer = new CompletableFuture<>();
+        loop.post(() -> answer.complete(question.getAsBoolean()));
+        return answer.get(PATIENCE_SECONDS, TimeUnit.SECONDS);
+    }
+
+    private void awaitOnLoop(BooleanSupplier condition) throws Exception {
+        CountDownLatch reached = new CountDownLatch(1);
+        loop.post(
+                () ->
+                        loop.every(
+                                20,
+                                () -> {
+                                    if (condition.getAsBoolean()) {
+                                        reached.countDown();
+                                    }
+                                }));
+        assertTrue(reached.await(PATIENCE_SECONDS, TimeUnit.SECONDS), "waited in vain");
+    }
 }
--- /dev/null
+++ b/daemon/src/test/java/org/peridotcourse/daemon/dispatch/ProgressWriterTest.java
@@ -0,0 +1,154 @@
+package org.peridotcourse.daemon.dispatch;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.peridotcourse.Resources;
+import org.peridotcourse.base.LeaseRow;
+import org.peridotcourse.daemon.log.DecisionRing;
+import org.peridotcourse.daemon.log.EventLog;
+import org.peridotcourse.daemon.ring.EventLoop;
+import org.peridotcourse.dispatch.DispatchOwner;
+import org.peridotcourse.dispatch.JobEntry;
+import org.peridotcourse.dispatch.JobRecord;
+import org.peridotcourse.dispatch.JobSpec;
+import org.peridotcourse.dispatch.LeaseTimes;
+import org.peridotcourse.dispatch.OwnerTerm;
+import org.peridotcourse.dispatch.QueueRules;
+import org.peridotcourse.dispatch.Schedule;
+import org.peridotcourse.dispatch.StepSpec;
+import org.peridotcourse.dispatch.WorkerInfo;
+
+/**
+ * Guards the owner's rows at the size of a large fleet. Seen on treadline-grown: the row with all
+ * workers grew too long for the store, and the writes behind it waited for ever.
+ */
+class ProgressWriterTest {
+    private static final long PATIENCE_SECONDS = 10;
+    private static final int WORKERS = 1_000;
+    private static final LeaseTimes TIMES = new LeaseTimes(5_000, 6_000);
+    private static final OwnerTerm TERM = new OwnerTerm(1, 0, 0, TIMES);
+
+    private final EventLog log = new EventLog(System.getLogger("test"), new DecisionRing(16));
+    private final EventLoop loop = new EventLoop("test", 1_024, Throwable::printStackTrace);
+    private final FakeRowStore store = new FakeRowStore(loop);
+    private final DispatchOwner owner = new DispatchOwner(TERM, decision -> {});
+    private final List<String> deposed = new ArrayList<>();
+
+    @AfterEach
+    void close() {
+        loop.close();
+    }
+
+    private HostParts parts() {
+        InetSocketAddress address = new InetSocketAddress("127.0.0.1", 1);
+        HostSettings settings =
+                new HostSettings(
+                        "host",
+                        "xela",
+                        address,
+                        address,
+                        address,
+                        Optional.empty(),
+                        List.of(),
+                        new HostSettings.Limits(TIMES, 1_000, 1, 1, 65_536, 1));
+        DispatchMetrics metrics = new DispatchMetrics(loop::now);
+        StoreHealth health = new StoreHealth(log);
+        return new HostParts(loop, settings, store, health, null, null, metrics, log);
+    }
+
+    private static WorkerInfo worker(int number) {
+        String id = "instance-of-a-worker-" + number;
+        return new WorkerInfo(
+                id,
+                "service",
+                "10.20.30.40:" + number,
+                "data-centre-of-worker",
+                List.of("kind-a", "rack-" + number / 8),
+                Resources.of(32_000, 128_000, 8),
+                false,
+                OptionalLong.empty(),
+                1_700_000_000_000L + number);
+    }
+
+    private JobEntry job(int number) {
+        QueueRules queue = new QueueRules("q", "service", 1, 3, 2, 500, Optional.empty());
+        StepSpec step = StepSpec.builder(1, Resources.of(100, 10, 0)).build();
+        return new JobEntry(
+                "job-" + number,
+                queue,
+                new JobSpec("payload", List.of(step), Schedule.ONCE),
+                0,
+                JobRecord.NEW);
+    }
+
+    /** Runs the writer until a condition holds, which is asked on the loop. */
+    private void runUntil(BooleanSupplier condition) throws InterruptedException {
+        CountDownLatch reached = new CountDownLatch(1);
+        RowWrite epoch =
+                RowWrite.builder(Rows.PART)
+                        .put(
+                                Rows.DUTIES,
+                                Rows.EPOCH_KEY,
+                                RowCodec.lease(new LeaseRow("host/1", 1, 1_500, 12_000, 0)))
+                        .build();
+        store.write(epoch, 0, outcome -> {});
+        ProgressWriter writer = new ProgressWriter(parts(), owner, 1, deposed::add);
+        loop.every(5, () -> writer.step(loop.now()));
+        loop.every(
+                20,
+                () -> {
+                    if (condition.getAsBoolean()) {
+                        reached.countDown();
+                    }
+                });
+        loop.start();
+        assertTrue(reached.await(PATIENCE_SECONDS, TimeUnit.SECONDS), "waited in vain");
+        assertTrue(deposed.isEmpty(), deposed.toString());
+    }
+
+    @Test
+    void aFleetOfAThousandWorkersIsRecordedRowByRow() throws InterruptedException {
+        for (int i = 0; i < WORKERS; i++) {
+            owner.onWorker(worker(i), 0);
+        }
+        runUntil(() -> store.table(Rows.FLEET).size() == WORKERS);
+        assertEquals(0, store.refusals);
+        for (StoredRow row : store.table(Rows.FLEET)) {
+            assertTrue(RowCodec.worker(row).isOk(), row.key());
+        }
+    }
+
+    @Test
+    void aRecordThatTheStoreRefusesDelaysNoOtherJob() throws InterruptedException {
+        for (int i = 0; i < 10; i++) {
+            owner.onJob(job(i), false, 0, 0);
+            owner.onCancel("job-" + i, 0);
+        }
+        store.refusedRows.add(Rows.PROGRESS + "/job-4");
+        runUntil(() -> store.table(Rows.PROGRESS).size() == 9);
+        assertTrue(store.table(Rows.PROGRESS).stream().noneMatch(row -> row.key().equals("job-4")));
+    }
+
+    @Test
+    void aFleetThatTheStoreRefusesDelaysNoProgress() throws InterruptedException {
+        owner.onWorker(worker(1), 0);
+        store.refusedRows.add(Rows.FLEET + "/" + worker(1).id());
+        owner.onJob(job(1), false, 0, 0);
+        owner.onCancel("job-1", 0);
+        runUntil(() -> store.table(Rows.PROGRESS).size() == 1);
+        Map<String, Integer> counts = owner.pending();
+        assertEquals(Map.of(), counts);
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/peridotcourse/daemon/dispatch/RecordCodecTest.java
@@ -0,0 +1,66 @@
+package org.peridotcourse.daemon.dispatch;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+import org.peridotcourse.dispatch.JobRecord;
+import org.peridotcourse.dispatch.JobState;
+
+/** Guards against records that are longer than a row and against damaged ones taken for new. */
+class RecordCodecTest {
+    private static final int ROW_BYTES = 65_536;
+    private static final int TASKS = 10_000;
+
+    private static JobRecord running(boolean done, List<Integer> failed, Random checkpoints) {
+        List<JobRecord.TaskRecord> tasks = new ArrayList<>();
+        for (int i = 0; i < TASKS; i++) {
+            String checkpoint =
+                    checkpoints == null ? "" : String.format("%016x", checkpoints.nextLong());
+            tasks.add(new JobRecord.TaskRecord(0, i % 7, i, done, failed, checkpoint));
+        }
+        return new JobRecord(JobState.RUNNING, 0, tasks);
+    }
+
+    private static JobRecord roundTrip(JobRecord record) {
+        return RecordCodec.decode(RecordCodec.encode(record)).toOptional().orElseThrow();
+    }
+
+    @Test
+    void aRecordIsReadAsWritten() {
+        JobRecord small =
+                new JobRecord(
+                        JobState.RUNNING,
+                        0,
+                        List.of(
+                                new JobRecord.TaskRecord(0, 0, 1, true, List.of(), ""),
+                                new JobRecord.TaskRecord(0, 1, 2, false, List.of(3, 4), "c")));
+        assertEquals(small, roundTrip(small));
+        JobRecord large = running(false, List.of(1, 2), new Random(1));
+        assertEquals(large, roundTrip(large));
+    }
+
+    @Test
+    void theRecordOfALargeJobFitsARow() {
+        assertTrue(RecordCodec.encode(running(true, List.of(), null)).length <= ROW_BYTES);
+        JobRecord worst = running(false, List.of(1001, 1002), new Random(1));
+        assertTrue(RecordCodec.encode(worst.withoutCheckpoints()).length <= ROW_BYTES);
+        assertEquals(TASKS, worst.withoutCheckpoints().tasks().size(), "failures are kept");
+    }
+
+    @Test
+    void damagedRecordsAreRefused() {
+        for (String text : List.of("", "7", "{}", "{{", "z", "znonsense")) {
+            byte[] value = text.getBytes(StandardCharsets.UTF_8);
+            assertFalse(RecordCodec.decode(value).isOk(), text);
+        }
+        byte[] whole = RecordCodec.encode(running(true, List.of(), null));
+        assertFalse(RecordCodec.decode(Arrays.copyOf(whole, whole.length / 2)).isOk(), "cut off");
+    }
+}
--- a/daemon/src/test/java/org/peridotcourse/daemon/dispatch/RowCodecTest.java
+++ b/daemon/src/test/java/org/peridotcourse/daemon/dispatch/RowCodecTest.java
@@ -34,7 +34,7 @@
     void listsAndCountsAreReadAsWritten() {
         List<String> names = List.of("a/1", "b/2");
         assertEquals(names, RowCodec.names(RowCodec.names(names)).toOptional().orElseThrow());
-        Map<String, Integer> counts = Map.of("q", 3);
+        PendingCounts counts = new PendingCounts(4, Map.of("q", 3));
         assertEquals(counts, RowCodec.pending(RowCodec.pending(counts)).toOptional().orElseThrow());
     }
 
@@ -43,11 +43,12 @@
         for (String text : MALFORMED) {
             assertFalse(RowCodec.lease(bytes(text)).isOk(), "lease " + text);
             assertFalse(RowCodec.names(bytes(text)).isOk(), "names " + text);
-            assertFalse(RowCodec.fleet(bytes(text)).isOk(), "fleet " + text);
+            assertFalse(RowCodec.worker(row(text)).isOk(), "fleet " + text);
             assertFalse(RowCodec.host(row(text)).isOk(), "host " + text);
-            assertFalse(RowCodec.record(bytes(text)).isOk(), "progress " + text);
+            assertFalse(RowCodec.pending(bytes(text)).isOk(), "pending " + text);
         }
         assertFalse(RowCodec.pending(bytes("[]")).isOk());
-        assertTrue(RowCodec.pending(bytes("{}")).isOk(), "no queue has jobs that wait");
+        byte[] none = RowCodec.pending(new PendingCounts(1, Map.of()));
+        assertTrue(RowCodec.pending(none).isOk(), "no queue has jobs that wait");
     }
 }
