Decide in paced rounds and search workers once for each step

A round of decisions followed each report, compared the lines of all workers with a list (quadratic), copied the fleet, and each waiting step weighed all workers for each of its tasks, counting the tasks of the step for each.

--- a/core/src/main/java/org/peridotcourse/dispatch/DispatchOwner.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/DispatchOwner.java
@@ -88,6 +88,16 @@
         return new ArrayList<>(state.workers.keySet());
     }
 
+    /**
+     * Tells whether lease calls go to a worker.
+     *
+     * @param id its id
+     * @return false once it is forgotten
+     */
+    public boolean knows(String id) {
+        return state.workers.containsKey(id);
+    }
+
     /**
      * Returns the workers that may run tasks of this owner.
      *
--- a/core/src/main/java/org/peridotcourse/dispatch/Planner.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/Planner.java
@@ -9,6 +9,12 @@
     /** Starts of one round; the rest follows at once, after the answers of the first ones. */
     private static final int STARTS_PER_ROUND = 64;
 
+    /**
+     * Pause after a filling step found no worker. Such a search weighs the headroom of all workers,
+     * and many steps wait at a busy time.
+     */
+    private static final long FILL_SEARCH_MILLIS = 40;
+
     private final OwnerState state;
     private final StepOrder order;
     private final WorkerChoice choice;
@@ -40,20 +46,22 @@
     }
 
     private int startTasks(Step step, long now) {
+        if (now < step.searchAt) {
+            return 0;
+        }
         int started = 0;
-        boolean plain = step.spec.maxPerWorker() == 0;
         for (Task task : step.tasks) {
             if (!task.isWaiting() || task.notBefore > now) {
                 continue;
             }
             Optional<Worker> worker = choice.choose(task, now);
-            if (worker.isPresent()) {
-                runs.start(task, worker.get(), now, "start");
-                started++;
-            } else if (plain) {
+            if (worker.isEmpty()) {
                 // The other tasks need the same room.
+                step.searchAt = step.spec.isFilling() ? now + FILL_SEARCH_MILLIS : 0;
                 return started;
             }
+            runs.start(task, worker.get(), now, "start");
+            started++;
         }
         return started;
     }
--- a/core/src/main/java/org/peridotcourse/dispatch/Preemption.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/Preemption.java
@@ -28,7 +28,7 @@
     }
 
     void consider(Step step, long now) {
-        if (now < nextAt || step.spec.isFilling()) {
+        if (now < nextAt || now < step.preemptAt || step.spec.isFilling()) {
             return;
         }
         Task task = longestWaiting(step, now);
@@ -38,8 +38,9 @@
         List<Run> best = List.of();
         double bestLoss = Double.MAX_VALUE;
         int priority = state.rules(step.job()).priority();
+        WorkerChoice.Search search = choice.search(task, now);
         for (Worker worker : state.workers.values()) {
-            if (!choice.mayRun(worker, task, now)) {
+            if (!choice.mayRun(worker, search, now)) {
                 continue;
             }
             List<Run> victims = victims(worker, step.spec, priority);
@@ -49,6 +50,7 @@
                 bestLoss = loss;
             }
         }
+        step.preemptAt = now + PAUSE_MILLIS;
         if (!best.isEmpty()) {
             nextAt = now + PAUSE_MILLIS;
             best.forEach(run -> runs.stop(run, StopReason.PREEMPTED, now));
--- a/core/src/main/java/org/peridotcourse/dispatch/Step.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/Step.java
@@ -1,5 +1,8 @@
 package org.peridotcourse.dispatch;
 
+import java.util.HashMap;
+import java.util.Map;
+
 /** One step of an occurrence. Confined to one thread. */
 final class Step {
     final Occurrence occurrence;
@@ -10,9 +13,18 @@
     /** Names the load that the tasks share if they serve. */
     final String load;
 
+    /** Runs of this step on each worker, so that a choice of workers needs no look at all tasks. */
+    private final Map<Worker, Integer> activeByWorker = new HashMap<>();
+
     /** Tasks that are not done. */
     int remaining;
 
+    /** No search for a worker before this time, since the last one found none. */
+    long searchAt;
+
+    /** No search for runs to preempt before this time. */
+    long preemptAt;
+
     /** When it was first seen open, 0 before. */
     long openedAt;
 
@@ -63,15 +75,15 @@
     }
 
     int activeOn(Worker worker) {
-        int count = 0;
-        for (Task task : tasks) {
-            for (Run run : task.runs) {
-                if (run.worker == worker) {
-                    count++;
-                }
-            }
-        }
-        return count;
+        return activeByWorker.getOrDefault(worker, 0);
+    }
+
+    void onRunAdded(Worker worker) {
+        activeByWorker.merge(worker, 1, Integer::sum);
+    }
+
+    void onRunRemoved(Worker worker) {
+        activeByWorker.computeIfPresent(worker, (key, runs) -> runs > 1 ? runs - 1 : null);
     }
 
     /** Marks a task as done; a gang is done with its first member. */
--- a/core/src/main/java/org/peridotcourse/dispatch/Worker.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/Worker.java
@@ -103,6 +103,7 @@
     void add(Run run) {
         changes++;
         runs.put(run.key(), run);
+        run.task.step.onRunAdded(this);
         used = used.plus(run.spec().reserved());
         count(run, 1);
         if (run.isServing()) {
@@ -114,6 +115,7 @@
         if (runs.remove(run.key()) == null) {
             return;
         }
+        run.task.step.onRunRemoved(this);
         changes++;
         used = used.minus(run.spec().reserved());
         count(run, -1);
--- a/core/src/main/java/org/peridotcourse/dispatch/WorkerChoice.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/WorkerChoice.java
@@ -63,12 +63,33 @@
         return worker.health.hasRate() && worker.health.slowness() > SLOW_FACTOR * usualSlowness;
     }
 
+    /**
+     * A task that wants a worker, with what is the same for all workers.
+     *
+     * @param task the task
+     * @param service the service whose workers may run it
+     * @param waited how long it has waited
+     * @param neglected true if it has waited long and nothing of its job runs
+     */
+    record Search(Task task, String service, long waited, boolean neglected) {
+        StepSpec spec() {
+            return task.step.spec;
+        }
+    }
+
+    Search search(Task task, long now) {
+        long waited = task.waited(now);
+        boolean neglected = waited >= NOTHING_RUNS_MILLIS && !task.job().hasRuns();
+        return new Search(task, state.rules(task.job()).service(), waited, neglected);
+    }
+
     /** Returns the best worker for a task, or empty if none has room now. */
     Optional<Worker> choose(Task task, long now) {
+        Search search = search(task, now);
         Worker best = null;
         double bestCost = Double.MAX_VALUE;
         for (Worker worker : state.workers.values()) {
-            if (!mayRun(worker, task, now) || !worker.fits(task.step.spec)) {
+            if (!worker.fits(search.spec()) || !mayRun(worker, search, now)) {
                 continue;
             }
             double cost = cost(worker, task, now);
@@ -81,10 +102,11 @@
     }
 
     /** Tells whether a worker may run a task, leaving aside its room. */
-    boolean mayRun(Worker worker, Task task, long now) {
-        StepSpec spec = task.step.spec;
+    boolean mayRun(Worker worker, Search search, long now) {
+        Task task = search.task();
+        StepSpec spec = search.spec();
         WorkerInfo info = worker.info;
-        if (!isUsable(worker, now) || !info.service().equals(serviceOf(task.job()))) {
+        if (!isUsable(worker, now) || !info.service().equals(search.service())) {
             return false;
         }
         if (spec.requiredLabel().isPresent()
@@ -99,7 +121,7 @@
                 return false;
             }
         }
-        if (spec.isFilling() && !mayFill(worker, task, now)) {
+        if (spec.isFilling() && !mayFill(worker, search, now)) {
             return false;
         }
         return !worker.health.isOnProbation() || worker.runs.isEmpty();
@@ -110,17 +132,16 @@
      * longer one waits, the more pressure is risked; a job of which nothing runs gets a worker in
      * any case, where pacing protects the serving tasks.
      */
-    private boolean mayFill(Worker worker, Task task, long now) {
-        StepSpec spec = task.step.spec;
-        long waited = task.waited(now);
-        if (waited >= NOTHING_RUNS_MILLIS && !task.job().hasRuns()) {
+    private boolean mayFill(Worker worker, Search search, long now) {
+        StepSpec spec = search.spec();
+        if (search.neglected()) {
             return true;
         }
         long demand = worker.fillMilliCores + spec.need().milliCores();
         if (demand > worker.spareMilliCores()) {
             return false;
         }
-        double risked = Math.max(0, waited - PATIENT_MILLIS) * RISK_PER_MILLI;
+        double risked = Math.max(0, search.waited() - PATIENT_MILLIS) * RISK_PER_MILLI;
         return tightest(worker, spec, now) + Math.min(MOST_RISK, risked) >= 0;
     }
 
@@ -193,10 +214,6 @@
                 && !state.evacuated.contains(worker.info.dataCentre());
     }
 
-    private String serviceOf(Job job) {
-        return state.rules(job).service();
-    }
-
     private double cost(Worker worker, Task task, long now) {
         StepSpec spec = task.step.spec;
         double cost = load(worker, spec, now);
--- a/core/src/test/java/org/peridotcourse/dispatch/DispatchWorld.java
+++ b/core/src/test/java/org/peridotcourse/dispatch/DispatchWorld.java
@@ -3,6 +3,8 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.lang.management.ManagementFactory;
+import java.lang.management.ThreadMXBean;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -22,6 +24,7 @@
  * and that workers are not overloaded.
  */
 final class DispatchWorld {
+    private static final ThreadMXBean CPU = ManagementFactory.getThreadMXBean();
     static final long TICK = 10;
     static final long DELAY = 5;
     static final long WALL = 1_700_000_000_000L;
@@ -50,6 +53,9 @@
     /** Tails of serving tasks. */
     FakeRunner.TailRule tail = (task, serving, uses, at) -> 0;
 
+    /** Processor time of decisions and of reading reports. */
+    long ownerNanos;
+
     long now = 1_000;
     DispatchOwner owner;
     private long epoch;
@@ -174,7 +180,10 @@
 
     private void step() {
         DispatchOwner acting = owner;
-        for (Order order : acting.decide(now)) {
+        long began = CPU.getCurrentThreadCpuTime();
+        List<Order> orders = acting.decide(now);
+        ownerNanos += CPU.getCurrentThreadCpuTime() - began;
+        for (Order order : orders) {
             send(acting, order);
         }
         for (String id : acting.workers()) {
@@ -230,7 +239,9 @@
                 () -> {
                     calling.put(runner.id, now + (acting.hasUnstoredEnds(runner.id) ? 30 : 0));
                     if (report.isPresent()) {
+                        long began = CPU.getCurrentThreadCpuTime();
                         acting.onReport(runner.id, report.get(), sentAt, now);
+                        ownerNanos += CPU.getCurrentThreadCpuTime() - began;
                     } else {
                         acting.onNoReport(runner.id, OrderReply.STALE_EPOCH, now);
                     }
--- /dev/null
+++ b/core/src/test/java/org/peridotcourse/dispatch/LargeFleetLoadTest.java
@@ -0,0 +1,123 @@
+package org.peridotcourse.dispatch;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+import org.peridotcourse.Resources;
+
+/**
+ * Guards the processor time of an owner of a large fleet under a burst.
+ *
+ * <p>The load has the pattern of rutas-flipper-large: 258 workers, twenty wide serving jobs, a
+ * steady stream of small urgent jobs, and a burst of wide two-step filling jobs of many images that
+ * queue for room. Seen there: each waiting step weighed all workers for each of its tasks after
+ * each report, the owner fell behind, and the jobs that it told as waiting were seconds old.
+ */
+class LargeFleetLoadTest {
+    private static final int WORKERS = 258;
+    private static final Resources CAPACITY = Resources.of(16_000, 64_000, 0);
+    private static final QueueRules PARTS = DispatchWorld.queue("parts", 0, 4);
+    private static final QueueRules PLANS = DispatchWorld.queue("plans", 1, 4);
+    private static final QueueRules WATCH = DispatchWorld.queue("watch", 0, 2);
+    private static final int TICKS_PER_SECOND = 10;
+    private static final int BURST_FROM = 4;
+    private static final int BURST_TO = 9;
+    private static final int SECONDS = 14;
+
+    /** Hosts of this size have 0.75 of two cores; half of that is left for messages. */
+    private static final double MOST_CORES = 0.75;
+
+    private final DispatchWorld world = new DispatchWorld(7, WORKERS, CAPACITY);
+    private final Random random = new Random(11);
+    private final List<String> urgent = new ArrayList<>();
+    private final Map<String, Long> submittedAt = new HashMap<>();
+
+    private double tail(TaskRef task, StepSpec serving, Map<String, Double> uses, long now) {
+        double headroom = 1 + 0.4 * Math.sin(2 * Math.PI * now / 10_000.0 + task.job().hashCode());
+        for (Map.Entry<String, Double> use : uses.entrySet()) {
+            int pair = (serving.image().orElse("") + use.getKey()).hashCode() & 0xff;
+            headroom -= (pair < 80 ? 4.0 : 0.3) * use.getValue();
+        }
+        return Math.round(7 / Math.max(0.03, headroom));
+    }
+
+    private static StepSpec.Builder step(int count, int milliCores, long millis) {
+        return StepSpec.builder(count, Resources.of(milliCores, 800, 0)).estimateMillis(millis);
+    }
+
+    private StepSpec.Builder filling() {
+        return step(27, 1_800, 2_700).fills(true).image(Optional.of("f" + random.nextInt(12)));
+    }
+
+    private void submit(QueueRules queue, StepSpec... steps) {
+        String id = world.submit(queue, steps);
+        submittedAt.put(id, world.now);
+        if (queue == PARTS) {
+            urgent.add(id);
+        }
+    }
+
+    private void serve() {
+        for (int i = 0; i < 20; i++) {
+            submit(
+                    WATCH,
+                    step(24, 3_200, 0)
+                            .lasting(true)
+                            .targetMillis(18)
+                            .maxPerWorker(i % 2)
+                            .image(Optional.of("s" + i % 16))
+                            .build());
+        }
+        world.run(3_000);
+    }
+
+    private void playSecond(boolean burst) {
+        for (int tick = 0; tick < TICKS_PER_SECOND; tick++) {
+            if (random.nextDouble() < 0.82) {
+                submit(PARTS, step(8, 3_000, 800).build());
+            }
+            for (int i = 0; i < (burst ? 2 : 1); i++) {
+                if (random.nextDouble() < 0.66) {
+                    submit(PLANS, filling().build(), filling().after(List.of(0)).build());
+                }
+            }
+            world.run(1_000 / TICKS_PER_SECOND);
+        }
+    }
+
+    @Test
+    void aBurstOfWideJobsIsDecidedWithinTheTimeOfOneHost() {
+        world.tail = this::tail;
+        world.config(PARTS, PLANS, WATCH);
+        serve();
+        world.ownerNanos = 0;
+        long began = world.now;
+        for (int second = 0; second < SECONDS; second++) {
+            playSecond(second >= BURST_FROM && second < BURST_TO);
+        }
+        double cores = world.ownerNanos / 1e6 / (world.now - began);
+        assertTrue(cores < MOST_CORES, "cores used by decisions: " + cores);
+        world.run(2_000);
+        long objective = PARTS.objectiveMillis(new JobSpec("", List.of(parts()), Schedule.ONCE));
+        long late =
+                urgent.stream()
+                        .filter(id -> world.now - submittedAt.get(id) > objective)
+                        .filter(id -> tookMillis(id) > objective)
+                        .count();
+        assertTrue(10 * late <= urgent.size(), late + " of " + urgent.size() + " are late");
+    }
+
+    private long tookMillis(String id) {
+        return world.endedAt.getOrDefault(id, Long.MAX_VALUE) - submittedAt.get(id);
+    }
+
+    private static StepSpec parts() {
+        return step(8, 3_000, 800).build();
+    }
+}
--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/FleetRecord.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/FleetRecord.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Supplier;
 import org.peridotcourse.dispatch.WorkerInfo;
 
 /**
@@ -16,15 +17,15 @@
     /** Rows of one write, well below the store's bound for a transaction. */
     private static final int ROWS_PER_WRITE = 90;
 
-    /** Pause between writes, so that workers which come and go cost little. */
-    private static final long PERIOD_MILLIS = 300;
+    /** Pause between comparisons, so that workers which come and go cost little. */
+    private static final long PERIOD_MILLIS = 200;
 
     private final GuardedWriter writer;
 
     /** Addresses and births by id, as stored. */
     private final Map<String, Place> stored = new HashMap<>();
 
-    private long writtenAt;
+    private long comparedAt;
 
     /** What must be known of a worker to call it. */
     private record Place(String address, long bornMillis) {
@@ -43,10 +44,12 @@
     }
 
     /** Writes some of the differences; true if a write was sent. */
-    boolean step(List<WorkerInfo> fleet, long now) {
-        if (now - writtenAt < PERIOD_MILLIS) {
+    boolean step(Supplier<List<WorkerInfo>> workers, long now) {
+        if (now - comparedAt < PERIOD_MILLIS) {
             return false;
         }
+        comparedAt = now;
+        List<WorkerInfo> fleet = workers.get();
         List<WorkerInfo> changed = new ArrayList<>();
         Set<String> present = new HashSet<>();
         for (WorkerInfo worker : fleet) {
@@ -65,7 +68,6 @@
         if (changed.isEmpty() && gone.isEmpty()) {
             return false;
         }
-        writtenAt = now;
         RowWrite.Builder write = writer.begin();
         changed.forEach(worker -> write.put(Rows.FLEET, worker.id(), RowCodec.worker(worker)));
         gone.forEach(id -> write.delete(Rows.FLEET, id));
--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/LeaseKeeping.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/LeaseKeeping.java
@@ -91,7 +91,7 @@
         if (!workersKnown || !fleetKnown) {
             return;
         }
-        lines.keySet().retainAll(owner.workers());
+        lines.keySet().removeIf(id -> !owner.knows(id));
         for (Map.Entry<String, Line> entry : lines.entrySet()) {
             Line line = entry.getValue();
             if (!line.outstanding && line.notBefore <= now) {
--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/OwnerDuty.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/OwnerDuty.java
@@ -39,12 +39,13 @@
     private final ProgressWriter progress;
     private final LeaseKeeping leases;
     private final EventLog log;
+    private final StepPacer pacer = new StepPacer();
     private final long startedAt;
     private final List<TableFeed> feeds = new ArrayList<>();
     private final Map<String, StoredRow> waitingJobs = new HashMap<>();
 
     private Map<String, JobRecord> records = new HashMap<>();
-    private boolean progressRead;
+    private boolean stepScheduled;
     private boolean jobsRead;
     private boolean loaded;
     private boolean stopped;
@@ -100,12 +101,25 @@
         owner.onEvacuated(config.evacuated());
     }
 
-    /** Decides and carries out, after each round of the loop. */
+    /** Decides and carries out, after rounds of the loop. */
     void step() {
         if (stopped || !loaded) {
             return;
         }
         long now = loop.now();
+        long wait = pacer.waitMillis(now);
+        if (wait > 0) {
+            if (!stepScheduled) {
+                stepScheduled = true;
+                loop.after(wait, () -> stepScheduled = false);
+            }
+            return;
+        }
+        decide(now);
+        pacer.onRound(now, loop.now());
+    }
+
+    private void decide(long now) {
         if (owner.isDeposed()) {
             election.onDeposed("a worker has seen a later owner");
             return;
@@ -196,7 +210,6 @@
 
         @Override
         public void onCaughtUp() {
-            progressRead = true;
             feed(Rows.JOBS, Rows.PART, FEED_WAIT_MILLIS, 0, new JobRows(), false);
         }
     }
--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/ProgressWriter.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/ProgressWriter.java
@@ -112,7 +112,7 @@
         if (!writing && now >= notBefore) {
             storeProgress(now);
         }
-        if (aside.isIdle(now) && !fleet.step(owner.fleet(), now)) {
+        if (aside.isIdle(now) && !fleet.step(owner::fleet, now)) {
             cleaner.step(now, System.currentTimeMillis());
         }
     }
