Give the ownership to large hosts; keep ends and runs of jobs that are read late; confirm the lease after a pause

Change: hosts tell their processor; a small host waits 800 ms longer for the ownership and passes it to a much larger one that says it would take it; ends wait up to 3 s for their job, and its runs are not stopped meanwhile; an owner that stood still for 1 s gives no order until a renewal sent afterwards is confirmed; a job with unreadable progress waits; the loop survives stack overflows, linkage and assertion errors.

--- a/core/src/main/java/org/peridotcourse/dispatch/DispatchOwner.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/DispatchOwner.java
@@ -225,6 +225,15 @@
         jobs.cancel(job, now);
     }
 
+    /**
+     * Takes the news that a job ended under an earlier owner.
+     *
+     * @param job the id of the job
+     */
+    public void onEnded(String job) {
+        jobs.onEnded(job);
+    }
+
     /**
      * Tells whether a job has ended, as far as this owner knows.
      *
@@ -257,7 +266,7 @@
         if (worker == null) {
             return Optional.empty();
         }
-        boolean unstored = worker.seenEnd > worker.storedEnd;
+        boolean unstored = worker.hasUnstoredEnds();
         boolean renews = worker.hasClock() && worker.reachable;
         OptionalLong lease =
                 renews
@@ -280,7 +289,7 @@
      */
     public boolean hasUnstoredEnds(String id) {
         Worker worker = state.workers.get(id);
-        return worker != null && worker.seenEnd > worker.storedEnd;
+        return worker != null && worker.hasUnstoredEnds();
     }
 
     /**
--- a/core/src/main/java/org/peridotcourse/dispatch/JobBook.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/JobBook.java
@@ -249,6 +249,15 @@
         ended.remove(id);
     }
 
+    void onEnded(String id) {
+        ended.add(id);
+    }
+
+    /** Tells whether a job was read, now or before its end. */
+    boolean isKnown(String id) {
+        return state.jobs.containsKey(id) || ended.contains(id);
+    }
+
     boolean isEnded(String id) {
         return ended.contains(id);
     }
--- a/core/src/main/java/org/peridotcourse/dispatch/ReportReader.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/ReportReader.java
@@ -46,7 +46,7 @@
                     worker,
                     "running=" + report.running().size() + " ended=" + report.ended().size());
         }
-        report.ended().forEach(ended -> onEnded(worker, ended, now));
+        readEnds(worker, report.ended(), now);
         Map<Run.Key, WorkerReport.Running> listed = new HashMap<>();
         for (WorkerReport.Running running : report.running()) {
             listed.put(new Run.Key(running.task(), running.attempt()), running);
@@ -76,6 +76,7 @@
         worker.life = report.bornMillis();
         worker.seenEnd = 0;
         worker.storedEnd = 0;
+        worker.awaitingJobSince = 0;
         worker.health.reset();
         worker.strays.clear();
         for (Run run : new ArrayList<>(worker.runs.values())) {
@@ -90,11 +91,25 @@
         }
     }
 
-    private void onEnded(Worker worker, WorkerReport.Ended ended, long now) {
-        if (ended.number() <= worker.seenEnd) {
-            return;
+    /**
+     * Applies ends in their order. An end of a job that is not read yet holds up those behind it,
+     * since the worker forgets what is acknowledged and the task would run again.
+     */
+    private void readEnds(Worker worker, List<WorkerReport.Ended> ends, long now) {
+        for (WorkerReport.Ended ended : ends) {
+            if (ended.number() <= worker.seenEnd) {
+                continue;
+            }
+            if (!jobs.isKnown(ended.task().job()) && worker.awaitsJob(now)) {
+                return;
+            }
+            worker.awaitingJobSince = 0;
+            worker.seenEnd = ended.number();
+            onEnded(worker, ended, now);
         }
-        worker.seenEnd = ended.number();
+    }
+
+    private void onEnded(Worker worker, WorkerReport.Ended ended, long now) {
         jobs.openFor(ended.task(), now);
         Run run = worker.runs.get(new Run.Key(ended.task(), ended.attempt()));
         if (run != null) {
@@ -127,9 +142,11 @@
             jobs.openFor(running.task(), now);
             Optional<Task> task = state.task(running.task());
             if (task.isEmpty() || !mayAdopt(task.get())) {
-                worker.strays.putIfAbsent(key, now);
+                boolean known = jobs.isKnown(running.task().job());
+                worker.strays.putIfAbsent(key, known ? now : now + Worker.JOB_READ_MILLIS);
                 return;
             }
+            worker.strays.remove(key);
             run = adopt(task.get(), running, worker, now);
         }
         run.confirm(now);
--- a/core/src/main/java/org/peridotcourse/dispatch/Worker.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/Worker.java
@@ -12,6 +12,9 @@
     /** Share of their reservation that lasting tasks use at a busy time. */
     private static final double LASTING_USE = 0.6;
 
+    /** Time in which a job that a worker reports on is read from the store. */
+    static final long JOB_READ_MILLIS = 3_000;
+
     final String id;
     final WorkerHealth health = new WorkerHealth();
     final Map<Run.Key, Run> runs = new LinkedHashMap<>();
@@ -38,6 +41,9 @@
 
     long storedEnd;
 
+    /** Since when an end waits for its job to be read, 0 if none does. */
+    long awaitingJobSince;
+
     /** No start before this time. */
     long avoidUntil;
 
@@ -152,6 +158,17 @@
         }
     }
 
+    /** Tells whether an end of a job that is not read waits for it, and no longer than it may. */
+    boolean awaitsJob(long now) {
+        awaitingJobSince = awaitingJobSince == 0 ? now : awaitingJobSince;
+        return now - awaitingJobSince < JOB_READ_MILLIS;
+    }
+
+    /** Tells whether ends are listed that cannot be acknowledged yet. */
+    boolean hasUnstoredEnds() {
+        return seenEnd > storedEnd || awaitingJobSince > 0;
+    }
+
     /** Takes a reading of the worker's clock; it was taken no later than its receipt. */
     void readClock(long reading, long receivedAt) {
         hasClock = true;
--- /dev/null
+++ b/core/src/test/java/org/peridotcourse/dispatch/LateJobTest.java
@@ -0,0 +1,124 @@
+package org.peridotcourse.dispatch;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.OptionalLong;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.peridotcourse.Resources;
+
+/**
+ * Guards runs that a worker reports before their job is read from the store, as around a change of
+ * the owner: an earlier owner may have started a job that its successor reads later.
+ */
+class LateJobTest {
+    private static final long WALL = 1_700_000_000_000L;
+    private static final String WORKER = "w";
+    private static final TaskRef TASK = new TaskRef("0000000000000001", 0, 0, 0);
+    private static final LeaseTimes TIMES = new LeaseTimes(5_000, 6_000);
+    private static final QueueRules QUEUE = DispatchWorld.queue("q", 1, 3);
+    private static final WorkerInfo INFO =
+            new WorkerInfo(
+                    WORKER,
+                    "service",
+                    "w:80",
+                    "xela",
+                    List.of("a", "r1"),
+                    Resources.of(8_000, 8_000),
+                    false,
+                    OptionalLong.empty(),
+                    WALL);
+
+    private final DispatchOwner owner =
+            new DispatchOwner(new OwnerTerm(2, 1_000, 1_000, TIMES), decision -> {});
+    private long now = 1_000;
+
+    @BeforeEach
+    void open() {
+        ClusterConfig.Route route = new ClusterConfig.Route("host", "/q/", QUEUE);
+        owner.onConfig(ClusterConfig.of(1, List.of(route)));
+        owner.onWorker(INFO, now);
+    }
+
+    private void report(List<WorkerReport.Running> running, List<WorkerReport.Ended> ended) {
+        now += 100;
+        WorkerReport report = new WorkerReport(now, WALL, running, ended);
+        owner.onReport(WORKER, report, now - 10, now);
+    }
+
+    private static WorkerReport.Ended done() {
+        return new WorkerReport.Ended(1, TASK, 1_001, EndKind.DONE, "");
+    }
+
+    private void readJob() {
+        StepSpec step = StepSpec.builder(1, Resources.of(1_000, 1_000)).estimateMillis(500).build();
+        JobSpec spec = new JobSpec("payload", List.of(step), Schedule.ONCE);
+        JobEntry entry = new JobEntry(TASK.job(), QUEUE, spec, WALL + now, JobRecord.NEW);
+        owner.onJob(entry, true, now, WALL + now);
+    }
+
+    private long starts() {
+        return owner.decide(now).stream().filter(order -> order instanceof Order.Start).count();
+    }
+
+    private RecordBatch changes() {
+        return owner.takeChanges(RecordBatch.MAX_JOBS, job -> false, now, WALL + now);
+    }
+
+    /** The end was acknowledged and forgotten, and the task ran again once its job was read. */
+    @Test
+    void anEndOfAJobThatIsNotReadYetIsKeptForIt() {
+        report(List.of(), List.of(done()));
+        assertTrue(changes().cursors().isEmpty(), "acknowledged");
+        readJob();
+        report(List.of(), List.of(done()));
+        assertEquals(0, starts());
+        RecordBatch batch = changes();
+        assertEquals(JobState.COMPLETED, batch.changes().get(0).record().state());
+        assertEquals(1, batch.cursors().get(WORKER).end());
+    }
+
+    @Test
+    void anEndOfAJobThatNeverComesIsAcknowledgedAfterAWhile() {
+        for (int i = 0; i < 60; i++) {
+            report(List.of(), List.of(done()));
+        }
+        assertEquals(1, changes().cursors().get(WORKER).end());
+    }
+
+    @Test
+    void anEndOfAJobThatHasEndedIsAcknowledgedAtOnce() {
+        owner.onEnded(TASK.job());
+        report(List.of(), List.of(done()));
+        assertEquals(1, changes().cursors().get(WORKER).end());
+    }
+
+    /** Its work was thrown away by a stop, and the task was started again. */
+    @Test
+    void aRunOfAJobThatIsNotReadYetIsNotStopped() {
+        WorkerReport.Running running = new WorkerReport.Running(TASK, 1_001, "", 50, 0);
+        report(List.of(running), List.of());
+        assertTrue(owner.decide(now).isEmpty(), "stopped");
+        readJob();
+        report(List.of(running), List.of());
+        for (int percent = 51; percent < 91; percent++) {
+            report(List.of(new WorkerReport.Running(TASK, 1_001, "", percent, 0)), List.of());
+            assertTrue(owner.decide(now).isEmpty(), "stopped or started again");
+        }
+    }
+
+    @Test
+    void aRunOfAJobThatNeverComesIsStopped() {
+        WorkerReport.Running running = new WorkerReport.Running(TASK, 1_001, "", 50, 0);
+        boolean stopped = false;
+        for (int i = 0; i < 60; i++) {
+            report(List.of(running), List.of());
+            stopped |= !owner.decide(now).isEmpty();
+        }
+        assertTrue(stopped);
+        assertFalse(owner.hasUnstoredEnds(WORKER));
+    }
+}
--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/DispatchEvent.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/DispatchEvent.java
@@ -77,6 +77,20 @@
             "owner.lost",
             Level.WARNING,
             "This host is no longer the owner; fields epoch, reason"),
+    /** A small host passes the ownership on. */
+    OWNER_GIVEN(
+            6033,
+            "owner.given",
+            Level.INFO,
+            "A small host gives the ownership up, since a much larger one would take it; fields "
+                    + "peer"),
+    /** The owner stood still. */
+    OWNER_PAUSED(
+            6034,
+            "owner.paused",
+            Level.WARNING,
+            "The process of the owner stood still and gives no orders until its lease is "
+                    + "confirmed; fields epoch, pausedMillis"),
     /** The owner has read the store. */
     OWNER_LOADED(
             6032,
--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/DispatchHost.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/DispatchHost.java
@@ -170,6 +170,7 @@
                     config.start();
                     directory.start();
                     election.start();
+                    new HandOver(loop, election, directory, peers, parts.log()).start();
                     loop.every(SWEEP_MILLIS, () -> servers.forEach(CallServer::sweep));
                     loop.every(LAG_PERIOD_MILLIS, this::watchLag);
                     loop.every(FIGURES_MILLIS, this::refreshFigures);
@@ -247,6 +248,9 @@
         if (call.path().equals(PeerLink.CONFIG_PATH)) {
             return loop.offer(() -> PeerLink.serveConfig(config, call, caller));
         }
+        if (call.path().equals(PeerLink.WILLING_PATH)) {
+            return loop.offer(() -> PeerLink.serveWilling(election.isWilling(loop.now()), caller));
+        }
         if (call.path().equals(PeerLink.STAND_DOWN_PATH)) {
             return loop.offer(() -> PeerLink.serveStandDown(election, call, caller));
         }
--- /dev/null
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/HandOver.java
@@ -0,0 +1,58 @@
+package org.peridotcourse.daemon.dispatch;
+
+import java.net.InetSocketAddress;
+import java.util.List;
+import org.peridotcourse.daemon.log.EventLog;
+import org.peridotcourse.daemon.ring.EventLoop;
+
+/**
+ * Passes the ownership from a small host to a much larger one, since the owner carries the
+ * decisions for all workers. It is given up only after a larger host has said that it would take
+ * it. Confined to the loop.
+ */
+final class HandOver {
+    private static final long PERIOD_MILLIS = 1_000;
+
+    /** Time in which this host does not take the ownership back. */
+    private static final long YIELD_MILLIS = 3_000;
+
+    private final EventLoop loop;
+    private final OwnerElection election;
+    private final HostDirectory directory;
+    private final PeerLink peers;
+    private final EventLog log;
+    private int next;
+
+    HandOver(
+            EventLoop loop,
+            OwnerElection election,
+            HostDirectory directory,
+            PeerLink peers,
+            EventLog log) {
+        this.loop = loop;
+        this.election = election;
+        this.directory = directory;
+        this.peers = peers;
+        this.log = log;
+    }
+
+    void start() {
+        loop.every(PERIOD_MILLIS, this::consider);
+    }
+
+    private void consider() {
+        List<InetSocketAddress> larger = directory.muchLarger();
+        if (!election.isOwner() || larger.isEmpty()) {
+            return;
+        }
+        InetSocketAddress peer = larger.get(next++ % larger.size());
+        peers.askWilling(peer, () -> give(peer));
+    }
+
+    private void give(InetSocketAddress peer) {
+        if (election.isOwner()) {
+            log.event(DispatchEvent.OWNER_GIVEN).with("peer", peer.getHostString()).write();
+            election.release(false, loop.now() + YIELD_MILLIS);
+        }
+    }
+}
--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/HostDirectory.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/HostDirectory.java
@@ -20,6 +20,7 @@
     private static final long READ_PERIOD_MILLIS = 3_000;
     private static final long RETRY_MILLIS = 300;
     private static final long TIMEOUT_MILLIS = 1_500;
+    private static final int MUCH_LARGER = 2;
 
     private final EventLoop loop;
     private final RowStore store;
@@ -36,7 +37,7 @@
         this.seeds = settings.seeds();
         String address =
                 settings.peers().getAddress().getHostAddress() + ":" + settings.peers().getPort();
-        this.self = new RowCodec.Host(settings.name(), address, incarnation);
+        this.self = new RowCodec.Host(settings.name(), address, incarnation, settings.milliCores());
     }
 
     void start() {
@@ -89,6 +90,26 @@
         }
     }
 
+    /** Tells whether another host has at least twice the processor of this one. */
+    boolean isSmall() {
+        return hosts.values().stream().anyMatch(this::isMuchLarger);
+    }
+
+    private boolean isMuchLarger(RowCodec.Host other) {
+        return other.milliCores() >= MUCH_LARGER * self.milliCores();
+    }
+
+    /** Returns the addresses of hosts with at least twice the processor of this one. */
+    List<InetSocketAddress> muchLarger() {
+        List<InetSocketAddress> addresses = new ArrayList<>();
+        for (RowCodec.Host host : hosts.values()) {
+            if (isMuchLarger(host)) {
+                address(host).ifPresent(addresses::add);
+            }
+        }
+        return addresses;
+    }
+
     /** Returns the addresses of the other hosts, known ones before seeds. */
     List<InetSocketAddress> others() {
         List<InetSocketAddress> addresses = new ArrayList<>();
--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/HostSettings.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/HostSettings.java
@@ -17,6 +17,7 @@
  * @param peers where other hosts connect
  * @param metrics where metrics are served, empty for nowhere
  * @param seeds addresses of some other hosts
+ * @param milliCores processor of this host in thousandths of a core
  * @param limits figures that bound the work of this host
  */
 public record HostSettings(
@@ -27,6 +28,7 @@
         InetSocketAddress peers,
         Optional<InetSocketAddress> metrics,
         List<InetSocketAddress> seeds,
+        int milliCores,
         Limits limits) {
     /**
      * Figures that bound the work of a host.
--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/OwnerDuty.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/OwnerDuty.java
@@ -2,9 +2,11 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.peridotcourse.Result;
 import org.peridotcourse.daemon.log.EventLog;
 import org.peridotcourse.daemon.ring.EventLoop;
@@ -40,10 +42,14 @@
     private final LeaseKeeping leases;
     private final EventLog log;
     private final StepPacer pacer = new StepPacer();
+    private final PauseDetector pauses = new PauseDetector();
     private final long startedAt;
     private final List<TableFeed> feeds = new ArrayList<>();
     private final Map<String, StoredRow> waitingJobs = new HashMap<>();
 
+    /** Jobs whose progress cannot be read; they wait, since their tasks may be done. */
+    private final Set<String> unreadable = new HashSet<>();
+
     private Map<String, JobRecord> records = new HashMap<>();
     private boolean stepScheduled;
     private boolean jobsRead;
@@ -107,6 +113,10 @@
             return;
         }
         long now = loop.now();
+        long paused = pauses.observe(now, System.currentTimeMillis());
+        if (paused > 0) {
+            election.onPaused(now, paused);
+        }
         long wait = pacer.waitMillis(now);
         if (wait > 0) {
             if (!stepScheduled) {
@@ -197,8 +207,12 @@
             Result<JobRecord> record = RecordCodec.decode(row.value());
             if (record instanceof Result.Ok<JobRecord> ok) {
                 records.put(row.key(), ok.value());
+                if (ok.value().state().isFinal()) {
+                    owner.onEnded(row.key());
+                }
                 progress.onProgressRead(row.key(), row.version(), ok.value());
             } else {
+                unreadable.add(row.key());
                 RowLog.refused(log, row, record.failure().orElseThrow());
             }
         }
@@ -244,6 +258,9 @@
     }
 
     private void addJob(StoredRow row, JobRecord record, boolean inherited) {
+        if (unreadable.contains(row.key())) {
+            return;
+        }
         Result<JobEntry> entry = RowCodec.job(row, record, parts.format());
         if (entry instanceof Result.Ok<JobEntry> ok) {
             progress.onJobKnown(row.key(), row.version());
--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/OwnerElection.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/OwnerElection.java
@@ -40,6 +40,9 @@
 
     private static final long LONGEST_DISTANCE_MILLIS = 400;
 
+    /** Hosts with little processor let larger ones go first, which poll within this time. */
+    private static final long SMALL_HOST_MILLIS = 800;
+
     /** Takes what happens to the ownership. Implementations run on the loop. */
     interface Listener {
         /** Takes a new ownership of this host. */
@@ -71,6 +74,9 @@
     /** A takeover without an answer, which may have taken effect or may still do so. */
     private Optional<Takeover> unsettled = Optional.empty();
 
+    /** Renewals that were sent before this time permit nothing. */
+    private long confirmFrom = Long.MIN_VALUE;
+
     private boolean writing;
     private boolean stopping;
     private long distanceMillis;
@@ -107,7 +113,23 @@
 
     /** Tells whether this host may give orders. */
     boolean mayOrder(long now) {
-        return holder.isPresent() && now < holder.get().holdUntilMillis();
+        return holder.isPresent()
+                && now < holder.get().holdUntilMillis()
+                && holder.get().confirmedSentMillis() >= confirmFrom;
+    }
+
+    /**
+     * Takes the news that this process stood still. Another host may be the owner by now, so no
+     * order is given until a renewal that is sent from now on is confirmed.
+     */
+    void onPaused(long now, long pauseMillis) {
+        if (holder.isPresent()) {
+            confirmFrom = now;
+            log.event(DispatchEvent.OWNER_PAUSED)
+                    .with("epoch", holder.get().epoch())
+                    .with("pausedMillis", pauseMillis)
+                    .write();
+        }
     }
 
     /** Returns the name of the owner as last seen. */
@@ -153,6 +175,11 @@
         }
     }
 
+    /** Tells whether this host would take the ownership if it were free. */
+    boolean isWilling(long now) {
+        return !stopping && !health.isAway() && now >= yieldedUntil && !directory.isSmall();
+    }
+
     /** Takes the word of another host that it owns a later epoch. */
     void onSuccessor(long epoch) {
         if (holder.isPresent() && holder.get().epoch() < epoch) {
@@ -271,8 +298,9 @@
             return;
         }
         if (eligibleAt == 0) {
-            eligibleAt = now + distanceMillis;
-            loop.after(distanceMillis, () -> challenge(loop.now()));
+            long wait = distanceMillis + (directory.isSmall() ? SMALL_HOST_MILLIS : 0);
+            eligibleAt = now + wait;
+            loop.after(wait, () -> challenge(loop.now()));
         } else if (now >= eligibleAt) {
             eligibleAt = 0;
             takeOver(row.get(), now);
--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/PeerLink.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/PeerLink.java
@@ -32,6 +32,9 @@
     /** Path under which a host learns of a later owner. */
     static final String STAND_DOWN_PATH = "/peer/stand-down";
 
+    /** Path under which a host tells whether it would take the ownership. */
+    static final String WILLING_PATH = "/peer/willing";
+
     private static final String AFTER_QUERY = "after=";
     private static final String EPOCH_QUERY = "epoch=";
     private static final int MAX_ACTIVE = 16;
@@ -130,6 +133,25 @@
                 });
     }
 
+    /** Asks whether another host would take the ownership; the handler runs only if it would. */
+    void askWilling(InetSocketAddress peer, Runnable handler) {
+        http.call(
+                peer,
+                HttpCall.get(WILLING_PATH),
+                CONFIG_TIMEOUT_MILLIS,
+                MAX_ACTIVE,
+                result -> {
+                    if (result instanceof Result.Ok<HttpReply> ok && ok.value().status() == OK) {
+                        handler.run();
+                    }
+                });
+    }
+
+    /** Tells whether this host would take the ownership. */
+    static void serveWilling(boolean willing, Caller caller) {
+        caller.answer(new CallerAnswer(willing ? OK : NOT_MODIFIED, List.of(), new byte[0]));
+    }
+
     /** Stands down if this host is an earlier owner, and confirms that it is none. */
     static void serveStandDown(OwnerElection election, IncomingCall call, Caller caller) {
         long epoch = number(call.query().orElse(""), EPOCH_QUERY);
--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/RowCodec.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/RowCodec.java
@@ -36,8 +36,9 @@
      * @param name the name
      * @param address where other hosts connect
      * @param incarnation a number that no other run of this host has
+     * @param milliCores its processor in thousandths of a core, 0 if not told
      */
-    record Host(String name, String address, long incarnation) {}
+    record Host(String name, String address, long incarnation, int milliCores) {}
 
     /** Writes a job: a line with its queue and acceptance, then the body as it arrived. */
     static byte[] job(QueueRules queue, long acceptedAtMillis, byte[] body) {
@@ -129,6 +130,7 @@
         ObjectNode node = JSON.createObjectNode();
         node.put("address", host.address());
         node.put("incarnation", host.incarnation());
+        node.put("milliCores", host.milliCores());
         return bytes(node);
     }
 
@@ -142,7 +144,8 @@
                     new Host(
                             row.key(),
                             node.path("address").asText(),
-                            node.path("incarnation").asLong()));
+                            node.path("incarnation").asLong(),
+                            node.path("milliCores").asInt()));
         } catch (IOException malformed) {
             return Result.failed(new RowFault("host: " + malformed.getMessage()));
         }
--- a/daemon/src/main/java/org/peridotcourse/daemon/ring/EventLoop.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/ring/EventLoop.java
@@ -209,7 +209,8 @@
     private void runSafely(Runnable task) {
         try {
             task.run();
-        } catch (RuntimeException fault) {
+        } catch (RuntimeException | StackOverflowError | LinkageError | AssertionError fault) {
+            // One wrong message must not end the loop; other errors end the process.
             faults.accept(fault);
         }
     }
--- a/daemon/src/test/java/org/peridotcourse/daemon/dispatch/OwnerElectionTest.java
+++ b/daemon/src/test/java/org/peridotcourse/daemon/dispatch/OwnerElectionTest.java
@@ -51,6 +51,7 @@
                 address,
                 Optional.empty(),
                 List.of(),
+                1_000,
                 new HostSettings.Limits(new LeaseTimes(5_000, 6_000), 1, 1, 1, 1, 1));
     }
 
--- a/daemon/src/test/java/org/peridotcourse/daemon/dispatch/ProgressWriterTest.java
+++ b/daemon/src/test/java/org/peridotcourse/daemon/dispatch/ProgressWriterTest.java
@@ -62,6 +62,7 @@
                         address,
                         Optional.empty(),
                         List.of(),
+                        1_000,
                         new HostSettings.Limits(TIMES, 1_000, 1, 1, 65_536, 1));
         DispatchMetrics metrics = new DispatchMetrics(loop::now);
         StoreHealth health = new StoreHealth(log);
