Hold up later ends behind one that waits for its job, and read arrived answers before timers

Cause: a report with an end of an unread job was read in part, and runs whose ends stood behind it counted as lost; a loop that was late ran the timers of calls whose answers had already arrived, so a slow owner took live workers for silent. Change: such a report says nothing of missing runs; up to 512 tasks run before timers. Test: LateJobTest.anEndBehindOneThatWaitsIsNotTakenForALostRun (failed before).

--- a/core/src/main/java/org/peridotcourse/dispatch/ReportReader.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/ReportReader.java
@@ -46,14 +46,16 @@
                     worker,
                     "running=" + report.running().size() + " ended=" + report.ended().size());
         }
-        readEnds(worker, report.ended(), now);
+        boolean allEndsRead = readEnds(worker, report.ended(), now);
         Map<Run.Key, WorkerReport.Running> listed = new HashMap<>();
         for (WorkerReport.Running running : report.running()) {
             listed.put(new Run.Key(running.task(), running.attempt()), running);
         }
         listed.forEach((key, running) -> onRunning(worker, key, running, now));
         worker.strays.keySet().retainAll(listed.keySet());
-        endMissing(worker, listed, sentAt, now);
+        if (allEndsRead) {
+            endMissing(worker, listed, sentAt, now);
+        }
     }
 
     private static boolean isEarlierLife(Worker worker, WorkerReport report) {
@@ -94,19 +96,22 @@
     /**
      * Applies ends in their order. An end of a job that is not read yet holds up those behind it,
      * since the worker forgets what is acknowledged and the task would run again.
+     *
+     * @return true if none is held up
      */
-    private void readEnds(Worker worker, List<WorkerReport.Ended> ends, long now) {
+    private boolean readEnds(Worker worker, List<WorkerReport.Ended> ends, long now) {
         for (WorkerReport.Ended ended : ends) {
             if (ended.number() <= worker.seenEnd) {
                 continue;
             }
             if (!jobs.isKnown(ended.task().job()) && worker.awaitsJob(now)) {
-                return;
+                return false;
             }
             worker.awaitingJobSince = 0;
             worker.seenEnd = ended.number();
             onEnded(worker, ended, now);
         }
+        return true;
     }
 
     private void onEnded(Worker worker, WorkerReport.Ended ended, long now) {
--- a/core/src/test/java/org/peridotcourse/dispatch/LateJobTest.java
+++ b/core/src/test/java/org/peridotcourse/dispatch/LateJobTest.java
@@ -81,6 +81,22 @@
         assertEquals(1, batch.cursors().get(WORKER).end());
     }
 
+    /** The run behind it is not listed any more, and was taken for lost and started again. */
+    @Test
+    void anEndBehindOneThatWaitsIsNotTakenForALostRun() {
+        TaskRef other = new TaskRef("0000000000000002", 0, 0, 0);
+        report(List.of(), List.of());
+        readJob();
+        assertEquals(1, starts());
+        int attempt = 1_001;
+        report(List.of(new WorkerReport.Running(TASK, attempt, "", 50, 0)), List.of());
+        WorkerReport.Ended unknown = new WorkerReport.Ended(1, other, 1, EndKind.DONE, "");
+        report(
+                List.of(),
+                List.of(unknown, new WorkerReport.Ended(2, TASK, attempt, EndKind.DONE, "")));
+        assertEquals(0, starts());
+    }
+
     @Test
     void anEndOfAJobThatNeverComesIsAcknowledgedAfterAWhile() {
         for (int i = 0; i < 60; i++) {
--- a/daemon/src/main/java/org/peridotcourse/daemon/ring/EventLoop.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/ring/EventLoop.java
@@ -13,8 +13,11 @@
  * #offer} are thread-safe; everything else is called on the thread of the loop or before its start.
  */
 public final class EventLoop implements AutoCloseable {
-    /** Tasks that run before timers are looked at again. */
-    private static final int TASKS_PER_ROUND = 64;
+    /**
+     * Tasks that run before timers are looked at again. An answer that has arrived counts before the
+     * timer of its call, also when the loop is late.
+     */
+    private static final int TASKS_PER_ROUND = 512;
 
     private static final long LONGEST_WAIT_MILLIS = 1_000;
     private static final long JOIN_MILLIS = 1_000;
