--- a/daemon/src/main/java/org/peridotcourse/daemon/ring/EventLoop.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/ring/EventLoop.java
@@ -14,8 +14,8 @@
  */
 public final class EventLoop implements AutoCloseable {
     /**
-     * Tasks that run before timers are looked at again. An answer that has arrived counts before the
-     * timer of its call, also when the loop is late.
+     * Tasks that run before timers are looked at again. An answer that has arrived counts before
+     * the timer of its call, also when the loop is late.
      */
     private static final int TASKS_PER_ROUND = 512;
 
