Weigh the workers once for all tasks of a step

Change: Ranking weighs all workers once for a step and again only those that come first; workers without stops are passed over when stops are sent.

--- a/core/src/main/java/org/peridotcourse/dispatch/Planner.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/Planner.java
@@ -50,11 +50,13 @@
             return 0;
         }
         int started = 0;
+        Ranking ranking = null;
         for (Task task : step.tasks) {
             if (!task.isWaiting() || task.notBefore > now) {
                 continue;
             }
-            Optional<Worker> worker = choice.choose(task, now);
+            ranking = ranking == null ? choice.rank(task, now) : ranking;
+            Optional<Worker> worker = ranking.best(task);
             if (worker.isEmpty()) {
                 // The other tasks need the same room.
                 step.searchAt = step.spec.isFilling() ? now + FILL_SEARCH_MILLIS : 0;
--- a/core/src/main/java/org/peridotcourse/dispatch/Run.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/Run.java
@@ -101,6 +101,7 @@
         if (stopReason == null) {
             stopReason = reason;
             stopDueAt = now;
+            worker.hasStops = true;
         }
     }
 
--- a/core/src/main/java/org/peridotcourse/dispatch/RunBook.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/RunBook.java
@@ -80,11 +80,8 @@
                 // A stop to a worker that does not answer is sent again once it does.
                 continue;
             }
-            for (Run run : worker.runs.values()) {
-                if (run.isStopping() && run.stopConfirmedAt == 0 && run.stopDueAt <= now) {
-                    run.stopDueAt = now + STOP_RETRY_MILLIS;
-                    sendStop(worker, run.key(), run.stopReason);
-                }
+            if (worker.hasStops) {
+                sendStops(worker, now);
             }
             worker.strays.replaceAll(
                     (key, dueAt) -> {
@@ -97,6 +94,17 @@
         }
     }
 
+    private void sendStops(Worker worker, long now) {
+        worker.hasStops = false;
+        for (Run run : worker.runs.values()) {
+            worker.hasStops |= run.isStopping();
+            if (run.isStopping() && run.stopConfirmedAt == 0 && run.stopDueAt <= now) {
+                run.stopDueAt = now + STOP_RETRY_MILLIS;
+                sendStop(worker, run.key(), run.stopReason);
+            }
+        }
+    }
+
     private void sendStop(Worker worker, Run.Key key, StopReason reason) {
         state.order(
                 new Order.Stop(worker.info, key.task(), key.attempt(), state.term.epoch(), reason));
--- a/core/src/main/java/org/peridotcourse/dispatch/Worker.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/Worker.java
@@ -41,6 +41,9 @@
 
     long storedEnd;
 
+    /** True if a run may be waiting for its stop to be sent. */
+    boolean hasStops;
+
     /** Since when an end waits for its job to be read, 0 if none does. */
     long awaitingJobSince;
 
--- a/core/src/main/java/org/peridotcourse/dispatch/WorkerChoice.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/WorkerChoice.java
@@ -101,6 +101,22 @@
         return Optional.ofNullable(best);
     }
 
+    /**
+     * Ranks the workers for the waiting tasks of a step.
+     *
+     * @param first the first of these tasks
+     */
+    Ranking rank(Task first, long now) {
+        Search search = search(first, now);
+        Ranking ranking = new Ranking(this, now);
+        for (Worker worker : state.workers.values()) {
+            if (worker.fits(search.spec()) && mayRun(worker, search, now)) {
+                ranking.add(worker, cost(worker, first, now));
+            }
+        }
+        return ranking;
+    }
+
     /** Tells whether a worker may run a task, leaving aside its room. */
     boolean mayRun(Worker worker, Search search, long now) {
         Task task = search.task();
@@ -214,7 +230,8 @@
                 && !state.evacuated.contains(worker.info.dataCentre());
     }
 
-    private double cost(Worker worker, Task task, long now) {
+    /** Returns what speaks against a worker; the least is chosen. */
+    double cost(Worker worker, Task task, long now) {
         StepSpec spec = task.step.spec;
         double cost = load(worker, spec, now);
         if (worker.health.isSuspect()) {
