Take no run for lost when entries of a report cannot be read

Cause: rows of a report that could not be read were left out, and a run that was not listed counted as lost and started again. Change: such a report is marked, says nothing of missing runs and is logged.

--- a/core/src/main/java/org/peridotcourse/dispatch/Decision.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/Decision.java
@@ -27,6 +27,8 @@
         RUN_STOPPED,
         /** An order was refused or had no answer. */
         ORDER_FAILED,
+        /** Entries of a report could not be read, so that no run counts as missing. */
+        REPORT_DAMAGED,
         /** A worker can be used. */
         WORKER_USABLE,
         /** A worker cannot be reached. */
--- a/core/src/main/java/org/peridotcourse/dispatch/ReportReader.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/ReportReader.java
@@ -53,7 +53,10 @@
         }
         listed.forEach((key, running) -> onRunning(worker, key, running, now));
         worker.strays.keySet().retainAll(listed.keySet());
-        if (allEndsRead) {
+        if (!report.whole()) {
+            state.log(
+                    Decision.Kind.REPORT_DAMAGED, worker.id, worker, "runs=" + worker.runs.size());
+        } else if (allEndsRead) {
             endMissing(worker, listed, sentAt, now);
         }
     }
--- a/core/src/main/java/org/peridotcourse/dispatch/WorkerReport.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/WorkerReport.java
@@ -11,9 +11,14 @@
  * @param bornMillis wall-clock start of this life, 0 if not told
  * @param running what runs
  * @param ended ends that were not acknowledged, oldest first
+ * @param whole false if some entries could not be read, so that a run which is missing may be there
  */
 public record WorkerReport(
-        long clockMillis, long bornMillis, List<Running> running, List<Ended> ended) {
+        long clockMillis,
+        long bornMillis,
+        List<Running> running,
+        List<Ended> ended,
+        boolean whole) {
     /**
      * Copies the lists.
      *
@@ -21,6 +26,7 @@
      * @param bornMillis start of this life
      * @param running what runs
      * @param ended ends that were not acknowledged
+     * @param whole false if some entries could not be read
      */
     public WorkerReport {
         running = List.copyOf(running);
--- a/core/src/test/java/org/peridotcourse/dispatch/FakeRunner.java
+++ b/core/src/test/java/org/peridotcourse/dispatch/FakeRunner.java
@@ -162,7 +162,7 @@
                                         run.spec.isCheckpointing() ? "" + run.done : "",
                                         run.percent(),
                                         run.figure)));
-        return Optional.of(new WorkerReport(clock(now), born, running, ended));
+        return Optional.of(new WorkerReport(clock(now), born, running, ended, true));
     }
 
     private void extend(long end, long now) {
--- a/core/src/test/java/org/peridotcourse/dispatch/LateJobTest.java
+++ b/core/src/test/java/org/peridotcourse/dispatch/LateJobTest.java
@@ -44,8 +44,13 @@
     }
 
     private void report(List<WorkerReport.Running> running, List<WorkerReport.Ended> ended) {
+        report(running, ended, true);
+    }
+
+    private void report(
+            List<WorkerReport.Running> running, List<WorkerReport.Ended> ended, boolean whole) {
         now += 100;
-        WorkerReport report = new WorkerReport(now, WALL, running, ended);
+        WorkerReport report = new WorkerReport(now, WALL, running, ended, whole);
         owner.onReport(WORKER, report, now - 10, now);
     }
 
@@ -97,6 +102,19 @@
         assertEquals(0, starts());
     }
 
+    /** Entries that could not be read were left out, and their runs were started again. */
+    @Test
+    void aRunIsNotTakenForLostWhenEntriesOfAReportCannotBeRead() {
+        report(List.of(), List.of());
+        readJob();
+        assertEquals(1, starts());
+        report(List.of(new WorkerReport.Running(TASK, 1_001, "", 50, 0)), List.of());
+        report(List.of(), List.of(), false);
+        assertEquals(0, starts());
+        report(List.of(), List.of(), true);
+        assertEquals(1, starts());
+    }
+
     @Test
     void anEndOfAJobThatNeverComesIsAcknowledgedAfterAWhile() {
         for (int i = 0; i < 60; i++) {
--- a/daemon/src/test/java/org/peridotcourse/daemon/dispatch/OwnerElectionTest.java
+++ b/daemon/src/test/java/org/peridotcourse/daemon/dispatch/OwnerElectionTest.java
@@ -118,6 +118,17 @@
         assertTrue(firstTaken.await(OwnerElection.LEASE_MILLIS, TimeUnit.MILLISECONDS));
     }
 
+    /** Another host may have taken over while the process stood still. */
+    @Test
+    void anOwnerThatStoodStillGivesNoOrderUntilItsLeaseIsConfirmed() throws Exception {
+        loop.post(election::start);
+        assertTrue(firstTaken.await(PATIENCE_SECONDS, TimeUnit.SECONDS));
+        assertTrue(onLoop(() -> election.mayOrder(loop.now())));
+        loop.post(() -> election.onPaused(loop.now(), 2_000));
+        assertFalse(onLoop(() -> election.mayOrder(loop.now())));
+        awaitOnLoop(() -> election.mayOrder(loop.now()));
+    }
+
     /**
      * Seen on rutas-flipper-large: a host told of one waiting job while eight had waited for 5 s,
      * because the counts were written only when no progress waited to be stored.
