--- a/core/src/main/java/org/peridotcourse/base/LeaseChallenger.java
+++ b/core/src/main/java/org/peridotcourse/base/LeaseChallenger.java
@@ -73,6 +73,16 @@
         }
     }
 
+    /**
+     * Takes the news that the row could not be observed until now, so that renewals may have been
+     * missed or may not have been possible. The holder gets a whole lease from now on.
+     *
+     * @param nowMillis the present time
+     */
+    public void interrupted(long nowMillis) {
+        changedMillis = Math.max(changedMillis, nowMillis);
+    }
+
     /**
      * Returns the row of a takeover if the lease has ended.
      *
--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/OwnerElection.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/OwnerElection.java
@@ -27,6 +27,12 @@
 
     private static final long POLL_MILLIS = 350;
 
+    /**
+     * Longer gaps between answered polls mean that the store was away, from the owner too. The
+     * owner then gets time to renew, since a change of owner costs more.
+     */
+    private static final long BLIND_MILLIS = 1_200;
+
     /** Counts come with renewals, so older ones mean that the owner or the store is in trouble. */
     private static final long COUNTS_VALID_MILLIS = 2_500;
 
@@ -79,6 +85,7 @@
 
     private boolean writing;
     private boolean stopping;
+    private long observedAt;
     private long distanceMillis;
     private long eligibleAt;
     private long yieldedUntil;
@@ -210,6 +217,8 @@
         if (!(result instanceof Result.Ok<RowSet> ok)) {
             return;
         }
+        boolean gap = observedAt > 0 && now - observedAt > BLIND_MILLIS;
+        observedAt = now;
         distanceMillis = Math.min(LONGEST_DISTANCE_MILLIS, DISTANCE_FACTOR * (loop.now() - sentAt));
         Optional<LeaseRow> lease = Optional.empty();
         long version = 0;
@@ -229,6 +238,9 @@
             checkHeld(lease, version);
         } else {
             challenger.observe(now, lease, version);
+            if (gap) {
+                challenger.interrupted(now);
+            }
             if (!settle(lease, version)) {
                 challenge(now);
             }
@@ -380,7 +392,7 @@
                                 write.put(Rows.DUTIES, Rows.PENDING_KEY, RowCodec.pending(counts)));
         store.write(
                 write.build(),
-                TIMEOUT_MILLIS,
+                health.isAway() ? AWAY_TIMEOUT_MILLIS : TIMEOUT_MILLIS,
                 outcome -> {
                     onRenewed(held, row.get(), now, outcome);
                     loop.after(LEASE_MILLIS / 10, () -> renew(epoch));
--- a/daemon/src/test/java/org/peridotcourse/daemon/dispatch/FakeRowStore.java
+++ b/daemon/src/test/java/org/peridotcourse/daemon/dispatch/FakeRowStore.java
@@ -26,6 +26,9 @@
     /** Names of rows, as {@code table/key}, that the store does not take. */
     final Set<String> refusedRows = new HashSet<>();
 
+    /** True while the store cannot be reached. */
+    boolean away;
+
     /** Writes that were refused as wrong. */
     int refusals;
 
@@ -37,6 +40,10 @@
 
     @Override
     public void read(RowRange range, long timeoutMillis, Consumer<Result<RowSet>> handler) {
+        if (away) {
+            loop.after(LATENCY_MILLIS, () -> handler.accept(unreachable()));
+            return;
+        }
         List<StoredRow> found = new ArrayList<>();
         for (StoredRow row : rows.values()) {
             boolean behind = range.from().isEmpty() || row.key().compareTo(range.from()) >= 0;
@@ -51,6 +58,11 @@
 
     @Override
     public void write(RowWrite write, long timeoutMillis, Consumer<RowOutcome> handler) {
+        if (away) {
+            RowOutcome notDone = new RowOutcome.NotDone(StoreTrouble.UNREACHABLE);
+            loop.after(LATENCY_MILLIS, () -> handler.accept(notDone));
+            return;
+        }
         if (isWrong(write)) {
             refusals++;
             RowOutcome refused = new RowOutcome.NotDone(StoreTrouble.MISUNDERSTOOD);
@@ -82,6 +94,10 @@
         loop.after(LATENCY_MILLIS, () -> handler.accept(new RowOutcome.Written(written)));
     }
 
+    private static Result<RowSet> unreachable() {
+        return Result.failed(StoreTrouble.UNREACHABLE);
+    }
+
     private boolean isWrong(RowWrite write) {
         int entries = write.expected().size() + write.puts().size() + write.deletes().size();
         int bytes = 0;
--- a/daemon/src/test/java/org/peridotcourse/daemon/dispatch/OwnerElectionTest.java
+++ b/daemon/src/test/java/org/peridotcourse/daemon/dispatch/OwnerElectionTest.java
@@ -118,6 +118,31 @@
         assertTrue(firstTaken.await(OwnerElection.LEASE_MILLIS, TimeUnit.MILLISECONDS));
     }
 
+    /**
+     * Seen on treadline-grown scale-1: when the store was back after 6 s, a host that had not seen
+     * the owner renew took over from it at once, and jobs waited 5.7 s for the census.
+     */
+    @Test
+    void anOwnerThatOutlivesAnOutageOfTheStoreStaysOwner() throws Exception {
+        OwnerElection challenger = other();
+        loop.post(election::start);
+        assertTrue(firstTaken.await(PATIENCE_SECONDS, TimeUnit.SECONDS));
+        loop.post(challenger::start);
+        awaitOnLoop(() -> challenger.ownerName().isPresent());
+        loop.post(() -> store.away = true);
+        pause(2 * OwnerElection.LEASE_MILLIS);
+        loop.post(() -> store.away = false);
+        pause(2 * OwnerElection.LEASE_MILLIS);
+        assertTrue(onLoop(election::isOwner));
+        assertEquals(1, taken.get());
+    }
+
+    private void pause(long millis) throws Exception {
+        CountDownLatch over = new CountDownLatch(1);
+        loop.post(() -> loop.after(millis, over::countDown));
+        assertTrue(over.await(PATIENCE_SECONDS, TimeUnit.SECONDS));
+    }
+
     /** Another host may have taken over while the process stood still. */
     @Test
     void anOwnerThatStoodStillGivesNoOrderUntilItsLeaseIsConfirmed() throws Exception {
