--- a/core/src/main/java/org/peridotcourse/dispatch/DispatchOwner.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/DispatchOwner.java
@@ -151,6 +151,30 @@
         }
     }
 
+    /**
+     * Returns what a successor need not learn anew.
+     *
+     * @return what this owner has learned
+     */
+    public Learned learned() {
+        return new Learned(
+                state.tails.period(),
+                state.tails.imageMeans(),
+                state.tails.pairs(),
+                state.durations.errors());
+    }
+
+    /**
+     * Takes what an earlier owner has learned.
+     *
+     * @param learned what it stored
+     * @param now the present time
+     */
+    public void onLearned(Learned learned, long now) {
+        state.tails.restore(learned, now);
+        state.durations.restore(learned.estimates());
+    }
+
     /**
      * Takes a configuration.
      *
--- a/core/src/main/java/org/peridotcourse/dispatch/Durations.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/Durations.java
@@ -60,4 +60,22 @@
                 ? OptionalLong.of(step.spec.estimateMillis())
                 : OptionalLong.empty();
     }
+
+    Map<String, Learned.EstimateError> errors() {
+        Map<String, Learned.EstimateError> errors = new HashMap<>();
+        queues.forEach(
+                (name, queue) ->
+                        errors.put(name, new Learned.EstimateError(queue.error, queue.ends)));
+        return errors;
+    }
+
+    void restore(Map<String, Learned.EstimateError> errors) {
+        errors.forEach(
+                (name, known) -> {
+                    Queue queue = new Queue();
+                    queue.error = known.error();
+                    queue.ends = known.ends();
+                    queues.putIfAbsent(name, queue);
+                });
+    }
 }
--- a/core/src/main/java/org/peridotcourse/dispatch/StrengthBelief.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/StrengthBelief.java
@@ -1,5 +1,8 @@
 package org.peridotcourse.dispatch;
 
+import java.util.Arrays;
+import java.util.List;
+
 /**
  * What is known of how strongly a filling image presses on a serving one: a probability for each of
  * a few strengths. A strength is the share of the serving image's mean headroom that is lost for
@@ -34,6 +37,29 @@
         update();
     }
 
+    /** Returns a belief from evidence of an earlier owner; other lengths tell nothing. */
+    static StrengthBelief of(List<Double> evidence, long now) {
+        StrengthBelief belief = new StrengthBelief();
+        if (evidence.size() == STRENGTHS.length) {
+            for (int i = 0; i < STRENGTHS.length; i++) {
+                belief.evidence[i] = Math.max(-MOST_EVIDENCE, Math.min(0, evidence.get(i)));
+            }
+            belief.at = now;
+            belief.update();
+        }
+        return belief;
+    }
+
+    /** Returns the logarithms of the odds of each strength. */
+    List<Double> evidence() {
+        return Arrays.stream(evidence).boxed().toList();
+    }
+
+    /** Tells whether a reading was taken. */
+    boolean hasEvidence() {
+        return at != 0;
+    }
+
     /** Tells how well a strength explains a reading. */
     interface Likelihood {
         /** Returns the logarithm of the likelihood of a strength. */
--- a/core/src/main/java/org/peridotcourse/dispatch/TailModel.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/TailModel.java
@@ -1,6 +1,8 @@
 package org.peridotcourse.dispatch;
 
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 
 /**
@@ -231,6 +233,42 @@
         return imageMeans.getOrDefault(image, 1.0 / targetMillis / USUAL_NEED);
     }
 
+    /** Returns the evidence on all pairs of images. */
+    List<Learned.Pair> pairs() {
+        List<Learned.Pair> pairs = new ArrayList<>();
+        beliefs.forEach(
+                (serving, byFilling) ->
+                        byFilling.forEach(
+                                (filling, belief) -> {
+                                    if (belief.hasEvidence()) {
+                                        pairs.add(
+                                                new Learned.Pair(
+                                                        serving, filling, belief.evidence()));
+                                    }
+                                }));
+        return pairs;
+    }
+
+    Map<String, Double> imageMeans() {
+        return imageMeans;
+    }
+
+    int period() {
+        return period;
+    }
+
+    /** Takes what an earlier owner learned; what this one has learned goes first. */
+    void restore(Learned learned, long now) {
+        if (learned.period() >= 0 && learned.period() < PeriodicFit.PERIODS) {
+            period = learned.period();
+        }
+        learned.imageMeans().forEach(imageMeans::putIfAbsent);
+        for (Learned.Pair pair : learned.pairs()) {
+            beliefs.computeIfAbsent(pair.serving(), key -> new HashMap<>())
+                    .putIfAbsent(pair.filling(), StrengthBelief.of(pair.evidence(), now));
+        }
+    }
+
     /** Forgets the loads of a job that has ended. */
     void forget(String job) {
         loads.keySet().removeIf(load -> load.startsWith(job + STEP_MARK));
--- /dev/null
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/LearnedCodec.java
@@ -0,0 +1,85 @@
+package org.peridotcourse.daemon.dispatch;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.peridotcourse.Result;
+import org.peridotcourse.dispatch.Learned;
+
+/** Reads and writes what an owner has learned. It holds no state and is thread-safe. */
+final class LearnedCodec {
+    private static final ObjectMapper JSON = new ObjectMapper();
+
+    /** Another number is that of another version, whose contents mean something else. */
+    private static final int FORMAT = 1;
+
+    /** Evidence is kept in hundredths, which is finer than it is known. */
+    private static final double SCALE = 100;
+
+    private LearnedCodec() {}
+
+    static byte[] encode(Learned learned) {
+        ObjectNode node = JSON.createObjectNode();
+        node.put("format", FORMAT);
+        node.put("period", learned.period());
+        learned.imageMeans().forEach(node.putObject("imageMeans")::put);
+        ArrayNode pairs = node.putArray("pairs");
+        for (Learned.Pair pair : learned.pairs()) {
+            ArrayNode row = pairs.addArray().add(pair.serving()).add(pair.filling());
+            pair.evidence().forEach(odds -> row.add(Math.round(SCALE * odds)));
+        }
+        ObjectNode estimates = node.putObject("estimates");
+        learned.estimates()
+                .forEach(
+                        (queue, known) ->
+                                estimates.putArray(queue).add(known.error()).add(known.ends()));
+        return node.toString().getBytes(StandardCharsets.UTF_8);
+    }
+
+    static Result<Learned> decode(byte[] value) {
+        try {
+            JsonNode node = JSON.readTree(value);
+            if (node.path("format").asInt() != FORMAT) {
+                return Result.failed(new RowFault("learned: another format"));
+            }
+            Map<String, Double> means = new HashMap<>();
+            node.path("imageMeans")
+                    .properties()
+                    .forEach(one -> putIfPositive(means, one.getKey(), one.getValue().asDouble()));
+            List<Learned.Pair> pairs = new ArrayList<>();
+            node.path("pairs").forEach(row -> pairs.add(pair(row)));
+            Map<String, Learned.EstimateError> estimates = new HashMap<>();
+            node.path("estimates")
+                    .properties()
+                    .forEach(one -> estimates.put(one.getKey(), estimate(one.getValue())));
+            return Result.ok(new Learned(node.path("period").asInt(), means, pairs, estimates));
+        } catch (IOException malformed) {
+            return Result.failed(new RowFault("learned: " + malformed.getMessage()));
+        }
+    }
+
+    private static void putIfPositive(Map<String, Double> means, String image, double mean) {
+        if (mean > 0) {
+            means.put(image, mean);
+        }
+    }
+
+    private static Learned.Pair pair(JsonNode row) {
+        List<Double> evidence = new ArrayList<>();
+        for (int i = 2; i < row.size(); i++) {
+            evidence.add(row.get(i).asLong() / SCALE);
+        }
+        return new Learned.Pair(row.path(0).asText(), row.path(1).asText(), evidence);
+    }
+
+    private static Learned.EstimateError estimate(JsonNode row) {
+        return new Learned.EstimateError(row.path(0).asDouble(), row.path(1).asInt());
+    }
+}
--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/OwnerDuty.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/OwnerDuty.java
@@ -14,6 +14,7 @@
 import org.peridotcourse.dispatch.DispatchOwner;
 import org.peridotcourse.dispatch.JobEntry;
 import org.peridotcourse.dispatch.JobRecord;
+import org.peridotcourse.dispatch.Learned;
 import org.peridotcourse.dispatch.Order;
 import org.peridotcourse.dispatch.OwnerFigures;
 import org.peridotcourse.dispatch.OwnerTerm;
@@ -80,6 +81,7 @@
         owner.onConfig(config.config());
         owner.onEvacuated(config.evacuated());
         earlier.start(() -> owner.onEarlierOwnersEnded(loop.now()));
+        readLearned();
         feed(Rows.FLEET, Rows.PART, FEED_WAIT_MILLIS, 0, new FleetRows(), true);
         feed(Rows.PROGRESS, Rows.PART, FEED_WAIT_MILLIS, 0, new ProgressRows(), true);
         feed(parts.format().workerTable(), "", 0, WORKERS_PAUSE_MILLIS, new WorkerRows(), false);
@@ -173,6 +175,27 @@
         feed.start();
     }
 
+    /** Reads what earlier owners learned; without it this one learns anew. */
+    private void readLearned() {
+        parts.store()
+                .read(
+                        RowRange.one(Rows.DUTIES, Rows.PART, Rows.LEARNED_KEY),
+                        FEED_TIMEOUT_MILLIS,
+                        result -> {
+                            if (!stopped) {
+                                result.toOptional()
+                                        .flatMap(rows -> rows.row(Rows.LEARNED_KEY))
+                                        .ifPresent(this::onLearned);
+                            }
+                        });
+    }
+
+    private void onLearned(StoredRow row) {
+        Result<Learned> learned = LearnedCodec.decode(row.value());
+        learned.toOptional().ifPresent(known -> owner.onLearned(known, loop.now()));
+        learned.failure().ifPresent(why -> RowLog.refused(log, row, why));
+    }
+
     /** Workers that an earlier owner recorded; those that are not listed are asked all the same. */
     private final class FleetRows implements TableFeed.Listener {
         @Override
--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/ProgressWriter.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/ProgressWriter.java
@@ -40,6 +40,7 @@
     private final GuardedWriter aside;
     private final FleetRecord fleet;
     private final ProgressCleaner cleaner;
+    private final LearnedRow learned;
     private final Map<String, Long> versions = new HashMap<>();
     private final Set<String> cancelled = new HashSet<>();
 
@@ -65,6 +66,7 @@
         this.deposed = deposed;
         this.aside = new GuardedWriter(parts, owner.term().epoch(), epochVersion, deposed);
         this.fleet = new FleetRecord(aside);
+        this.learned = new LearnedRow(aside, parts.settings().limits().maxRow());
         this.cleaner =
                 new ProgressCleaner(
                         aside, parts.settings().limits().stateMillis(), this::onRemoved);
@@ -113,6 +115,12 @@
             storeProgress(now);
         }
         if (aside.isIdle(now) && !fleet.step(owner::fleet, now)) {
+            stepAside(now);
+        }
+    }
+
+    private void stepAside(long now) {
+        if (!learned.step(owner::learned, now)) {
             cleaner.step(now, System.currentTimeMillis());
         }
     }
--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/Rows.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/Rows.java
@@ -26,6 +26,9 @@
     /** Jobs that have not begun, by queue; written with each renewal of the lease. */
     static final String PENDING_KEY = "pending";
 
+    /** What the owner has learned; not in the range that all hosts poll. */
+    static final String LEARNED_KEY = "learned";
+
     /** Holders before the present owner that may still give orders. */
     static final String EARLIER_KEY = "earlier";
 
--- /dev/null
+++ b/daemon/src/test/java/org/peridotcourse/daemon/dispatch/LearnedCodecTest.java
@@ -0,0 +1,50 @@
+package org.peridotcourse.daemon.dispatch;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.peridotcourse.dispatch.Learned;
+
+/** Guards against a row of another version that is half understood, and against its length. */
+class LearnedCodecTest {
+    private static final int ROW_BYTES = 65_536;
+
+    private static Learned.Pair pair(String serving, String filling) {
+        return new Learned.Pair(serving, filling, List.of(0.0, -1.5, -2.25, -10.0, -10.0, -10.0));
+    }
+
+    @Test
+    void whatWasLearnedIsReadAsWritten() {
+        Learned learned =
+                new Learned(
+                        3,
+                        Map.of("a", 0.125),
+                        List.of(pair("a", "x")),
+                        Map.of("q", new Learned.EstimateError(0.25, 9)));
+        Learned read = LearnedCodec.decode(LearnedCodec.encode(learned)).toOptional().orElseThrow();
+        assertEquals(learned, read);
+    }
+
+    @Test
+    void twentyServingAndFortyFillingImagesFitARow() {
+        List<Learned.Pair> pairs = new ArrayList<>();
+        for (int i = 0; i < 20 * 40; i++) {
+            pairs.add(pair("image-" + i % 20, "image-" + i / 20));
+        }
+        byte[] value = LearnedCodec.encode(new Learned(1, Map.of(), pairs, Map.of()));
+        assertTrue(value.length <= ROW_BYTES, value.length + " bytes");
+    }
+
+    @Test
+    void anotherFormatAndDamagedRowsAreRefused() {
+        for (String text : List.of("", "7", "{}", "{{", "[]", "{\"format\":2}")) {
+            assertFalse(LearnedCodec.decode(text.getBytes(StandardCharsets.UTF_8)).isOk(), text);
+        }
+    }
+}
