Probe a quarantined worker on which lasting tasks run

Cause: a worker on probation got its probe only when nothing ran there. Change: a probe is a run that was ordered after the quarantine; a lasting task that has been at work for 2 s counts as a probe that succeeded. Test: DispatchOwnerTest.aWorkerThatRunsLastingTasksIsProbedAfterItsQuarantine failed before.

--- a/core/src/main/java/org/peridotcourse/dispatch/RunWatch.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/RunWatch.java
@@ -15,6 +15,11 @@
     /** A lasting task that is not at work this long after its start stands still. */
     static final long LASTING_STALL_MILLIS = 3_500;
 
+    private static final int FULL_PERCENT = 100;
+
+    /** A lasting task that has been at work for this long shows that its worker is sound. */
+    private static final long PROBE_MILLIS = 2_000;
+
     /** A worker with this many runs standing still is blamed. */
     private static final int STALLED_RUNS = 2;
 
@@ -53,6 +58,7 @@
             if (worker.info.draining()) {
                 leave(worker, now);
             }
+            noteLastingProbe(worker, now);
             moveStalled(worker, now);
             moveSlow(worker, now);
         }
@@ -77,6 +83,21 @@
         }
     }
 
+    /** A lasting task does not end, so a probe by one has succeeded once it is at work. */
+    private static void noteLastingProbe(Worker worker, long now) {
+        if (!worker.health.isOnProbation()) {
+            return;
+        }
+        for (Run run : worker.runs.values()) {
+            boolean atWork = run.spec().isLasting() && run.percent >= FULL_PERCENT;
+            boolean longEnough = run.confirmed && now - run.confirmedAt >= PROBE_MILLIS;
+            if (atWork && longEnough && worker.health.isProbe(run.orderedAt)) {
+                worker.health.onSuccess();
+                return;
+            }
+        }
+    }
+
     private void moveStalled(Worker worker, long now) {
         List<Run> stalled = new ArrayList<>();
         for (Run run : worker.runs.values()) {
@@ -102,7 +123,7 @@
         }
         long still = run.worker.lastReportAt - run.percentAt;
         if (run.spec().isLasting()) {
-            return run.percent < 100 && still >= LASTING_STALL_MILLIS;
+            return run.percent < FULL_PERCENT && still >= LASTING_STALL_MILLIS;
         }
         return !run.spec().isFilling() && !run.spec().isGang() && still >= STALL_MILLIS;
     }
--- a/core/src/main/java/org/peridotcourse/dispatch/WorkerChoice.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/WorkerChoice.java
@@ -140,7 +140,17 @@
         if (spec.isFilling() && !mayFill(worker, search, now)) {
             return false;
         }
-        return !worker.health.isOnProbation() || worker.runs.isEmpty();
+        return !worker.health.isOnProbation() || !isProbed(worker);
+    }
+
+    /** Tells whether a probe runs. Runs from before the quarantine say nothing and may last. */
+    private static boolean isProbed(Worker worker) {
+        for (Run run : worker.runs.values()) {
+            if (worker.health.isProbe(run.orderedAt)) {
+                return true;
+            }
+        }
+        return false;
     }
 
     /**
--- a/core/src/main/java/org/peridotcourse/dispatch/WorkerHealth.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/WorkerHealth.java
@@ -71,6 +71,11 @@
         return onProbation;
     }
 
+    /** Returns whether a run that was ordered at some time is a probe after the quarantine. */
+    boolean isProbe(long orderedAt) {
+        return onProbation && orderedAt >= quarantinedUntil;
+    }
+
     boolean isSuspect() {
         return onProbation || !failedJobs.isEmpty();
     }
--- a/core/src/test/java/org/peridotcourse/dispatch/DispatchOwnerTest.java
+++ b/core/src/test/java/org/peridotcourse/dispatch/DispatchOwnerTest.java
@@ -64,6 +64,30 @@
         assertEquals(0, world.starts());
     }
 
+    /**
+     * Seen on treadline-grown scale-1 and scale-2: a worker that was quarantined while it ran a
+     * lasting task got nothing any more, since a probe waited until nothing ran there.
+     */
+    @Test
+    void aWorkerThatRunsLastingTasksIsProbedAfterItsQuarantine() {
+        DispatchWorld single = new DispatchWorld(1, 1, CAPACITY);
+        FakeRunner runner = single.runners.get("w0");
+        single.submit(QUEUE, step(1, 1_000, 0).lasting(true).build());
+        single.run(1_000);
+        runner.hangs = true;
+        String stalled = single.submit(QUEUE, step(2, 1_000, 500).build());
+        single.run(4_000);
+        assertTrue(single.count(Decision.Kind.WORKER_QUARANTINED) > 0);
+        single.cancel(stalled);
+        runner.hangs = false;
+        single.run(4_000);
+        String first = single.submit(QUEUE, step(1, 1_000, 0).lasting(true).build());
+        String second = single.submit(QUEUE, step(1, 1_000, 0).lasting(true).build());
+        single.run(6_000);
+        assertTrue(single.hasRuns(first), "the probe");
+        assertTrue(single.hasRuns(second), "after the probe is at work");
+    }
+
     @Test
     void atMostTheAllowedTasksOfAStepShareAWorker() {
         String job = world.submit(QUEUE, step(6, 500, 1_000).maxPerWorker(1).build());
