--- a/core/src/main/java/org/peridotcourse/dispatch/DispatchOwner.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/DispatchOwner.java
@@ -70,15 +70,6 @@
         return state.deposed;
     }
 
-    /**
-     * Tells whether all runs of earlier owners are known.
-     *
-     * @return false while inherited jobs wait
-     */
-    public boolean isCensusComplete() {
-        return state.censusComplete;
-    }
-
     /**
      * Returns the workers to which lease calls go.
      *
@@ -175,6 +166,15 @@
         state.durations.restore(learned.estimates());
     }
 
+    /**
+     * Takes the time until which this owner may give orders. Leases end soon after it.
+     *
+     * @param until monotonic time
+     */
+    public void onHold(long until) {
+        state.orderUntil = until;
+    }
+
     /**
      * Takes a configuration.
      *
@@ -258,16 +258,6 @@
         jobs.onEnded(job);
     }
 
-    /**
-     * Tells whether a job has ended, as far as this owner knows.
-     *
-     * @param job the id of the job
-     * @return true if its last state is stored
-     */
-    public boolean isEnded(String job) {
-        return jobs.isEnded(job);
-    }
-
     /**
      * Forgets a job whose rows were removed from the store.
      *
@@ -294,7 +284,7 @@
         boolean renews = worker.hasClock() && worker.reachable;
         OptionalLong lease =
                 renews
-                        ? OptionalLong.of(worker.grant(now, state.term.times()))
+                        ? OptionalLong.of(worker.grant(now, state.term.times(), state.orderUntil))
                         : OptionalLong.empty();
         return Optional.of(
                 new LeaseCall(
--- a/core/src/main/java/org/peridotcourse/dispatch/JobBook.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/JobBook.java
@@ -257,8 +257,4 @@
     boolean isKnown(String id) {
         return state.jobs.containsKey(id) || ended.contains(id);
     }
-
-    boolean isEnded(String id) {
-        return ended.contains(id);
-    }
 }
--- a/core/src/main/java/org/peridotcourse/dispatch/LeaseTimes.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/LeaseTimes.java
@@ -15,6 +15,9 @@
     /** Error of the reading of a clock that was taken a few seconds ago. */
     private static final long READING_MILLIS = 150;
 
+    /** Leases that begin shortly before the owner stops still let a task start. */
+    private static final long BEYOND_HOLD_MILLIS = 1_000;
+
     /** Covers the time from the end of a lease until the worker has killed everything. */
     private static final long KILL_MILLIS = 150;
 
@@ -38,4 +41,28 @@
         return Math.min(
                 longestMillis(leaseMillis) + READING_MILLIS, longestMillis(longestLeaseMillis));
     }
+
+    /**
+     * Returns the length of a lease that is granted now. No lease outlasts the time until which its
+     * owner may give orders by more than a second, so that a successor need not wait longer for a
+     * worker that it does not reach.
+     *
+     * @param now the present time
+     * @param orderUntil until when the owner may give orders
+     * @return milliseconds from now
+     */
+    public long lengthMillis(long now, long orderUntil) {
+        long left = orderUntil - now + BEYOND_HOLD_MILLIS;
+        return Math.min(leaseMillis, Math.max(left, BEYOND_HOLD_MILLIS));
+    }
+
+    /**
+     * Returns how much longer than its owner may give orders a lease lasts at most, by the clock of
+     * this process.
+     *
+     * @return milliseconds
+     */
+    public long beyondHoldMillis() {
+        return BEYOND_HOLD_MILLIS + grantedMillis() - leaseMillis;
+    }
 }
--- a/core/src/main/java/org/peridotcourse/dispatch/OwnerState.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/OwnerState.java
@@ -25,6 +25,9 @@
 
     boolean deposed;
 
+    /** Until when this owner may give orders; half of the range, so that sums do not overflow. */
+    long orderUntil = Long.MAX_VALUE / 2;
+
     /** True if something has changed that may let a waiting task start. */
     boolean planDue = true;
 
--- a/core/src/main/java/org/peridotcourse/dispatch/OwnerTerm.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/OwnerTerm.java
@@ -9,12 +9,38 @@
  * @param beganAt monotonic time of the takeover
  * @param earlierOrdersUntil monotonic time until which an earlier owner may give orders to workers
  *     that this owner does not reach
+ * @param earlierRunsUntil monotonic time after which no run of an earlier owner is alive on a
+ *     worker that has not reported
  * @param times lengths of the workers' leases
  */
-public record OwnerTerm(long epoch, long beganAt, long earlierOrdersUntil, LeaseTimes times) {
+public record OwnerTerm(
+        long epoch,
+        long beganAt,
+        long earlierOrdersUntil,
+        long earlierRunsUntil,
+        LeaseTimes times) {
     /** Attempts of one epoch; the numbers of different owners never meet. */
     private static final int ATTEMPTS_PER_EPOCH = 1_000;
 
+    /**
+     * Creates the term of an ownership that begins.
+     *
+     * @param epoch the epoch
+     * @param beganAt the time of the takeover
+     * @param earlierOrdersUntil until when an earlier owner may give orders
+     * @param times lengths of the workers' leases
+     */
+    public OwnerTerm(long epoch, long beganAt, long earlierOrdersUntil, LeaseTimes times) {
+        this(
+                epoch,
+                beganAt,
+                earlierOrdersUntil,
+                Math.max(
+                        beganAt + times.grantedMillis(),
+                        earlierOrdersUntil + times.beyondHoldMillis()),
+                times);
+    }
+
     /**
      * Returns the number below the first start of this owner.
      *
@@ -31,15 +57,8 @@
      * @return the changed term
      */
     public OwnerTerm withEarlierOwnersEnded(long now) {
-        return new OwnerTerm(epoch, beganAt, Math.min(earlierOrdersUntil, now), times);
-    }
-
-    /**
-     * Returns when no run of an earlier owner is alive on a worker that has not reported.
-     *
-     * @return monotonic time
-     */
-    public long earlierRunsUntil() {
-        return Math.max(beganAt, earlierOrdersUntil) + times.grantedMillis();
+        long ordersUntil = Math.min(earlierOrdersUntil, now);
+        long runsUntil = Math.min(earlierRunsUntil, now + times.grantedMillis());
+        return new OwnerTerm(epoch, beganAt, ordersUntil, runsUntil, times);
     }
 }
--- a/core/src/main/java/org/peridotcourse/dispatch/RunBook.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/RunBook.java
@@ -52,7 +52,7 @@
                         attempt,
                         state.term.epoch(),
                         task.job().spec.payload(),
-                        worker.grant(now, state.term.times()),
+                        worker.grant(now, state.term.times(), state.orderUntil),
                         checkpoint,
                         ticket));
         state.log(
--- a/core/src/main/java/org/peridotcourse/dispatch/Worker.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/Worker.java
@@ -188,8 +188,8 @@
     }
 
     /** Returns the end of a new lease on the worker's clock, and notes when it is over here. */
-    long grant(long now, LeaseTimes times) {
-        long length = now - clockAt + times.leaseMillis();
+    long grant(long now, LeaseTimes times, long orderUntil) {
+        long length = now - clockAt + times.lengthMillis(now, orderUntil);
         leaseOverAt = Math.max(leaseOverAt, clockAt + times.longestMillis(length));
         return clock + length;
     }
--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/OwnerDuty.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/OwnerDuty.java
@@ -139,6 +139,7 @@
         if (!election.mayOrder(now)) {
             return;
         }
+        owner.onHold(election.orderUntil());
         for (Order order : owner.decide(now)) {
             parts.workers()
                     .send(
--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/OwnerElection.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/OwnerElection.java
@@ -20,7 +20,7 @@
     static final long LEASE_MILLIS = 1_500;
 
     /** How long an owner goes on without the store. */
-    static final long HOLD_MILLIS = 12_000;
+    static final long HOLD_MILLIS = 8_000;
 
     /** Covers the error of the clocks within one lease. */
     private static final long MARGIN_MILLIS = 100;
@@ -125,6 +125,11 @@
                 && holder.get().confirmedSentMillis() >= confirmFrom;
     }
 
+    /** Returns until when this host may give orders, or the distant past. */
+    long orderUntil() {
+        return holder.map(LeaseHolder::holdUntilMillis).orElse(Long.MIN_VALUE / 2);
+    }
+
     /**
      * Takes the news that this process stood still. Another host may be the owner by now, so no
      * order is given until a renewal that is sent from now on is confirmed.
