--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/ProgressWriter.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/ProgressWriter.java
@@ -168,8 +168,7 @@
     }
 
     private void send(RecordBatch batch, List<byte[]> values, long now) {
-        RowWrite.Builder write =
-                RowWrite.builder(Rows.PART).expect(Rows.DUTIES, Rows.EPOCH_KEY, epochVersion);
+        RowWrite.Builder write = aside.begin();
         Map<String, byte[]> sent = new HashMap<>();
         for (int i = 0; i < values.size(); i++) {
             RecordBatch.Change change = batch.changes().get(i);
--- a/daemon/src/test/java/org/peridotcourse/daemon/dispatch/OwnerElectionTest.java
+++ b/daemon/src/test/java/org/peridotcourse/daemon/dispatch/OwnerElectionTest.java
@@ -4,8 +4,6 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.net.InetSocketAddress;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -20,7 +18,6 @@
 import org.peridotcourse.daemon.log.DecisionRing;
 import org.peridotcourse.daemon.log.EventLog;
 import org.peridotcourse.daemon.ring.EventLoop;
-import org.peridotcourse.dispatch.LeaseTimes;
 
 /** Guards the number of owners: one for each epoch. */
 class OwnerElectionTest {
@@ -36,25 +33,11 @@
     @BeforeEach
     void open() {
         StoreHealth health = new StoreHealth(log);
-        HostDirectory directory = new HostDirectory(loop, store, log, settings("host"), 7);
+        HostDirectory directory = new HostDirectory(loop, store, log, TestSettings.host("host"), 7);
         election = new OwnerElection(loop, store, health, directory, log, new Counting());
         loop.start();
     }
 
-    private static HostSettings settings(String name) {
-        InetSocketAddress address = new InetSocketAddress("127.0.0.1", 1);
-        return new HostSettings(
-                name,
-                "xela",
-                address,
-                address,
-                address,
-                Optional.empty(),
-                List.of(),
-                1_000,
-                new HostSettings.Limits(new LeaseTimes(5_000, 6_000), 1, 1, 1, 1, 1));
-    }
-
     @AfterEach
     void close() {
         loop.close();
@@ -172,7 +155,8 @@
 
     private OwnerElection other() {
         StoreHealth health = new StoreHealth(log);
-        HostDirectory directory = new HostDirectory(loop, store, log, settings("other"), 8);
+        HostDirectory directory =
+                new HostDirectory(loop, store, log, TestSettings.host("other"), 8);
         return new OwnerElection(loop, store, health, directory, log, new Counting());
     }
 
--- a/daemon/src/test/java/org/peridotcourse/daemon/dispatch/ProgressWriterTest.java
+++ b/daemon/src/test/java/org/peridotcourse/daemon/dispatch/ProgressWriterTest.java
@@ -3,7 +3,6 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -23,7 +22,6 @@
 import org.peridotcourse.dispatch.JobEntry;
 import org.peridotcourse.dispatch.JobRecord;
 import org.peridotcourse.dispatch.JobSpec;
-import org.peridotcourse.dispatch.LeaseTimes;
 import org.peridotcourse.dispatch.OwnerTerm;
 import org.peridotcourse.dispatch.QueueRules;
 import org.peridotcourse.dispatch.Schedule;
@@ -37,8 +35,7 @@
 class ProgressWriterTest {
     private static final long PATIENCE_SECONDS = 10;
     private static final int WORKERS = 1_000;
-    private static final LeaseTimes TIMES = new LeaseTimes(5_000, 6_000);
-    private static final OwnerTerm TERM = new OwnerTerm(1, 0, 0, TIMES);
+    private static final OwnerTerm TERM = new OwnerTerm(1, 0, 0, TestSettings.LEASE_TIMES);
 
     private final EventLog log = new EventLog(System.getLogger("test"), new DecisionRing(16));
     private final EventLoop loop = new EventLoop("test", 1_024, Throwable::printStackTrace);
@@ -52,18 +49,7 @@
     }
 
     private HostParts parts() {
-        InetSocketAddress address = new InetSocketAddress("127.0.0.1", 1);
-        HostSettings settings =
-                new HostSettings(
-                        "host",
-                        "xela",
-                        address,
-                        address,
-                        address,
-                        Optional.empty(),
-                        List.of(),
-                        1_000,
-                        new HostSettings.Limits(TIMES, 1_000, 1, 1, 65_536, 1));
+        HostSettings settings = TestSettings.host("host");
         DispatchMetrics metrics = new DispatchMetrics(loop::now);
         StoreHealth health = new StoreHealth(log);
         return new HostParts(loop, settings, store, health, null, null, metrics, log);
