--- a/core/src/main/java/org/peridotcourse/dispatch/DispatchOwner.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/DispatchOwner.java
@@ -213,6 +213,18 @@
         worker.listed = true;
     }
 
+    /**
+     * Takes a worker that an earlier owner recorded. It is asked for its runs, and gets no task
+     * unless it is listed too, since it may have left.
+     *
+     * @param info the worker
+     * @param now the present time
+     */
+    public void onRecordedWorker(WorkerInfo info, long now) {
+        onWorker(info, now);
+        onWorkerGone(info.id(), now - WorkerChoice.UNLISTED_MILLIS);
+    }
+
     /**
      * Takes the news that a worker left the list of workers.
      *
--- a/core/src/test/java/org/peridotcourse/dispatch/LateJobTest.java
+++ b/core/src/test/java/org/peridotcourse/dispatch/LateJobTest.java
@@ -115,6 +115,39 @@
         assertEquals(1, starts());
     }
 
+    /** A worker that had left was in use again for 3 s after each change of the owner. */
+    @Test
+    void aWorkerThatIsOnlyRecordedGetsNoTask() {
+        WorkerInfo left =
+                new WorkerInfo(
+                        "left",
+                        "service",
+                        "left:80",
+                        "xela",
+                        List.of("a", "r1"),
+                        Resources.of(8_000, 8_000),
+                        false,
+                        OptionalLong.empty(),
+                        WALL);
+        DispatchOwner successor =
+                new DispatchOwner(new OwnerTerm(2, 1_000, 1_000, TIMES), decision -> {});
+        ClusterConfig.Route route = new ClusterConfig.Route("host", "/q/", QUEUE);
+        successor.onConfig(ClusterConfig.of(1, List.of(route)));
+        successor.onRecordedWorker(left, now);
+        WorkerReport idle = new WorkerReport(now, WALL, List.of(), List.of(), true);
+        successor.onReport("left", idle, now, now + 10);
+        StepSpec step = StepSpec.builder(1, Resources.of(1_000, 1_000)).estimateMillis(500).build();
+        JobSpec spec = new JobSpec("payload", List.of(step), Schedule.ONCE);
+        successor.onJob(
+                new JobEntry(TASK.job(), QUEUE, spec, WALL + now, JobRecord.NEW),
+                false,
+                now,
+                WALL + now);
+        assertTrue(successor.decide(now + 20).isEmpty(), "a start on a worker that had left");
+        successor.onWorker(left, now + 30);
+        assertEquals(1, successor.decide(now + 200).size(), "it is listed again");
+    }
+
     @Test
     void anEndOfAJobThatNeverComesIsAcknowledgedAfterAWhile() {
         for (int i = 0; i < 60; i++) {
--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/LeaseKeeping.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/LeaseKeeping.java
@@ -65,6 +65,14 @@
         owner.onWorker(info, now);
     }
 
+    /** Takes a worker that an earlier owner recorded and that may have left. */
+    void onRecordedWorker(WorkerInfo info, long now) {
+        Line line = lines.computeIfAbsent(info.id(), key -> new Line());
+        line.info = info;
+        line.listed = false;
+        owner.onRecordedWorker(info, now);
+    }
+
     void onWorkerUnlisted(String id, long now) {
         Line line = lines.get(id);
         if (line != null) {
--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/OwnerDuty.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/OwnerDuty.java
@@ -205,8 +205,7 @@
             if (worker instanceof Result.Ok<WorkerInfo> ok) {
                 progress.onFleetRead(ok.value());
                 if (!leases.isKnown(row.key())) {
-                    leases.onWorker(ok.value(), loop.now());
-                    leases.onWorkerUnlisted(row.key(), loop.now());
+                    leases.onRecordedWorker(ok.value(), loop.now());
                 }
             } else {
                 RowLog.refused(log, row, worker.failure().orElseThrow());
