Let the owner's other rows take turns; keep the event catalogue in its order

Change: the three take turns; constants stand in the order of their numbers. Test: ProgressWriterTest.aFleetThatTheStoreRefusesDelaysNoOtherRow fails with the fleet always first.

--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/DispatchEvent.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/DispatchEvent.java
@@ -77,6 +77,12 @@
             "owner.lost",
             Level.WARNING,
             "This host is no longer the owner; fields epoch, reason"),
+    /** The owner has read the store. */
+    OWNER_LOADED(
+            6032,
+            "owner.loaded",
+            Level.INFO,
+            "The owner has read the store; fields epoch, jobs, workers, millis"),
     /** A small host passes the ownership on. */
     OWNER_GIVEN(
             6033,
@@ -91,12 +97,6 @@
             Level.WARNING,
             "The process of the owner stood still and gives no orders until its lease is "
                     + "confirmed; fields epoch, pausedMillis"),
-    /** The owner has read the store. */
-    OWNER_LOADED(
-            6032,
-            "owner.loaded",
-            Level.INFO,
-            "The owner has read the store; fields epoch, jobs, workers, millis"),
     /** The owner decided. */
     DECIDED(
             6040,
@@ -122,13 +122,6 @@
             Level.ERROR,
             "The store refuses the record of one job as wrong, which is tried again while other "
                     + "jobs go on; fields job, bytes, epoch"),
-    /** The record of a job is longer than a row. */
-    RECORD_SHORTENED(
-            6045,
-            "progress.shortened",
-            Level.WARNING,
-            "The record of a job is longer than a row and was stored without checkpoints; fields "
-                    + "job, bytes, stored"),
     /** Rows beside the progress could not be written. */
     ROW_NOT_WRITTEN(
             6044,
@@ -136,6 +129,13 @@
             Level.WARNING,
             "Rows of the owner other than progress could not be written yet; fields rows, reason, "
                     + "epoch"),
+    /** The record of a job is longer than a row. */
+    RECORD_SHORTENED(
+            6045,
+            "progress.shortened",
+            Level.WARNING,
+            "The record of a job is longer than a row and was stored without checkpoints; fields "
+                    + "job, bytes, stored"),
     /** A call was answered. */
     CALL_ANSWERED(
             6050,
--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/FleetRecord.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/FleetRecord.java
@@ -43,10 +43,10 @@
         stored.put(worker.id(), Place.of(worker));
     }
 
-    /** Writes some of the differences; true if a write was sent. */
-    boolean step(Supplier<List<WorkerInfo>> workers, long now) {
+    /** Writes some of the differences, if it is time. */
+    void step(Supplier<List<WorkerInfo>> workers, long now) {
         if (now - comparedAt < PERIOD_MILLIS) {
-            return false;
+            return;
         }
         comparedAt = now;
         List<WorkerInfo> fleet = workers.get();
@@ -66,13 +66,12 @@
             }
         }
         if (changed.isEmpty() && gone.isEmpty()) {
-            return false;
+            return;
         }
         RowWrite.Builder write = writer.begin();
         changed.forEach(worker -> write.put(Rows.FLEET, worker.id(), RowCodec.worker(worker)));
         gone.forEach(id -> write.delete(Rows.FLEET, id));
         writer.send("fleet", write.build(), () -> confirm(changed, gone));
-        return true;
     }
 
     private void confirm(List<WorkerInfo> changed, List<String> gone) {
--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/LearnedRow.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/LearnedRow.java
@@ -18,18 +18,17 @@
         this.maxBytes = maxBytes;
     }
 
-    /** Writes the row if it has changed; true if a write was sent. */
-    boolean step(Supplier<Learned> learned, long now) {
+    /** Writes the row if it has changed and it is time. */
+    void step(Supplier<Learned> learned, long now) {
         if (now - triedAt < PERIOD_MILLIS) {
-            return false;
+            return;
         }
         triedAt = now;
         byte[] value = LearnedCodec.encode(learned.get());
         if (Arrays.equals(value, stored) || value.length > maxBytes) {
-            return false;
+            return;
         }
         RowWrite write = writer.begin().put(Rows.DUTIES, Rows.LEARNED_KEY, value).build();
         writer.send("learned", write, () -> stored = value);
-        return true;
     }
 }
--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/ProgressCleaner.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/ProgressCleaner.java
@@ -39,10 +39,10 @@
         endedAt.put(job, wallMillis);
     }
 
-    /** Removes some rows; true if a write was sent. */
-    boolean step(long now, long wallNow) {
+    /** Removes some rows, if it is time. */
+    void step(long now, long wallNow) {
         if (now - triedAt < PERIOD_MILLIS) {
-            return false;
+            return;
         }
         triedAt = now;
         List<String> old = new ArrayList<>();
@@ -53,12 +53,11 @@
                     }
                 });
         if (old.isEmpty()) {
-            return false;
+            return;
         }
         RowWrite.Builder write = writer.begin();
         old.forEach(job -> write.delete(Rows.PROGRESS, job).delete(Rows.CANCELS, job));
         writer.send("old-progress", write.build(), () -> confirm(old));
-        return true;
     }
 
     private void confirm(List<String> old) {
--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/ProgressWriter.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/ProgressWriter.java
@@ -28,6 +28,8 @@
     /** Pause before a job is tried again whose record alone was refused. */
     private static final long REFUSED_PAUSE_MILLIS = 3_000;
 
+    private static final int ASIDE_TURNS = 3;
+
     /** Records of one transaction; the store takes 1 MB, and base64 adds a third. */
     private static final int MAX_BYTES = 600_000;
 
@@ -52,6 +54,7 @@
     /** Jobs of the next transaction; one after a refusal, to find the cause. */
     private int batchJobs = RecordBatch.MAX_JOBS;
 
+    private int asideTurn;
     private long notBefore;
     private boolean writing;
     private boolean stopped;
@@ -114,14 +117,18 @@
         if (!writing && now >= notBefore) {
             storeProgress(now);
         }
-        if (aside.isIdle(now) && !fleet.step(owner::fleet, now)) {
+        if (aside.isIdle(now)) {
             stepAside(now);
         }
     }
 
+    /** Other rows take turns, so that one which the store refuses holds up none. */
     private void stepAside(long now) {
-        if (!learned.step(owner::learned, now)) {
-            cleaner.step(now, System.currentTimeMillis());
+        asideTurn = (asideTurn + 1) % ASIDE_TURNS;
+        switch (asideTurn) {
+            case 0 -> fleet.step(owner::fleet, now);
+            case 1 -> learned.step(owner::learned, now);
+            default -> cleaner.step(now, System.currentTimeMillis());
         }
     }
 
