Close connections that a fake backend server accepts while it is closed

A connection accepted while close() ran was not in its list and was served on. Change: the accepting thread closes such a connection itself. No assertion is changed. Conclusion: a fault of the fixture, not of the entry host.

--- a/daemon/src/test/java/org/peridotcourse/daemon/entry/FakeBackend.java
+++ b/daemon/src/test/java/org/peridotcourse/daemon/entry/FakeBackend.java
@@ -98,7 +98,12 @@
             while (true) {
                 Socket socket = server.accept();
                 sockets.add(socket);
-                start(() -> serve(socket));
+                if (server.isClosed()) {
+                    // Accepted while the server was closed, so that close() did not see it.
+                    socket.close();
+                } else {
+                    start(() -> serve(socket));
+                }
             }
         } catch (IOException closed) {
             // The test has ended.
