Weigh workers in one place; drop state that nobody reads

WorkerChoice.choose repeated the loop of rank, LeaseKeeping kept a flag that was only written, and LateJobTest built the same worker twice. Change: choose takes the best of the ranking; the flag and the twin are gone. Behaviour and assertions are unchanged; the tests of dispatch passed before and after.

--- a/core/src/main/java/org/peridotcourse/dispatch/WorkerChoice.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/WorkerChoice.java
@@ -85,20 +85,7 @@
 
     /** Returns the best worker for a task, or empty if none has room now. */
     Optional<Worker> choose(Task task, long now) {
-        Search search = search(task, now);
-        Worker best = null;
-        double bestCost = Double.MAX_VALUE;
-        for (Worker worker : state.workers.values()) {
-            if (!worker.fits(search.spec()) || !mayRun(worker, search, now)) {
-                continue;
-            }
-            double cost = cost(worker, task, now);
-            if (cost < bestCost) {
-                best = worker;
-                bestCost = cost;
-            }
-        }
-        return Optional.ofNullable(best);
+        return rank(task, now).best(task);
     }
 
     /**
--- a/core/src/test/java/org/peridotcourse/dispatch/LateJobTest.java
+++ b/core/src/test/java/org/peridotcourse/dispatch/LateJobTest.java
@@ -20,27 +20,28 @@
     private static final TaskRef TASK = new TaskRef("0000000000000001", 0, 0, 0);
     private static final LeaseTimes TIMES = new LeaseTimes(5_000, 6_000);
     private static final QueueRules QUEUE = DispatchWorld.queue("q", 1, 3);
-    private static final WorkerInfo INFO =
-            new WorkerInfo(
-                    WORKER,
-                    "service",
-                    "w:80",
-                    "xela",
-                    List.of("a", "r1"),
-                    Resources.of(8_000, 8_000),
-                    false,
-                    OptionalLong.empty(),
-                    WALL);
-
     private final DispatchOwner owner =
             new DispatchOwner(new OwnerTerm(2, 1_000, 1_000, TIMES), decision -> {});
     private long now = 1_000;
 
+    private static WorkerInfo worker(String id) {
+        return new WorkerInfo(
+                id,
+                "service",
+                id + ":80",
+                "xela",
+                List.of("a", "r1"),
+                Resources.of(8_000, 8_000),
+                false,
+                OptionalLong.empty(),
+                WALL);
+    }
+
     @BeforeEach
     void open() {
         ClusterConfig.Route route = new ClusterConfig.Route("host", "/q/", QUEUE);
         owner.onConfig(ClusterConfig.of(1, List.of(route)));
-        owner.onWorker(INFO, now);
+        owner.onWorker(worker(WORKER), now);
     }
 
     private void report(List<WorkerReport.Running> running, List<WorkerReport.Ended> ended) {
@@ -118,17 +119,7 @@
     /** A worker that had left was in use again for 3 s after each change of the owner. */
     @Test
     void aWorkerThatIsOnlyRecordedGetsNoTask() {
-        WorkerInfo left =
-                new WorkerInfo(
-                        "left",
-                        "service",
-                        "left:80",
-                        "xela",
-                        List.of("a", "r1"),
-                        Resources.of(8_000, 8_000),
-                        false,
-                        OptionalLong.empty(),
-                        WALL);
+        WorkerInfo left = worker("left");
         DispatchOwner successor =
                 new DispatchOwner(new OwnerTerm(2, 1_000, 1_000, TIMES), decision -> {});
         ClusterConfig.Route route = new ClusterConfig.Route("host", "/q/", QUEUE);
--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/LeaseKeeping.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/LeaseKeeping.java
@@ -38,7 +38,6 @@
     /** The sequence of calls to one worker. */
     private static final class Line {
         boolean outstanding;
-        boolean listed = true;
         long notBefore;
         WorkerInfo info;
     }
@@ -59,24 +58,19 @@
     }
 
     void onWorker(WorkerInfo info, long now) {
-        Line line = lines.computeIfAbsent(info.id(), key -> new Line());
-        line.info = info;
-        line.listed = true;
+        lines.computeIfAbsent(info.id(), key -> new Line()).info = info;
         owner.onWorker(info, now);
     }
 
     /** Takes a worker that an earlier owner recorded and that may have left. */
     void onRecordedWorker(WorkerInfo info, long now) {
-        Line line = lines.computeIfAbsent(info.id(), key -> new Line());
-        line.info = info;
-        line.listed = false;
+        lines.computeIfAbsent(info.id(), key -> new Line()).info = info;
         owner.onRecordedWorker(info, now);
     }
 
     void onWorkerUnlisted(String id, long now) {
         Line line = lines.get(id);
         if (line != null) {
-            line.listed = false;
             owner.onWorkerGone(id, now);
         }
     }
