Give jobs their customer and configurations their customers' rules

Change: a job row names its customer, ClusterConfig has CustomerRules, a route tells whether it is anonymous. Nothing decides by them yet.

--- a/core/src/main/java/org/peridotcourse/dispatch/ClusterConfig.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/ClusterConfig.java
@@ -12,27 +12,39 @@
  */
 public final class ClusterConfig {
     /** No queue; in force until the first configuration is known. */
-    public static final ClusterConfig NONE = new ClusterConfig(0, List.of());
+    public static final ClusterConfig NONE = new ClusterConfig(0, List.of(), List.of());
 
     private final long version;
     private final List<Route> routes;
     private final Map<String, QueueRules> queues = new HashMap<>();
+    private final Map<String, CustomerRules> customers = new HashMap<>();
 
-    private ClusterConfig(long version, List<Route> routes) {
+    private ClusterConfig(long version, List<Route> routes, List<CustomerRules> customers) {
         this.version = version;
         this.routes = List.copyOf(routes);
         routes.forEach(route -> queues.put(route.queue().name(), route.queue()));
+        customers.forEach(customer -> this.customers.put(customer.name(), customer));
     }
 
     /**
-     * Returns a configuration.
+     * Returns a configuration without customers.
      *
      * @param version increases with each change
      * @param routes where callers find the queues
      * @return the configuration
      */
     public static ClusterConfig of(long version, List<Route> routes) {
-        return new ClusterConfig(version, routes);
+        return new ClusterConfig(version, routes, List.of());
+    }
+
+    /**
+     * Returns this configuration with other customers.
+     *
+     * @param rules the customers
+     * @return the changed configuration
+     */
+    public ClusterConfig withCustomers(List<CustomerRules> rules) {
+        return new ClusterConfig(version, routes, rules);
     }
 
     /**
@@ -41,8 +53,9 @@
      * @param host the host name that calls carry
      * @param prefix the beginning of the path, with a slash at the end
      * @param queue the queue
+     * @param anonymous true if calls need no key
      */
-    public record Route(String host, String prefix, QueueRules queue) {}
+    public record Route(String host, String prefix, QueueRules queue, boolean anonymous) {}
 
     /**
      * Returns the version.
@@ -81,6 +94,16 @@
         return Optional.ofNullable(queues.get(name));
     }
 
+    /**
+     * Returns the rules of a customer.
+     *
+     * @param name its name
+     * @return the rules, or empty if the configuration does not name it
+     */
+    public Optional<CustomerRules> customer(String name) {
+        return Optional.ofNullable(customers.get(name));
+    }
+
     /**
      * Finds the route of a call: same host, longest prefix.
      *
--- a/core/src/main/java/org/peridotcourse/dispatch/Job.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/Job.java
@@ -12,6 +12,9 @@
     final JobSpec spec;
     final QueueRules acceptedUnder;
 
+    /** Name of the customer, empty if the job belongs to none. */
+    final Optional<String> customer;
+
     /** Monotonic time of the acceptance, by the clock of this process. */
     final long acceptedAt;
 
@@ -40,6 +43,7 @@
         this.id = entry.id();
         this.spec = entry.spec();
         this.acceptedUnder = entry.queue();
+        this.customer = entry.customer();
         this.acceptedAt = acceptedAt;
         this.inherited = inherited;
         this.attemptFloor = attemptFloor;
--- a/core/src/main/java/org/peridotcourse/dispatch/OwnerState.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/OwnerState.java
@@ -41,6 +41,11 @@
         return config.queue(job.acceptedUnder.name()).orElse(job.acceptedUnder);
     }
 
+    /** The present rules of a job's customer. */
+    CustomerRules customerRules(Job job) {
+        return job.customer.flatMap(config::customer).orElse(CustomerRules.UNLIMITED);
+    }
+
     Optional<Task> task(TaskRef ref) {
         Job job = jobs.get(ref.job());
         return job == null ? Optional.empty() : job.task(ref);
--- a/core/src/test/java/org/peridotcourse/dispatch/DispatchOwnerTest.java
+++ b/core/src/test/java/org/peridotcourse/dispatch/DispatchOwnerTest.java
@@ -141,7 +141,13 @@
                         List.of(step(1, 1_000, 200).build()),
                         new Schedule(3, DispatchWorld.WALL + world.now + 1_000, 700));
         JobEntry entry =
-                new JobEntry("timed", QUEUE, spec, DispatchWorld.WALL + world.now, JobRecord.NEW);
+                new JobEntry(
+                        "timed",
+                        Optional.empty(),
+                        QUEUE,
+                        spec,
+                        DispatchWorld.WALL + world.now,
+                        JobRecord.NEW);
         world.jobs.put("timed", entry);
         world.stored.put("timed", JobRecord.NEW);
         world.owner.onJob(entry, false, world.now, DispatchWorld.WALL + world.now);
--- a/core/src/test/java/org/peridotcourse/dispatch/DispatchWorld.java
+++ b/core/src/test/java/org/peridotcourse/dispatch/DispatchWorld.java
@@ -92,7 +92,7 @@
     void config(QueueRules... queues) {
         List<ClusterConfig.Route> routes = new ArrayList<>();
         for (QueueRules queue : queues) {
-            routes.add(new ClusterConfig.Route("host", "/" + queue.name() + "/", queue));
+            routes.add(new ClusterConfig.Route("host", "/" + queue.name() + "/", queue, true));
         }
         config = ClusterConfig.of(1, routes);
         if (owner != null) {
@@ -116,6 +116,7 @@
             next.onJob(
                     new JobEntry(
                             entry.id(),
+                            entry.customer(),
                             entry.queue(),
                             entry.spec(),
                             entry.acceptedAtMillis(),
@@ -130,7 +131,7 @@
     String submit(QueueRules queue, StepSpec... steps) {
         String id = String.format("%016x", jobs.size() + 1);
         JobSpec spec = new JobSpec("payload", List.of(steps), Schedule.ONCE);
-        JobEntry entry = new JobEntry(id, queue, spec, WALL + now, JobRecord.NEW);
+        JobEntry entry = new JobEntry(id, Optional.empty(), queue, spec, WALL + now, JobRecord.NEW);
         jobs.put(id, entry);
         stored.put(id, JobRecord.NEW);
         owner.onJob(entry, false, now, WALL + now);
--- a/core/src/test/java/org/peridotcourse/dispatch/LateJobTest.java
+++ b/core/src/test/java/org/peridotcourse/dispatch/LateJobTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalLong;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -39,7 +40,7 @@
 
     @BeforeEach
     void open() {
-        ClusterConfig.Route route = new ClusterConfig.Route("host", "/q/", QUEUE);
+        ClusterConfig.Route route = new ClusterConfig.Route("host", "/q/", QUEUE, true);
         owner.onConfig(ClusterConfig.of(1, List.of(route)));
         owner.onWorker(worker(WORKER), now);
     }
@@ -62,7 +63,8 @@
     private void readJob() {
         StepSpec step = StepSpec.builder(1, Resources.of(1_000, 1_000)).estimateMillis(500).build();
         JobSpec spec = new JobSpec("payload", List.of(step), Schedule.ONCE);
-        JobEntry entry = new JobEntry(TASK.job(), QUEUE, spec, WALL + now, JobRecord.NEW);
+        JobEntry entry =
+                new JobEntry(TASK.job(), Optional.empty(), QUEUE, spec, WALL + now, JobRecord.NEW);
         owner.onJob(entry, true, now, WALL + now);
     }
 
@@ -122,7 +124,7 @@
         WorkerInfo left = worker("left");
         DispatchOwner successor =
                 new DispatchOwner(new OwnerTerm(2, 1_000, 1_000, TIMES), decision -> {});
-        ClusterConfig.Route route = new ClusterConfig.Route("host", "/q/", QUEUE);
+        ClusterConfig.Route route = new ClusterConfig.Route("host", "/q/", QUEUE, true);
         successor.onConfig(ClusterConfig.of(1, List.of(route)));
         successor.onRecordedWorker(left, now);
         WorkerReport idle = new WorkerReport(now, WALL, List.of(), List.of(), true);
@@ -130,7 +132,7 @@
         StepSpec step = StepSpec.builder(1, Resources.of(1_000, 1_000)).estimateMillis(500).build();
         JobSpec spec = new JobSpec("payload", List.of(step), Schedule.ONCE);
         successor.onJob(
-                new JobEntry(TASK.job(), QUEUE, spec, WALL + now, JobRecord.NEW),
+                new JobEntry(TASK.job(), Optional.empty(), QUEUE, spec, WALL + now, JobRecord.NEW),
                 false,
                 now,
                 WALL + now);
--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/JobDesk.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/JobDesk.java
@@ -78,7 +78,9 @@
 
     private void accept(
             ClusterConfig.Route route, JobRequest.Submit submit, Consumer<Outcome> handler) {
-        byte[] row = RowCodec.job(route.queue(), System.currentTimeMillis(), submit.body());
+        byte[] row =
+                RowCodec.job(
+                        Optional.empty(), route.queue(), System.currentTimeMillis(), submit.body());
         if (row.length > parts.settings().limits().maxRow()) {
             handler.accept(new Answered(new JobAnswer.Malformed("the job is larger than a row")));
             return;
--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/RowCodec.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/RowCodec.java
@@ -41,8 +41,10 @@
     record Host(String name, String address, long incarnation, int milliCores) {}
 
     /** Writes a job: a line with its queue and acceptance, then the body as it arrived. */
-    static byte[] job(QueueRules queue, long acceptedAtMillis, byte[] body) {
+    static byte[] job(
+            Optional<String> customer, QueueRules queue, long acceptedAtMillis, byte[] body) {
         ObjectNode head = JSON.createObjectNode();
+        customer.ifPresent(name -> head.put("customer", name));
         head.put("queue", queue.name());
         head.put("service", queue.service());
         head.put("priority", queue.priority());
@@ -76,7 +78,10 @@
                             Optional.empty());
             long acceptedAt = head.path("acceptedAtMillis").asLong();
             Result<JobSpec> spec = format.job(body(row.value()));
-            return spec.map(job -> new JobEntry(row.key(), queue, job, acceptedAt, record));
+            Optional<String> customer =
+                    Optional.of(head.path("customer").asText()).filter(name -> !name.isEmpty());
+            return spec.map(
+                    job -> new JobEntry(row.key(), customer, queue, job, acceptedAt, record));
         } catch (IOException malformed) {
             return Result.failed(new RowFault("job: " + malformed.getMessage()));
         }
--- a/daemon/src/test/java/org/peridotcourse/daemon/dispatch/ProgressWriterTest.java
+++ b/daemon/src/test/java/org/peridotcourse/daemon/dispatch/ProgressWriterTest.java
@@ -73,6 +73,7 @@
         StepSpec step = StepSpec.builder(1, Resources.of(100, 10, 0)).build();
         return new JobEntry(
                 "job-" + number,
+                Optional.empty(),
                 queue,
                 new JobSpec("payload", List.of(step), Schedule.ONCE),
                 0,
