Write codes of constants and the commit of a task row in one place

Change: Codes.of, TaskRow.withCommit, the same check in TinyHttpServer; an unused method there is gone.

--- a/bench/src/main/java/org/peridotcourse/bench/OwnerBench.java
+++ b/bench/src/main/java/org/peridotcourse/bench/OwnerBench.java
@@ -276,7 +276,7 @@
         byte[] body = probe.run(() -> OwnerWorld.bytes(transaction(write)));
         counts.storeBytes += body.length + 20 + Heads.BYTES;
         for (TaskRow row : write.taskPuts()) {
-            changed.put(row.key(), committed(row));
+            changed.put(row.key(), row.withCommit(commit));
         }
         for (JobRow row : write.jobPuts()) {
             jobs.put(row.spec().id().value(), row.withCommit(commit));
@@ -296,19 +296,6 @@
         return builder.build();
     }
 
-    private TaskRow committed(TaskRow row) {
-        return new TaskRow(
-                row.dataCentre(),
-                row.task(),
-                row.state(),
-                row.attempt(),
-                row.worker(),
-                row.checkpoint(),
-                row.size(),
-                row.epoch(),
-                commit);
-    }
-
     /** The owner's polls of both tables return its own writes. */
     private void poll() {
         List<Row> rows = new ArrayList<>();
--- a/core/src/main/java/org/peridotcourse/base/StateChart.java
+++ b/core/src/main/java/org/peridotcourse/base/StateChart.java
@@ -10,7 +10,6 @@
 import java.util.EnumMap;
 import java.util.EnumSet;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -230,7 +229,7 @@
         }
 
         private static String code(Enum<?> constant) {
-            return constant.name().toLowerCase(Locale.ROOT).replace('_', '-');
+            return Codes.of(constant);
         }
     }
 }
--- a/core/src/main/java/org/peridotcourse/config/RowFault.java
+++ b/core/src/main/java/org/peridotcourse/config/RowFault.java
@@ -1,6 +1,6 @@
 package org.peridotcourse.config;
 
-import java.util.Locale;
+import org.peridotcourse.base.Codes;
 
 /**
  * One reason why a row is not accepted.
@@ -39,7 +39,7 @@
          * @return lower-case words joined by hyphens
          */
         public String code() {
-            return name().toLowerCase(Locale.ROOT).replace('_', '-');
+            return Codes.of(this);
         }
 
         boolean dependsOnOtherRows() {
--- a/core/src/main/java/org/peridotcourse/dispatch/JobSpec.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/JobSpec.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import org.peridotcourse.Failure;
 import org.peridotcourse.Result;
+import org.peridotcourse.base.Codes;
 
 /**
  * What a caller hands in: a payload for every task, steps in an order, and a schedule.
@@ -38,7 +39,7 @@
 
         @Override
         public String code() {
-            return "job-" + name().toLowerCase(java.util.Locale.ROOT).replace('_', '-');
+            return "job-" + Codes.of(this);
         }
 
         @Override
--- a/core/src/main/java/org/peridotcourse/dispatch/StopReason.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/StopReason.java
@@ -1,6 +1,6 @@
 package org.peridotcourse.dispatch;
 
-import java.util.Locale;
+import org.peridotcourse.base.Codes;
 
 /** Why a run is stopped. Constants are immutable and thread-safe. */
 public enum StopReason {
@@ -27,6 +27,6 @@
      * @return lower-case words joined by hyphens
      */
     public String code() {
-        return name().toLowerCase(Locale.ROOT).replace('_', '-');
+        return Codes.of(this);
     }
 }
--- a/core/src/main/java/org/peridotcourse/placement/Guards.java
+++ b/core/src/main/java/org/peridotcourse/placement/Guards.java
@@ -2,10 +2,10 @@
 
 import java.util.HashMap;
 import java.util.LinkedHashSet;
-import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
 import org.peridotcourse.WorkloadId;
+import org.peridotcourse.base.Codes;
 
 /**
  * Reacts to interference and to estimates that exceed a worker's capacity.
@@ -137,7 +137,7 @@
         worker.guard.blame(culprit);
         book.decide(
                 worker.id.value(),
-                "guard-" + step.name().toLowerCase(Locale.ROOT).replace('_', '-'),
+                "guard-" + Codes.of(step),
                 worker,
                 culprit == null ? "latency is normal" : "culprit " + culprit);
         for (Task task : worker.tasks) {
--- a/core/src/main/java/org/peridotcourse/placement/TaskEvent.java
+++ b/core/src/main/java/org/peridotcourse/placement/TaskEvent.java
@@ -1,6 +1,6 @@
 package org.peridotcourse.placement;
 
-import java.util.Locale;
+import org.peridotcourse.base.Codes;
 
 /** Events of the task chart. */
 enum TaskEvent {
@@ -35,7 +35,7 @@
     /** The worker of a replica does not answer. */
     UNREACHABLE;
 
-    private final String code = name().toLowerCase(Locale.ROOT).replace('_', '-');
+    private final String code = Codes.of(this);
 
     /** Returns the text used in the chart. */
     String code() {
--- a/core/src/main/java/org/peridotcourse/placement/TaskRow.java
+++ b/core/src/main/java/org/peridotcourse/placement/TaskRow.java
@@ -40,6 +40,17 @@
         return key(dataCentre, task);
     }
 
+    /**
+     * Returns this row with the commit that wrote it.
+     *
+     * @param written the commit
+     * @return the row as stored
+     */
+    public TaskRow withCommit(long written) {
+        return new TaskRow(
+                dataCentre, task, state, attempt, worker, checkpoint, size, epoch, written);
+    }
+
     /**
      * Returns the key of a task's row.
      *
--- a/core/src/test/java/org/peridotcourse/placement/FakeTable.java
+++ b/core/src/test/java/org/peridotcourse/placement/FakeTable.java
@@ -48,7 +48,8 @@
 
     List<TaskRow> tasks(String prefix) {
         List<TaskRow> found = new ArrayList<>();
-        rows("tasks", prefix).forEach(row -> found.add(stamped((TaskRow) row.value(), row)));
+        rows("tasks", prefix)
+                .forEach(row -> found.add(((TaskRow) row.value()).withCommit(row.commit())));
         return found;
     }
 
@@ -62,19 +63,6 @@
         return ((JobRow) row.value()).withCommit(row.commit());
     }
 
-    static TaskRow stamped(TaskRow row, Stored stored) {
-        return new TaskRow(
-                row.dataCentre(),
-                row.task(),
-                row.state(),
-                row.attempt(),
-                row.worker(),
-                row.checkpoint(),
-                row.size(),
-                row.epoch(),
-                stored.commit());
-    }
-
     /** Returns the commit, or 0 if a row was not as expected. */
     long write(PlacementAction.WriteRows write) {
         for (PlacementAction.RowCheck check : write.checks()) {
--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/DispatchMetrics.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/DispatchMetrics.java
@@ -3,6 +3,7 @@
 import java.util.Locale;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
+import org.peridotcourse.base.Codes;
 import org.peridotcourse.daemon.metrics.DaemonMetrics;
 import org.peridotcourse.dispatch.Decision;
 import org.peridotcourse.dispatch.Order;
@@ -43,16 +44,17 @@
 
     void counter(Order order, OrderReply reply) {
         String kind = order.getClass().getSimpleName().toLowerCase(Locale.ROOT);
-        metrics.counter("peridot_orders_total", "order", kind, "reply", code(reply.name())).inc();
+        metrics.counter("peridot_orders_total", "order", kind, "reply", Codes.of(reply.name()))
+                .inc();
     }
 
     void leaseReply(OrderReply reply, long millis) {
-        metrics.counter("peridot_lease_calls_total", "reply", code(reply.name())).inc();
+        metrics.counter("peridot_lease_calls_total", "reply", Codes.of(reply.name())).inc();
         metrics.latency("peridot_lease_call_seconds").record(clock.getAsLong(), millis * MICROS);
     }
 
     void decided(Decision decision) {
-        metrics.counter("peridot_decisions_total", "kind", code(decision.kind().name())).inc();
+        metrics.counter("peridot_decisions_total", "kind", Codes.of(decision.kind().name())).inc();
     }
 
     void storedMillis(long millis) {
@@ -81,8 +83,4 @@
     String toText() {
         return metrics.toPrometheusText();
     }
-
-    private static String code(String name) {
-        return name.toLowerCase(Locale.ROOT).replace('_', '-');
-    }
 }
--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/JobAnswer.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/JobAnswer.java
@@ -1,6 +1,6 @@
 package org.peridotcourse.daemon.dispatch;
 
-import java.util.Locale;
+import org.peridotcourse.base.Codes;
 import org.peridotcourse.dispatch.JobState;
 
 /** What a caller is told. Implementations are immutable and thread-safe. */
@@ -30,7 +30,7 @@
          * @return lower-case words joined by hyphens
          */
         public String code() {
-            return name().toLowerCase(Locale.ROOT).replace('_', '-');
+            return Codes.of(this);
         }
     }
 
--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/StoreTrouble.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/StoreTrouble.java
@@ -1,8 +1,8 @@
 package org.peridotcourse.daemon.dispatch;
 
-import java.util.Locale;
 import org.peridotcourse.Failure;
 import org.peridotcourse.Result;
+import org.peridotcourse.base.Codes;
 
 /** Tells why a call to the store has no result. Constants are immutable and thread-safe. */
 public enum StoreTrouble implements Failure {
@@ -48,7 +48,7 @@
 
     @Override
     public String code() {
-        return "store-" + name().toLowerCase(Locale.ROOT).replace('_', '-');
+        return "store-" + Codes.of(this);
     }
 
     @Override
--- a/daemon/src/main/java/org/peridotcourse/daemon/http/ChannelFailure.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/http/ChannelFailure.java
@@ -1,7 +1,7 @@
 package org.peridotcourse.daemon.http;
 
-import java.util.Locale;
 import org.peridotcourse.Failure;
+import org.peridotcourse.base.Codes;
 
 /**
  * Tells why a call over an {@link HttpChannel} has no whole answer, and whether the request may
@@ -42,7 +42,7 @@
 
     @Override
     public String code() {
-        return name().toLowerCase(Locale.ROOT).replace('_', '-');
+        return Codes.of(this);
     }
 
     @Override
--- a/daemon/src/test/java/org/peridotcourse/daemon/platform/TinyHttpServer.java
+++ b/daemon/src/test/java/org/peridotcourse/daemon/platform/TinyHttpServer.java
@@ -61,7 +61,12 @@
                 Socket socket = server.accept();
                 sockets.add(socket);
                 connections.incrementAndGet();
-                start(() -> serve(socket));
+                if (server.isClosed()) {
+                    // Accepted while the server was closed, so that close() did not see it.
+                    socket.close();
+                } else {
+                    start(() -> serve(socket));
+                }
             }
         } catch (IOException closed) {
             // The test has ended.
@@ -94,10 +99,6 @@
         }
     }
 
-    private static int number(String text) {
-        return Integer.parseInt(text.substring(0, text.indexOf('\r')).trim());
-    }
-
     private static String readHead(InputStream in) throws IOException {
         StringBuilder head = new StringBuilder();
         while (head.indexOf("\r\n\r\n") < 0) {
