Keep what a customer has running within its limit

Change: CustomerUsage sums what each customer holds, from the order of a run until it has certainly ended; CustomerLimits adds stray runs and the room of workers whose runs are not known yet, and holds steps, gangs and copies back before a worker is searched and before anything is preempted. Optional moves are left out for customers above their limit. Decisions CUSTOMER_AT_LIMIT and CUSTOMER_BELOW_LIMIT, gauge peridot_customers_at_limit. FillPacing takes over the answers to its orders from DispatchOwner. Jobs without a customer pass each check at once.

In sequences with orders that are carried out late nothing is speculative, since the check of starts after an end in DispatchWorld does not tell copies apart.

--- a/core/src/main/java/org/peridotcourse/dispatch/Decision.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/Decision.java
@@ -45,6 +45,10 @@
         FILL_PACED,
         /** All runs of earlier owners are known. */
         CENSUS_COMPLETE,
+        /** The limit of a customer holds work back. */
+        CUSTOMER_AT_LIMIT,
+        /** The limit of a customer has held nothing back for a while. */
+        CUSTOMER_BELOW_LIMIT,
         /** A later owner exists. */
         DEPOSED
     }
--- a/core/src/main/java/org/peridotcourse/dispatch/DispatchOwner.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/DispatchOwner.java
@@ -206,7 +206,7 @@
         if (worker == null) {
             boolean newer = state.censusComplete;
             long over = newer ? now : state.term.earlierRunsUntil();
-            state.workers.put(info.id(), new Worker(info, over));
+            state.workers.put(info.id(), new Worker(info, over, state.usage));
             return;
         }
         worker.info = info;
@@ -387,16 +387,7 @@
      */
     public void onReply(Order order, OrderReply reply, long now) {
         runs.onReply(order, reply, now);
-        if (order instanceof Order.Pace && reply != OrderReply.ACCEPTED) {
-            Worker worker = state.workers.get(order.worker().id());
-            Run run =
-                    worker == null
-                            ? null
-                            : worker.runs.get(new Run.Key(order.task(), order.attempt()));
-            if (run != null) {
-                FillPacing.onFailed(run);
-            }
-        }
+        pacing.onReply(order, reply);
     }
 
     /**
@@ -413,6 +404,7 @@
         runs.expire(now);
         dropWorkers(now);
         updateCensus(now);
+        state.limits.refresh(now);
         if (now - watchedAt >= WATCH_MILLIS) {
             watchedAt = now;
             choice.refresh();
@@ -458,6 +450,11 @@
         jobs.onNotStored(batch);
     }
 
+    /** Returns the state, for checks of its sums. */
+    OwnerState state() {
+        return state;
+    }
+
     private void dropWorkers(long now) {
         List<Worker> leaving = new ArrayList<>();
         for (Worker worker : state.workers.values()) {
--- a/core/src/main/java/org/peridotcourse/dispatch/FillPacing.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/FillPacing.java
@@ -12,6 +12,9 @@
 final class FillPacing {
     static final int FULL = 100;
 
+    /** Differs from all paces. */
+    private static final int NOT_SET = -1;
+
     /** Share of the bound from which a task counts as over it, since figures are rounded. */
     private static final double OVER = 0.95;
 
@@ -192,6 +195,7 @@
                 && fill.pace < MOVED_BELOW_PACE
                 && settled
                 && isMovable(fill, now)
+                && state.limits.mayMove(fill)
                 && choice.choose(fill.task, now).isPresent()) {
             runs.stop(fill, StopReason.DISTURBS, now);
             return;
@@ -232,8 +236,15 @@
                         percent));
     }
 
-    /** Notes that a pace was not set, so that it is sent again. */
-    static void onFailed(Run run) {
-        run.pace = -1;
+    /** Takes the answer to an order. A pace that was not set is sent again. */
+    void onReply(Order order, OrderReply reply) {
+        Worker worker = state.workers.get(order.worker().id());
+        if (!(order instanceof Order.Pace) || reply == OrderReply.ACCEPTED || worker == null) {
+            return;
+        }
+        Run run = worker.runs.get(new Run.Key(order.task(), order.attempt()));
+        if (run != null) {
+            run.pace = NOT_SET;
+        }
     }
 }
--- a/core/src/main/java/org/peridotcourse/dispatch/OwnerFigures.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/OwnerFigures.java
@@ -10,12 +10,19 @@
  * @param runs runs that may be active
  * @param usableWorkers workers that may get tasks
  * @param workers all known workers
+ * @param heldBackCustomers customers whose limits hold work back
  * @param usedShare share of the usable workers' processors that is reserved
  */
 public record OwnerFigures(
-        int jobs, int waitingTasks, int runs, int usableWorkers, int workers, double usedShare) {
+        int jobs,
+        int waitingTasks,
+        int runs,
+        int usableWorkers,
+        int workers,
+        int heldBackCustomers,
+        double usedShare) {
     /** Figures of a host that owns nothing. */
-    public static final OwnerFigures NONE = new OwnerFigures(0, 0, 0, 0, 0, 0);
+    public static final OwnerFigures NONE = new OwnerFigures(0, 0, 0, 0, 0, 0, 0);
 
     static OwnerFigures of(OwnerState state, WorkerChoice choice, long now) {
         int runs = 0;
@@ -41,6 +48,8 @@
             }
         }
         double share = capacity == 0 ? 0 : (double) used / capacity;
-        return new OwnerFigures(active, waiting, runs, usable, state.workers.size(), share);
+        int heldBack = state.limits.heldBack();
+        return new OwnerFigures(
+                active, waiting, runs, usable, state.workers.size(), heldBack, share);
     }
 }
--- a/core/src/main/java/org/peridotcourse/dispatch/OwnerState.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/OwnerState.java
@@ -14,6 +14,8 @@
     final Map<String, Worker> workers = new LinkedHashMap<>();
     final TailModel tails = new TailModel();
     final Durations durations = new Durations();
+    final CustomerUsage usage = new CustomerUsage();
+    final CustomerLimits limits = new CustomerLimits(this);
     private final Decision.Sink sink;
     private List<Order> orders = new ArrayList<>();
 
--- a/core/src/main/java/org/peridotcourse/dispatch/Planner.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/Planner.java
@@ -38,7 +38,7 @@
             }
             int before = started;
             started += step.spec.isGang() ? startGang(step, now) : startTasks(step, now);
-            if (started == before) {
+            if (started == before && !state.limits.holdsBack(step, now)) {
                 preemption.consider(step, now);
             }
         }
@@ -55,6 +55,9 @@
             if (!task.isWaiting() || task.notBefore > now) {
                 continue;
             }
+            if (state.limits.holdsBack(step, now)) {
+                return started;
+            }
             ranking = ranking == null ? choice.rank(task, now) : ranking;
             Optional<Worker> worker = ranking.best(task);
             if (worker.isEmpty()) {
@@ -77,6 +80,9 @@
             }
             attempt = Math.max(attempt, task.lastAttempt + 1);
         }
+        if (state.limits.holdsBack(step, now)) {
+            return 0;
+        }
         shareCheckpoint(step);
         List<Run> started = new ArrayList<>();
         List<Worker> places = new ArrayList<>();
@@ -133,6 +139,9 @@
         if (task.job().inherited && !state.censusComplete) {
             return false;
         }
+        if (state.limits.holdsBack(task.step, now)) {
+            return false;
+        }
         Optional<Worker> worker = choice.choose(task, now);
         worker.ifPresent(found -> runs.start(task, found, now, why));
         return worker.isPresent();
--- a/core/src/main/java/org/peridotcourse/dispatch/RunWatch.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/RunWatch.java
@@ -142,7 +142,8 @@
             if (age > COPY_AFTER * usual.getAsLong() + COPY_AFTER_MILLIS) {
                 planner.startCopy(run, now, "copy-of-slow");
             }
-            if (slow && isWorthMoving(run, usual.getAsLong(), now)) {
+            boolean worth = slow && isWorthMoving(run, usual.getAsLong(), now);
+            if (worth && state.limits.mayMove(run)) {
                 runs.stop(run, StopReason.SLOW, now);
             }
         }
--- a/core/src/main/java/org/peridotcourse/dispatch/Worker.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/Worker.java
@@ -70,6 +70,8 @@
     /** One run for each load of serving tasks. */
     private final Map<String, Run> servingLoads = new HashMap<>();
 
+    private final CustomerUsage usage;
+
     /** Counts changes of the runs. */
     private long changes;
 
@@ -78,11 +80,12 @@
     private long clockAt;
     private Resources used = Resources.ZERO;
 
-    Worker(WorkerInfo info, long leaseOverAt) {
+    Worker(WorkerInfo info, long leaseOverAt, CustomerUsage usage) {
         this.id = info.id();
         this.info = info;
         this.life = info.bornMillis();
         this.leaseOverAt = leaseOverAt;
+        this.usage = usage;
     }
 
     Resources used() {
@@ -114,6 +117,7 @@
         runs.put(run.key(), run);
         run.task.step.onRunAdded(this);
         used = used.plus(run.spec().reserved());
+        usage.add(run);
         count(run, 1);
         if (run.isServing()) {
             servingLoads.putIfAbsent(run.load(), run);
@@ -127,6 +131,7 @@
         run.task.step.onRunRemoved(this);
         changes++;
         used = used.minus(run.spec().reserved());
+        usage.remove(run);
         count(run, -1);
         if (servingLoads.remove(run.load(), run)) {
             findServing(run.load());
--- a/core/src/main/java/org/peridotcourse/dispatch/WorkerChoice.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/WorkerChoice.java
@@ -147,10 +147,12 @@
      */
     private boolean mayFill(Worker worker, Search search, long now) {
         StepSpec spec = search.spec();
+        long demand = worker.fillMilliCores + spec.need().milliCores();
         if (search.neglected()) {
-            return true;
+            // A successor relies on this bound while it does not know what runs here.
+            boolean limited = state.limits.hasLimit(search.task().job());
+            return !limited || demand <= worker.info.capacity().milliCores();
         }
-        long demand = worker.fillMilliCores + spec.need().milliCores();
         if (demand > worker.spareMilliCores()) {
             return false;
         }
--- /dev/null
+++ b/core/src/test/java/org/peridotcourse/dispatch/CustomerLimitTest.java
@@ -0,0 +1,321 @@
+package org.peridotcourse.dispatch;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.LongRange;
+import org.junit.jupiter.api.Test;
+import org.peridotcourse.Resources;
+
+/** Guards against starts that bring what a customer has running above its limit. */
+class CustomerLimitTest {
+    private static final Resources CAPACITY = Resources.of(8_000, 64_000);
+    private static final QueueRules QUEUE = DispatchWorld.queue("q", 1, 3);
+    private static final QueueRules URGENT = DispatchWorld.queue("urgent", 0, 3);
+    private static final List<String> CUSTOMERS = List.of("small", "large", "free");
+
+    /** A late order is carried out within this time of a change of the limits. */
+    private static final long LIMIT_IN_FORCE_MILLIS = 15_000;
+
+    private static CustomerRules rules(String name, long milliCores, long memoryMib) {
+        return new CustomerRules(name, 1, Resources.of(milliCores, memoryMib));
+    }
+
+    private static StepSpec.Builder step(int count, int milliCores, long millis) {
+        return DispatchOwnerTest.step(count, milliCores, millis);
+    }
+
+    /** Workers, customers and faults drawn from one seed, with the check after each tick. */
+    private static final class Drawn {
+        private final DispatchWorld world;
+        private final boolean enforced;
+
+        /** Copies may start after the end of a task if orders are carried out late. */
+        private final boolean copies;
+
+        private final Map<String, Deque<Limit>> limits = new HashMap<>();
+        private final Map<String, Resources> before = new HashMap<>();
+        private final List<String> excesses = new ArrayList<>();
+
+        private record Limit(long at, Resources amount) {}
+
+        Drawn(long seed, boolean enforced) {
+            this.world = new DispatchWorld(seed, 6, CAPACITY);
+            this.enforced = enforced;
+            this.copies = seed % 2 == 0;
+            world.config(QUEUE, URGENT);
+            drawLimits();
+        }
+
+        private int draw(int bound) {
+            return world.random.nextInt(bound);
+        }
+
+        private void drawLimits() {
+            List<CustomerRules> drawn =
+                    List.of(
+                            rules("small", 2_000 + 1_000L * draw(5), 0),
+                            rules("large", 10_000 + 1_000L * draw(10), 12_000),
+                            rules("free", 0, 0));
+            for (CustomerRules rules : drawn) {
+                limits.computeIfAbsent(rules.name(), name -> new ArrayDeque<>())
+                        .addLast(new Limit(world.now, rules.limit()));
+            }
+            if (enforced) {
+                world.customers(drawn);
+            }
+        }
+
+        private void submit() {
+            String customer = CUSTOMERS.get(draw(CUSTOMERS.size()));
+            QueueRules queue = draw(3) == 0 ? URGENT : QUEUE;
+            int milliCores = 500 * (1 + draw(4));
+            StepSpec.Builder step = step(1 + draw(5), milliCores, 300 + draw(3_000));
+            switch (draw(6)) {
+                case 0:
+                    step.gang(true);
+                    break;
+                case 1:
+                    step.speculative(copies);
+                    break;
+                case 2:
+                    step.checkpointing(true);
+                    break;
+                case 3:
+                    step.fills(true);
+                    break;
+                default:
+                    break;
+            }
+            world.submit(customer, queue, step.build());
+        }
+
+        private void lasting() {
+            String customer = CUSTOMERS.get(draw(CUSTOMERS.size()));
+            world.submit(customer, QUEUE, step(2, 500, 1_000).lasting(true).build());
+        }
+
+        private void cancelOne() {
+            List<String> ids = new ArrayList<>(world.jobs.keySet());
+            if (!ids.isEmpty()) {
+                world.cancel(ids.get(draw(ids.size())));
+            }
+        }
+
+        private void disturb() {
+            String worker = "w" + draw(world.runners.size());
+            switch (draw(12)) {
+                case 0:
+                    world.takeOver(world.now);
+                    break;
+                case 1:
+                    world.cut.add(worker);
+                    break;
+                case 2, 3:
+                    world.cut.clear();
+                    break;
+                case 4:
+                    world.runners.get(worker).crash();
+                    break;
+                case 5:
+                    world.runners.values().stream()
+                            .filter(runner -> !runner.up)
+                            .forEach(runner -> runner.restart(world.now));
+                    break;
+                case 6:
+                    drawLimits();
+                    break;
+                case 7, 8:
+                    cancelOne();
+                    break;
+                case 9:
+                    lasting();
+                    break;
+                case 10:
+                    world.lateShare = copies || world.lateShare > 0 ? 0 : 0.3;
+                    break;
+                default:
+                    world.runners.get(worker).slowness = 1 + 3 * draw(2);
+                    break;
+            }
+        }
+
+        void run(int rounds) {
+            for (int round = 0; round < rounds; round++) {
+                for (int i = draw(5); i > 0; i--) {
+                    submit();
+                }
+                if (draw(3) == 0) {
+                    disturb();
+                }
+                for (int tick = 5 + draw(40); tick > 0; tick--) {
+                    world.run(DispatchWorld.TICK);
+                    checkSums();
+                    CUSTOMERS.forEach(this::checkLimit);
+                }
+            }
+        }
+
+        /** What grew must be within the largest limit that orders under way may have obeyed. */
+        private void checkLimit(String customer) {
+            Deque<Limit> given = limits.get(customer);
+            while (given.size() > 1 && secondOf(given).at() < world.now - LIMIT_IN_FORCE_MILLIS) {
+                given.removeFirst();
+            }
+            Resources largest = Resources.ZERO;
+            for (Limit limit : given) {
+                largest = largest.max(limit.amount());
+            }
+            Resources running = world.running(customer);
+            Resources earlier = before.getOrDefault(customer, Resources.ZERO);
+            before.put(customer, running);
+            if (exceeds(running.milliCores(), earlier.milliCores(), largest.milliCores(), 2_000)
+                    || exceeds(
+                            running.memoryMib(), earlier.memoryMib(), largest.memoryMib(), 2_000)) {
+                excesses.add(customer + " runs " + running + " of " + largest);
+            }
+        }
+
+        private static Limit secondOf(Deque<Limit> given) {
+            return given.stream().skip(1).findFirst().orElseThrow();
+        }
+
+        private static boolean exceeds(long running, long earlier, long limit, long task) {
+            return limit > 0 && running > earlier && running > limit * 11 / 10 + task;
+        }
+
+        private void checkSums() {
+            OwnerState state = world.owner.state();
+            Map<String, Resources> recount = new HashMap<>();
+            for (Worker worker : state.workers.values()) {
+                for (Run run : worker.runs.values()) {
+                    run.task
+                            .job()
+                            .customer
+                            .ifPresent(
+                                    name ->
+                                            recount.merge(
+                                                    name, run.spec().need(), Resources::plus));
+                }
+            }
+            assertEquals(recount, state.usage.all());
+        }
+    }
+
+    @Property(tries = 40, seed = "5501")
+    void noStartBringsACustomerAboveItsLimitUnderFaults(
+            @ForAll @LongRange(min = 1, max = 1_000_000) long seed) {
+        Drawn drawn = new Drawn(seed, true);
+        drawn.run(60);
+        assertEquals(List.of(), drawn.excesses);
+    }
+
+    /** The property says something only if the same load exceeds limits that are not enforced. */
+    @Property(tries = 10, seed = "5501")
+    void theSameLoadExceedsLimitsThatAreNotEnforced(
+            @ForAll @LongRange(min = 1, max = 1_000_000) long seed) {
+        Drawn drawn = new Drawn(seed, false);
+        drawn.run(60);
+        assertFalse(drawn.excesses.isEmpty());
+    }
+
+    @Test
+    void aCustomerUsesItsWholeLimitAndHoldsUpNobodyElse() {
+        DispatchWorld world = new DispatchWorld(3, 4, CAPACITY);
+        world.customers(List.of(rules("small", 3_000, 0), rules("other", 0, 0)));
+        world.run(500);
+        String held = world.submit("small", QUEUE, step(12, 1_000, 1_000).build());
+        String free = world.submit("other", QUEUE, step(12, 1_000, 1_000).build());
+        world.run(500);
+        assertEquals(3_000, world.running("small").milliCores());
+        assertEquals(12_000, world.running("other").milliCores());
+        assertEquals(1, world.count(Decision.Kind.CUSTOMER_AT_LIMIT));
+        assertEquals(1, world.owner.figures(world.now).heldBackCustomers());
+        world.runUntilEnded(10_000, held, free);
+        world.assertCompleted(held, free);
+        world.run(2_000);
+        assertEquals(1, world.count(Decision.Kind.CUSTOMER_BELOW_LIMIT));
+        assertEquals(0, world.owner.figures(world.now).heldBackCustomers());
+    }
+
+    @Test
+    void aGangThatExceedsTheLimitStartsWholeOnceThereIsRoom() {
+        DispatchWorld world = new DispatchWorld(3, 4, CAPACITY);
+        world.customers(List.of(rules("small", 4_000, 0)));
+        world.run(500);
+        world.submit("small", QUEUE, step(1, 1_000, 1_500).build());
+        String gang = world.submit("small", QUEUE, step(4, 1_000, 500).gang(true).build());
+        world.run(700);
+        assertFalse(world.hasRuns(gang));
+        world.runUntilEnded(5_000, gang);
+        world.assertCompleted(gang);
+    }
+
+    @Test
+    void nothingIsPreemptedForATaskThatItsLimitHoldsBack() {
+        DispatchWorld world = new DispatchWorld(3, 1, CAPACITY);
+        world.config(QUEUE, URGENT);
+        world.customers(List.of(rules("small", 1_000, 0), rules("other", 0, 0)));
+        world.run(500);
+        world.submit("small", URGENT, step(4, 1_000, 3_000).build());
+        world.submit("other", QUEUE, step(7, 1_000, 4_000).build());
+        world.run(3_000);
+        assertEquals(0, world.count(Decision.Kind.RUN_STOPPED));
+    }
+
+    /**
+     * The successor must not take the silent worker's runs for ended before its leases are over.
+     */
+    @Test
+    void aSuccessorChargesTheRoomOfAWorkerThatDoesNotReport() {
+        DispatchWorld world = new DispatchWorld(3, 4, CAPACITY);
+        world.customers(List.of(rules("small", 8_000, 0)));
+        world.run(500);
+        world.submit("small", QUEUE, step(8, 1_000, 4_000).build());
+        world.run(300);
+        assertEquals(8_000, world.running("small").milliCores());
+        world.cut.add("w0");
+        world.takeOver(world.now);
+        String fresh = world.submit("small", QUEUE, step(2, 1_000, 300).build());
+        world.run(1_500);
+        assertFalse(world.hasRuns(fresh));
+        world.runUntilEnded(12_000, fresh);
+        world.assertCompleted(fresh);
+    }
+
+    /** A customer under half its limit must not wait for the one worker that is silent. */
+    @Test
+    void oneSilentWorkerOfManyDoesNotHoldBackACustomerUnderHalfItsLimit() {
+        DispatchWorld world = new DispatchWorld(3, 246, CAPACITY);
+        world.customers(List.of(rules("large", 100_000, 0)));
+        world.run(500);
+        world.submit("large", QUEUE, step(40, 1_000, 20_000).build());
+        world.run(500);
+        world.cut.add("w0");
+        world.takeOver(world.now);
+        String fresh = world.submit("large", QUEUE, step(8, 1_000, 20_000).lasting(true).build());
+        world.run(1_000);
+        assertTrue(world.hasRuns(fresh));
+    }
+
+    @Test
+    void jobsWithoutACustomerHaveNoLimit() {
+        DispatchWorld world = new DispatchWorld(3, 1, CAPACITY);
+        world.customers(List.of(rules("small", 1_000, 0)));
+        world.submit(QUEUE, step(8, 1_000, 2_000).build());
+        world.run(500);
+        assertEquals(Optional.empty(), world.jobs.values().iterator().next().customer());
+        assertEquals(
+                Resources.of(8_000, 0).milliCores(), world.runners.get("w0").used().milliCores());
+    }
+}
--- a/core/src/test/java/org/peridotcourse/dispatch/DispatchWorld.java
+++ b/core/src/test/java/org/peridotcourse/dispatch/DispatchWorld.java
@@ -61,6 +61,7 @@
     private long epoch;
     private long sequence;
     private ClusterConfig config;
+    private List<CustomerRules> customers = List.of();
     private final PriorityQueue<Event> events = new PriorityQueue<>();
     private final Map<String, Long> calling = new HashMap<>();
     private final Set<TaskRef> done = new HashSet<>();
@@ -94,12 +95,19 @@
         for (QueueRules queue : queues) {
             routes.add(new ClusterConfig.Route("host", "/" + queue.name() + "/", queue, true));
         }
-        config = ClusterConfig.of(1, routes);
+        config = ClusterConfig.of(1, routes).withCustomers(customers);
         if (owner != null) {
             owner.onConfig(config);
         }
     }
 
+    /** Changes the customers and leaves the queues as they are. */
+    void customers(List<CustomerRules> rules) {
+        customers = rules;
+        config = config.withCustomers(rules);
+        owner.onConfig(config);
+    }
+
     /** A new owner begins with what the store and the workers have. */
     void takeOver(long earlierOrdersUntil) {
         epoch++;
@@ -129,9 +137,17 @@
     }
 
     String submit(QueueRules queue, StepSpec... steps) {
+        return submit(Optional.empty(), queue, steps);
+    }
+
+    String submit(String customer, QueueRules queue, StepSpec... steps) {
+        return submit(Optional.of(customer), queue, steps);
+    }
+
+    private String submit(Optional<String> customer, QueueRules queue, StepSpec... steps) {
         String id = String.format("%016x", jobs.size() + 1);
         JobSpec spec = new JobSpec("payload", List.of(steps), Schedule.ONCE);
-        JobEntry entry = new JobEntry(id, Optional.empty(), queue, spec, WALL + now, JobRecord.NEW);
+        JobEntry entry = new JobEntry(id, customer, queue, spec, WALL + now, JobRecord.NEW);
         jobs.put(id, entry);
         stored.put(id, JobRecord.NEW);
         owner.onJob(entry, false, now, WALL + now);
@@ -357,6 +373,20 @@
         }
     }
 
+    /** Returns what the tasks of a customer ask for that run on the workers. */
+    Resources running(String customer) {
+        Resources sum = Resources.ZERO;
+        for (FakeRunner runner : runners.values()) {
+            for (Map.Entry<Run.Key, FakeRunner.Active> run : runner.active.entrySet()) {
+                JobEntry job = jobs.get(run.getKey().task().job());
+                if (job.customer().equals(Optional.of(customer))) {
+                    sum = sum.plus(run.getValue().spec.need());
+                }
+            }
+        }
+        return sum;
+    }
+
     boolean hasRuns(String job) {
         return runners.values().stream()
                 .flatMap(runner -> runner.active.keySet().stream())
--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/DispatchHost.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/DispatchHost.java
@@ -300,6 +300,7 @@
         metrics.gauge("peridot_active_runs", () -> figures().runs());
         metrics.gauge("peridot_usable_workers", () -> figures().usableWorkers());
         metrics.gauge("peridot_known_workers", () -> figures().workers());
+        metrics.gauge("peridot_customers_at_limit", () -> figures().heldBackCustomers());
         metrics.gauge("peridot_used_share", () -> figures().usedShare());
     }
 
