Give customers their weighted shares while workers are full

Cause: steps of all customers were ordered by hope and urgency alone, so a customer that sent many jobs took the room of all others.

Change: among steps of one priority, jobs within the rate of their customer come first, then customers below their weighted dominant share, then the order of before. The planner puts a customer behind the others as soon as it reaches its share within a round. Jobs beyond weight a second are found by a token bucket over their times of acceptance.

All of core passes.

--- a/core/src/main/java/org/peridotcourse/dispatch/Job.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/Job.java
@@ -25,6 +25,9 @@
 
     JobState state;
 
+    /** True if its customer sent it beyond the rate that it is entitled to. */
+    boolean beyondRate;
+
     /** True once a task has started. */
     boolean begun;
 
--- a/core/src/main/java/org/peridotcourse/dispatch/JobBook.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/JobBook.java
@@ -43,6 +43,7 @@
         long first = schedule.isTimed() ? now + schedule.startAtMillis() - wallNow : acceptedAt;
         firstDueAt.put(job.id, first);
         state.jobs.put(job.id, job);
+        state.rates.onJob(job, entry.acceptedAtMillis());
         state.planDue = true;
         entry.record().tasks().forEach(record -> restore(job, record, first, now));
         job.openDue(now, first);
--- a/core/src/main/java/org/peridotcourse/dispatch/OwnerState.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/OwnerState.java
@@ -16,6 +16,7 @@
     final Durations durations = new Durations();
     final CustomerUsage usage = new CustomerUsage();
     final CustomerLimits limits = new CustomerLimits(this);
+    final CustomerRates rates = new CustomerRates(this);
     private final Decision.Sink sink;
     private List<Order> orders = new ArrayList<>();
 
--- a/core/src/main/java/org/peridotcourse/dispatch/Planner.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/Planner.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.PriorityQueue;
 
 /** Starts waiting tasks on workers with room. Confined to one thread. */
 final class Planner {
@@ -16,6 +17,7 @@
     private static final long FILL_SEARCH_MILLIS = 40;
 
     private final OwnerState state;
+    private final CustomerShares shares;
     private final StepOrder order;
     private final WorkerChoice choice;
     private final RunBook runs;
@@ -23,7 +25,8 @@
 
     Planner(OwnerState state, WorkerChoice choice, RunBook runs) {
         this.state = state;
-        this.order = new StepOrder(state);
+        this.shares = new CustomerShares(state, choice);
+        this.order = new StepOrder(state, shares);
         this.choice = choice;
         this.runs = runs;
         this.preemption = new Preemption(state, choice, runs);
@@ -32,20 +35,36 @@
     /** Starts what has room; true if more could start at once. */
     boolean plan(long now) {
         int started = 0;
-        for (Step step : order.waiting(now)) {
+        PriorityQueue<StepOrder.Candidate> waiting = order.waiting(now);
+        while (!waiting.isEmpty()) {
             if (started >= STARTS_PER_ROUND) {
                 return true;
             }
-            int before = started;
-            started += step.spec.isGang() ? startGang(step, now) : startTasks(step, now);
-            if (started == before && !state.limits.holdsBack(step, now)) {
+            StepOrder.Candidate candidate = waiting.poll();
+            Step step = candidate.step();
+            int starts = isPastShare(candidate) ? 0 : start(candidate, now);
+            started += starts;
+            if (isPastShare(candidate)) {
+                // The customer reached its share in this round, so that others come first now.
+                waiting.add(candidate.withShareReached());
+            } else if (starts == 0 && !state.limits.holdsBack(step, now)) {
                 preemption.consider(step, now);
             }
         }
         return false;
     }
 
-    private int startTasks(Step step, long now) {
+    private boolean isPastShare(StepOrder.Candidate candidate) {
+        return !candidate.atShare() && shares.isAtShare(candidate.step().job());
+    }
+
+    private int start(StepOrder.Candidate candidate, long now) {
+        Step step = candidate.step();
+        return step.spec.isGang() ? startGang(step, now) : startTasks(candidate, now);
+    }
+
+    private int startTasks(StepOrder.Candidate candidate, long now) {
+        Step step = candidate.step();
         if (now < step.searchAt) {
             return 0;
         }
@@ -55,7 +74,7 @@
             if (!task.isWaiting() || task.notBefore > now) {
                 continue;
             }
-            if (state.limits.holdsBack(step, now)) {
+            if (isPastShare(candidate) || state.limits.holdsBack(step, now)) {
                 return started;
             }
             ranking = ranking == null ? choice.rank(task, now) : ranking;
