--- a/core/src/main/java/org/peridotcourse/dispatch/OwnerState.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/OwnerState.java
@@ -14,6 +14,9 @@
     final Map<String, Worker> workers = new LinkedHashMap<>();
     final TailModel tails = new TailModel();
     final Durations durations = new Durations();
+    final CustomerUsage usage = new CustomerUsage();
+    final CustomerLimits limits = new CustomerLimits(this);
+    final CustomerRates rates = new CustomerRates(this);
     private final Decision.Sink sink;
     private List<Order> orders = new ArrayList<>();
 
