--- a/core/src/main/java/org/peridotcourse/dispatch/ClusterConfig.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/ClusterConfig.java
@@ -1,40 +1,47 @@
 package org.peridotcourse.dispatch;
 
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 
 /**
- * One version of the operator's configuration: queues, and where callers find them.
+ * One version of the operator's configuration: queues, where callers find them, and customers.
  *
  * <p>Instances are immutable and thread-safe.
  */
 public final class ClusterConfig {
     /** No queue; in force until the first configuration is known. */
-    public static final ClusterConfig NONE = new ClusterConfig(0, List.of(), List.of());
+    public static final ClusterConfig NONE = of(0, List.of());
 
     private final long version;
     private final List<Route> routes;
     private final Map<String, QueueRules> queues = new HashMap<>();
     private final Map<String, CustomerRules> customers = new HashMap<>();
 
-    private ClusterConfig(long version, List<Route> routes, List<CustomerRules> customers) {
+    private final RouteIndex index;
+    private final ApiKeys keys;
+
+    private ClusterConfig(
+            long version, List<Route> routes, Collection<CustomerRules> customers, ApiKeys keys) {
         this.version = version;
         this.routes = List.copyOf(routes);
+        this.index = new RouteIndex(routes);
+        this.keys = keys;
         routes.forEach(route -> queues.put(route.queue().name(), route.queue()));
         customers.forEach(customer -> this.customers.put(customer.name(), customer));
     }
 
     /**
-     * Returns a configuration without customers.
+     * Returns a configuration without customers, whose calls need no key.
      *
      * @param version increases with each change
      * @param routes where callers find the queues
      * @return the configuration
      */
     public static ClusterConfig of(long version, List<Route> routes) {
-        return new ClusterConfig(version, routes, List.of());
+        return new ClusterConfig(version, routes, List.of(), ApiKeys.NOT_REQUIRED);
     }
 
     /**
@@ -44,7 +51,17 @@
      * @return the changed configuration
      */
     public ClusterConfig withCustomers(List<CustomerRules> rules) {
-        return new ClusterConfig(version, routes, rules);
+        return new ClusterConfig(version, routes, rules, keys);
+    }
+
+    /**
+     * Returns this configuration with other keys.
+     *
+     * @param apiKeys the keys of the customers
+     * @return the changed configuration
+     */
+    public ClusterConfig withKeys(ApiKeys apiKeys) {
+        return new ClusterConfig(version, routes, customers.values(), apiKeys);
     }
 
     /**
@@ -104,6 +121,15 @@
         return Optional.ofNullable(customers.get(name));
     }
 
+    /**
+     * Returns the API keys that are in force.
+     *
+     * @return the keys
+     */
+    public ApiKeys keys() {
+        return keys;
+    }
+
     /**
      * Finds the route of a call: same host, longest prefix.
      *
@@ -114,13 +140,6 @@
     public Optional<Route> match(String host, String path) {
         int colon = host.indexOf(':');
         String name = colon < 0 ? host : host.substring(0, colon);
-        Route best = null;
-        for (Route route : routes) {
-            boolean fits = route.host().equalsIgnoreCase(name) && path.startsWith(route.prefix());
-            if (fits && (best == null || route.prefix().length() > best.prefix().length())) {
-                best = route;
-            }
-        }
-        return Optional.ofNullable(best);
+        return index.find(name, path);
     }
 }
