Ask callers for the API keys of customers

Change: Admission judges each call by the present configuration: route first, then the key; the job row records the customer. A configuration that was not confirmed since the start of the process permits nothing. Calls that are passed on carry their key and the version of the sender; a host with an older version does not carry them out. A refusal after a try that may have taken effect is answered 504. ConfigAge logs and measures how old the belief is. Faults of rows no longer quote the parser, and texts of calls leave headers out. Before the change no call needed a key.

--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/CallDesk.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/CallDesk.java
@@ -4,7 +4,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
-import java.util.Optional;
 import org.peridotcourse.Result;
 import org.peridotcourse.daemon.entry.CallSink;
 import org.peridotcourse.daemon.entry.Caller;
@@ -15,8 +14,8 @@
 import org.peridotcourse.dispatch.ClusterConfig;
 
 /**
- * Takes callers' calls, finds their queue, and passes calls on to another host while this one does
- * not reach the store. {@link #submit} is thread-safe; all else is confined to the loop.
+ * Takes callers' calls and passes them on to another host while this one does not reach the store
+ * or cannot judge them. {@link #submit} is thread-safe; all else is confined to the loop.
  */
 final class CallDesk implements CallSink {
     /** Time for another host to answer a call that was passed on. */
@@ -34,13 +33,18 @@
     /** Time of callers that name none. */
     private static final long USUAL_CALLER_MILLIS = 3_000;
 
-    private static final long RETRY_AFTER_MILLIS = 500;
+    private static final int UNAUTHORIZED = 401;
+    private static final int NOT_FOUND = 404;
     private static final int SERVICE_UNAVAILABLE = 503;
     private static final int GATEWAY_TIMEOUT = 504;
 
+    /** Why a call is passed on that this host cannot judge. */
+    private static final JobDesk.Away UNDECIDED = new JobDesk.Away(StoreTrouble.OUTDATED, false);
+
     private final EventLoop loop;
     private final HostParts parts;
     private final ConfigWatch config;
+    private final Admission admission;
     private final JobDesk jobs;
     private final PeerLink peers;
     private final HostDirectory directory;
@@ -58,6 +62,7 @@
         this.loop = parts.loop();
         this.parts = parts;
         this.config = config;
+        this.admission = new Admission(config::config, config.age(), parts.format()::apiKey);
         this.jobs = jobs;
         this.peers = peers;
         this.directory = directory;
@@ -73,7 +78,7 @@
         final long settleUntil;
 
         /** Set once the call is understood. */
-        ClusterConfig.Route route;
+        Admission.Admitted admitted;
 
         /** Set once the call is understood. */
         JobRequest request;
@@ -98,7 +103,11 @@
 
         /** Tells whether another try may still settle an open outcome; other hosts only report. */
         boolean maySettle() {
-            return inDoubt && !forwarded && loop.now() + SETTLE_PAUSE_MILLIS < settleUntil;
+            boolean understood = request != null;
+            return understood
+                    && inDoubt
+                    && !forwarded
+                    && loop.now() + SETTLE_PAUSE_MILLIS < settleUntil;
         }
 
         void answer(JobAnswer answer) {
@@ -140,25 +149,25 @@
         outstanding++;
         Handling handling = new Handling(call, caller);
         handling.kind = call.method().toLowerCase(Locale.ROOT);
-        ClusterConfig present = config.config();
-        if (!present.isKnown()) {
-            handling.answer(
-                    new JobAnswer.Refused(JobAnswer.Reason.NO_CONFIGURATION, RETRY_AFTER_MILLIS));
-            return;
-        }
-        String host = call.header("x-forwarded-host").or(() -> call.header("host")).orElse("");
-        Optional<ClusterConfig.Route> route = present.match(host, call.path());
-        if (route.isEmpty()) {
-            handling.answer(new JobAnswer.NoQueue());
-            return;
+        Admission.Verdict verdict = admission.judge(call, loop.now());
+        if (verdict instanceof Admission.Admitted admitted) {
+            onAdmitted(handling, admitted);
+        } else if (verdict instanceof Admission.Rejected rejected) {
+            handling.answer(rejected.answer());
+        } else {
+            forward(handling, peersFor(handling), UNDECIDED);
         }
-        handling.queue = route.get().queue().name();
-        Result<JobRequest> request = parts.format().request(call, route.get().prefix());
+    }
+
+    private void onAdmitted(Handling handling, Admission.Admitted admitted) {
+        ClusterConfig.Route route = admitted.route();
+        handling.queue = route.queue().name();
+        Result<JobRequest> request = parts.format().request(handling.call, route.prefix());
         if (!(request instanceof Result.Ok<JobRequest> ok)) {
             handling.answer(new JobAnswer.Malformed(request.failure().orElseThrow().message()));
             return;
         }
-        handling.route = route.get();
+        handling.admitted = admitted;
         handling.request = ok.value();
         name(handling, ok.value());
         carryOut(handling);
@@ -177,7 +186,7 @@
 
     private void carryOut(Handling handling) {
         boolean needsStore = !(handling.request instanceof JobRequest.CountPending);
-        List<InetSocketAddress> others = handling.forwarded ? List.of() : candidates();
+        List<InetSocketAddress> others = peersFor(handling);
         if (needsStore && parts.health().isAway()) {
             // A try would hold the call, and leave a job in doubt that need not be sent.
             JobDesk.Away away = new JobDesk.Away(StoreTrouble.UNREACHABLE, false);
@@ -185,7 +194,7 @@
             return;
         }
         jobs.handle(
-                handling.route,
+                handling.admitted,
                 handling.request,
                 outcome -> {
                     if (outcome instanceof JobDesk.Answered answered) {
@@ -197,6 +206,10 @@
                 });
     }
 
+    private List<InetSocketAddress> peersFor(Handling handling) {
+        return handling.forwarded ? List.of() : candidates();
+    }
+
     /** The owner first, since it probably reaches the store; then others in turn. */
     private List<InetSocketAddress> candidates() {
         List<InetSocketAddress> chosen = new ArrayList<>();
@@ -232,13 +245,13 @@
         peers.forward(
                 peer,
                 handling.call,
+                config.config().version(),
                 FORWARD_TIMEOUT_MILLIS,
                 new PeerLink.Forwarded() {
                     @Override
                     public void onAnswer(CallerAnswer answer) {
                         handling.inDoubt |= answer.status() == GATEWAY_TIMEOUT;
-                        if (answer.status() == SERVICE_UNAVAILABLE
-                                || answer.status() == GATEWAY_TIMEOUT) {
+                        if (isOpen(answer.status()) || handling.inDoubt && isRefusal(answer)) {
                             next.run();
                         } else {
                             handling.finish(answer, "forwarded");
@@ -258,6 +271,15 @@
                 });
     }
 
+    private static boolean isOpen(int status) {
+        return status == SERVICE_UNAVAILABLE || status == GATEWAY_TIMEOUT;
+    }
+
+    /** An earlier try may have been admitted, so a refusal after it does not tell "not run". */
+    private static boolean isRefusal(CallerAnswer answer) {
+        return answer.status() == UNAUTHORIZED || answer.status() == NOT_FOUND;
+    }
+
     /** A call that may have taken effect is repeated, which the store makes harmless. */
     private void giveUpOrRepeat(Handling handling, JobDesk.Away away) {
         if (!handling.maySettle()) {
--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/ConfigWatch.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/ConfigWatch.java
@@ -12,7 +12,8 @@
 
 /**
  * Keeps the newest configuration and the evacuated data centres. While the store is away, the
- * configuration comes from other hosts. Versions never go back. Confined to the loop.
+ * configuration comes from other hosts. Versions never go back. Confined to the loop, except the
+ * version and the age, which are thread-safe.
  */
 final class ConfigWatch {
     /** A short wait bounds the time for which a feed that went silent hides a change. */
@@ -28,9 +29,13 @@
     private final StoreHealth health;
     private final PeerLink peers;
     private final HostDirectory directory;
+    private final ConfigAge age;
     private final Set<String> evacuated = new TreeSet<>();
 
-    private ClusterConfig config = ClusterConfig.NONE;
+    /** Keys of rows in the store that are not understood, so that something newer is unknown. */
+    private final Set<String> refused = new TreeSet<>();
+
+    private volatile ClusterConfig config = ClusterConfig.NONE;
     private Optional<StoredRow> configRow = Optional.empty();
     private Runnable listener = () -> {};
     private int nextPeer;
@@ -49,6 +54,7 @@
         this.health = health;
         this.peers = peers;
         this.directory = directory;
+        this.age = new ConfigAge(log);
         TableFeed.Mode mode =
                 new TableFeed.Mode(format.operatorTable(), "", FEED_WAIT_MILLIS, 0, TIMEOUT_MILLIS);
         this.feed = new TableFeed(loop, store, log, mode, new Rows(), false);
@@ -58,11 +64,23 @@
     private final class Rows implements TableFeed.Listener {
         @Override
         public void onRow(StoredRow row) {
-            apply(row, "store");
+            if (apply(row, "store")) {
+                refused.remove(row.key());
+            } else {
+                refused.add(row.key());
+            }
+        }
+
+        @Override
+        public void onCurrent(long asOf) {
+            if (config.isKnown() && refused.isEmpty()) {
+                age.confirm(asOf, config.version());
+            }
         }
 
         @Override
         public void onGone(String key) {
+            refused.remove(key);
             StoredRow gone =
                     new StoredRow(format.operatorTable(), key, new byte[] {'{', '}'}, 0, true);
             if (format.operatorRow(gone) instanceof Result.Ok<OperatorRow> ok
@@ -74,6 +92,7 @@
     }
 
     void start() {
+        age.start(loop.now());
         feed.start();
         loop.every(PEER_PERIOD_MILLIS, this::askPeer);
     }
@@ -91,12 +110,18 @@
         return evacuated;
     }
 
+    /** Returns how long ago the configuration was known to be the newest one. */
+    ConfigAge age() {
+        return age;
+    }
+
     /** Returns the row of the present configuration, for other hosts. */
     Optional<StoredRow> row() {
         return configRow;
     }
 
-    private void apply(StoredRow row, String from) {
+    /** Returns false if the row is not understood. */
+    private boolean apply(StoredRow row, String from) {
         Result<OperatorRow> read = format.operatorRow(row);
         if (!(read instanceof Result.Ok<OperatorRow> ok)) {
             RowLog.refused(log, row, read.failure().orElseThrow());
@@ -106,9 +131,17 @@
                 && evacuated.add(found.dataCentre())) {
             onEvacuated();
         }
+        return read.isOk();
     }
 
     private void install(StoredRow row, ClusterConfig found, String from) {
+        if (found.version() < config.version()) {
+            log.event(DispatchEvent.CONFIG_OLDER)
+                    .with("version", found.version())
+                    .with("present", config.version())
+                    .with("from", from)
+                    .write();
+        }
         if (found.version() <= config.version()) {
             return;
         }
@@ -129,11 +162,37 @@
     }
 
     private void askPeer() {
+        long now = loop.now();
+        age.check(now, config.version());
         List<InetSocketAddress> others = directory.others();
-        if (others.isEmpty() || config.isKnown() && !health.isAway()) {
+        if (others.isEmpty() || age.isRecent(now) && !health.isAway()) {
             return;
         }
         InetSocketAddress peer = others.get(nextPeer++ % others.size());
-        peers.config(peer, config.version(), row -> apply(row, peer.getHostString()));
+        peers.config(peer, config.version(), new PeerNews(peer, now));
+    }
+
+    /** Applies what another host says. */
+    private final class PeerNews implements PeerLink.ConfigNews {
+        private final InetSocketAddress peer;
+        private final long askedAt;
+        private boolean understood = true;
+
+        PeerNews(InetSocketAddress peer, long askedAt) {
+            this.peer = peer;
+            this.askedAt = askedAt;
+        }
+
+        @Override
+        public void onRow(StoredRow row) {
+            understood = apply(row, peer.getHostString());
+        }
+
+        @Override
+        public void onSame(long ageMillis) {
+            if (understood && config.isKnown()) {
+                age.confirm(askedAt - ageMillis, config.version());
+            }
+        }
     }
 }
--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/DispatchEvent.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/DispatchEvent.java
@@ -65,6 +65,26 @@
             "evacuation.changed",
             Level.INFO,
             "Data centres in which nothing may start; fields dataCentres"),
+    /** An older configuration came. */
+    CONFIG_OLDER(
+            6022,
+            "config.older",
+            Level.WARNING,
+            "A configuration older than the present one was left out; fields version, present, "
+                    + "from"),
+    /** The configuration could not be confirmed. */
+    CONFIG_UNCONFIRMED(
+            6023,
+            "config.unconfirmed",
+            Level.WARNING,
+            "It could not be learned for a while whether the configuration is the newest one; "
+                    + "fields version, ageMillis, everConfirmed"),
+    /** The configuration is confirmed again. */
+    CONFIG_CONFIRMED(
+            6024,
+            "config.confirmed",
+            Level.INFO,
+            "The configuration is known to be the newest one again; fields version, afterMillis"),
     /** This host is the owner. */
     OWNER_TAKEN(
             6030,
--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/DispatchHost.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/DispatchHost.java
@@ -246,7 +246,7 @@
 
     private boolean servePeer(IncomingCall call, Caller caller) {
         if (call.path().equals(PeerLink.CONFIG_PATH)) {
-            return loop.offer(() -> PeerLink.serveConfig(config, call, caller));
+            return loop.offer(() -> PeerLink.serveConfig(config, call, caller, loop.now()));
         }
         if (call.path().equals(PeerLink.WILLING_PATH)) {
             return loop.offer(() -> PeerLink.serveWilling(election.isWilling(loop.now()), caller));
@@ -291,6 +291,7 @@
     private void addGauges() {
         DispatchMetrics metrics = parts.metrics();
         metrics.gauge("peridot_config_version", () -> config.config().version());
+        metrics.gauge("peridot_config_age_millis", () -> config.age().millis(loop.now()));
         metrics.gauge("peridot_owner", () -> election.isOwner() ? 1 : 0);
         metrics.gauge("peridot_store_away", () -> parts.health().isAway() ? 1 : 0);
         metrics.gauge("peridot_loop_lag_millis", loop::lagMillis);
--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/JobAnswer.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/JobAnswer.java
@@ -13,12 +13,15 @@
                 JobAnswer.Unknown,
                 JobAnswer.Pending,
                 JobAnswer.NoQueue,
+                JobAnswer.Unauthorized,
                 JobAnswer.Malformed,
                 JobAnswer.OtherJob {
     /** Why a call was not carried out. Constants are immutable and thread-safe. */
     enum Reason {
         /** This host has no configuration yet. */
         NO_CONFIGURATION,
+        /** The host that passed the call on has a newer configuration. */
+        OLDER_CONFIGURATION,
         /** The store cannot be reached, neither from here nor from another host. */
         STORE_AWAY,
         /** This host has too many calls. */
@@ -71,6 +74,9 @@
     /** There is no such queue. */
     record NoQueue() implements JobAnswer {}
 
+    /** The call carries no API key that is in force. */
+    record Unauthorized() implements JobAnswer {}
+
     /**
      * The call is not understood.
      *
--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/JobDesk.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/JobDesk.java
@@ -6,7 +6,6 @@
 import java.util.function.Consumer;
 import java.util.function.Function;
 import org.peridotcourse.Result;
-import org.peridotcourse.dispatch.ClusterConfig;
 import org.peridotcourse.dispatch.JobRecord;
 import org.peridotcourse.dispatch.JobState;
 
@@ -56,16 +55,16 @@
         }
     }
 
-    /** Carries a call out. */
-    void handle(ClusterConfig.Route route, JobRequest request, Consumer<Outcome> handler) {
+    /** Carries an admitted call out. */
+    void handle(Admission.Admitted admitted, JobRequest request, Consumer<Outcome> handler) {
         if (request instanceof JobRequest.Submit submit) {
-            accept(route, submit, handler);
+            accept(admitted, submit, handler);
         } else if (request instanceof JobRequest.Show show) {
             show(show.id(), handler);
         } else if (request instanceof JobRequest.Cancel cancel) {
             cancel(cancel.id(), handler);
         } else {
-            handler.accept(count(route.queue().name()));
+            handler.accept(count(admitted.route().queue().name()));
         }
     }
 
@@ -77,10 +76,13 @@
     }
 
     private void accept(
-            ClusterConfig.Route route, JobRequest.Submit submit, Consumer<Outcome> handler) {
+            Admission.Admitted admitted, JobRequest.Submit submit, Consumer<Outcome> handler) {
         byte[] row =
                 RowCodec.job(
-                        Optional.empty(), route.queue(), System.currentTimeMillis(), submit.body());
+                        admitted.customer(),
+                        admitted.route().queue(),
+                        System.currentTimeMillis(),
+                        submit.body());
         if (row.length > parts.settings().limits().maxRow()) {
             handler.accept(new Answered(new JobAnswer.Malformed("the job is larger than a row")));
             return;
--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/LearnedCodec.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/LearnedCodec.java
@@ -61,7 +61,7 @@
                     .forEach(one -> estimates.put(one.getKey(), estimate(one.getValue())));
             return Result.ok(new Learned(node.path("period").asInt(), means, pairs, estimates));
         } catch (IOException malformed) {
-            return Result.failed(new RowFault("learned: " + malformed.getMessage()));
+            return Result.failed(new RowFault("learned: not JSON"));
         }
     }
 
--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/PeerLink.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/PeerLink.java
@@ -1,11 +1,12 @@
 package org.peridotcourse.daemon.dispatch;
 
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
-import java.util.function.Consumer;
 import org.peridotcourse.Result;
 import org.peridotcourse.daemon.entry.Caller;
 import org.peridotcourse.daemon.entry.CallerAnswer;
@@ -23,6 +24,14 @@
     /** Marks a call that came from another host, which is not passed on again. */
     static final String FORWARDED = "Peridot-Forwarded";
 
+    /** The version of the configuration of the host that passed a call on. */
+    private static final String CONFIG_VERSION = "Peridot-Config-Version";
+
+    /** How many milliseconds ago a host last knew that its configuration was the newest one. */
+    private static final String CONFIG_AGE = "Peridot-Config-Age";
+
+    private static final String AUTHORIZATION = "Authorization";
+
     /** Path under which a host serves its configuration row. */
     static final String CONFIG_PATH = "/peer/config";
 
@@ -41,7 +50,8 @@
     private static final long CONFIG_TIMEOUT_MILLIS = 500;
     private static final int OK = 200;
     private static final int NOT_MODIFIED = 304;
-    private static final List<String> KEPT_HEADERS = List.of("retry-after", "content-type");
+    private static final List<String> KEPT_HEADERS =
+            List.of("retry-after", "content-type", "www-authenticate");
 
     private final HttpCaller http;
     private final String name;
@@ -62,11 +72,22 @@
         void onFailure(ChannelFailure failure);
     }
 
-    /** Passes a call on. */
-    void forward(InetSocketAddress peer, IncomingCall call, long timeoutMillis, Forwarded handler) {
+    /**
+     * Passes a call on with its API key, which the other host checks.
+     *
+     * @param configVersion the version here; a host with an older one does not carry the call out
+     */
+    void forward(
+            InetSocketAddress peer,
+            IncomingCall call,
+            long configVersion,
+            long timeoutMillis,
+            Forwarded handler) {
         Map<String, String> headers = new LinkedHashMap<>();
         call.header("host").ifPresent(host -> headers.put("X-Forwarded-Host", host));
+        onlyValue(call, AUTHORIZATION).ifPresent(key -> headers.put(AUTHORIZATION, key));
         headers.put(FORWARDED, name);
+        headers.put(CONFIG_VERSION, Long.toString(configVersion));
         if (call.body().length > 0) {
             headers.put("Content-Type", "application/json");
         }
@@ -94,8 +115,36 @@
         return new CallerAnswer(reply.status(), headers, reply.body());
     }
 
-    /** Asks another host for a newer configuration; the handler runs only if it has one. */
-    void config(InetSocketAddress peer, long knownVersion, Consumer<StoredRow> handler) {
+    /** A header that stands twice is malformed, and one of its values would hide that. */
+    private static Optional<String> onlyValue(IncomingCall call, String name) {
+        List<String> values = call.headers().getOrDefault(lowerCase(name), List.of());
+        return values.size() == 1 ? Optional.of(values.get(0)) : Optional.empty();
+    }
+
+    private static String lowerCase(String name) {
+        return name.toLowerCase(Locale.ROOT);
+    }
+
+    /** Returns the version of the host that passed a call on, 0 if it came from a caller. */
+    static long configVersion(IncomingCall call) {
+        return number(call.header(lowerCase(CONFIG_VERSION)).orElse(""), "");
+    }
+
+    /** Takes what another host knows of the configuration. */
+    interface ConfigNews {
+        /** Takes a newer version. */
+        void onRow(StoredRow row);
+
+        /**
+         * Takes the news that the other host has the version that is known here by now.
+         *
+         * @param ageMillis how long before its answer that host knew it to be the newest one
+         */
+        void onSame(long ageMillis);
+    }
+
+    /** Asks another host for a newer configuration. */
+    void config(InetSocketAddress peer, long knownVersion, ConfigNews handler) {
         HttpCall call = HttpCall.get(CONFIG_PATH + "?" + AFTER_QUERY + knownVersion);
         http.call(
                 peer,
@@ -103,12 +152,19 @@
                 CONFIG_TIMEOUT_MILLIS,
                 MAX_ACTIVE,
                 result -> {
-                    if (result instanceof Result.Ok<HttpReply> ok && ok.value().status() == OK) {
-                        toRow(ok.value()).ifPresent(handler);
+                    if (result instanceof Result.Ok<HttpReply> ok) {
+                        onConfig(ok.value(), handler);
                     }
                 });
     }
 
+    private void onConfig(HttpReply reply, ConfigNews handler) {
+        if (reply.status() == OK) {
+            toRow(reply).ifPresent(handler::onRow);
+        }
+        reply.header(lowerCase(CONFIG_AGE)).map(age -> number(age, "")).ifPresent(handler::onSame);
+    }
+
     private Optional<StoredRow> toRow(HttpReply reply) {
         Optional<String> key = reply.header(ROW_KEY);
         return key.map(name -> new StoredRow(operatorTable, name, reply.body(), 1, false));
@@ -160,20 +216,21 @@
     }
 
     /** Answers another host's question for the configuration. */
-    static void serveConfig(ConfigWatch config, IncomingCall call, Caller caller) {
+    static void serveConfig(ConfigWatch config, IncomingCall call, Caller caller, long now) {
         long known = number(call.query().orElse(""), AFTER_QUERY);
+        long present = config.config().version();
+        List<Map.Entry<String, String>> headers = new ArrayList<>();
+        if (present >= known && config.age().wasConfirmed()) {
+            headers.add(Map.entry(CONFIG_AGE, Long.toString(config.age().millis(now))));
+        }
         Optional<StoredRow> row = config.row();
-        if (row.isEmpty() || config.config().version() <= known) {
-            caller.answer(new CallerAnswer(NOT_MODIFIED, List.of(), new byte[0]));
+        if (row.isEmpty() || present <= known) {
+            caller.answer(new CallerAnswer(NOT_MODIFIED, headers, new byte[0]));
             return;
         }
-        caller.answer(
-                new CallerAnswer(
-                        OK,
-                        List.of(
-                                Map.entry("Content-Type", "application/json"),
-                                Map.entry(ROW_KEY, row.get().key())),
-                        row.get().value()));
+        headers.add(Map.entry("Content-Type", "application/json"));
+        headers.add(Map.entry(ROW_KEY, row.get().key()));
+        caller.answer(new CallerAnswer(OK, headers, row.get().value()));
     }
 
     /** Reads a number behind a prefix, 0 if there is none. */
--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/PlatformFormat.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/PlatformFormat.java
@@ -67,6 +67,14 @@
      */
     Optional<Long> callerMillis(IncomingCall call);
 
+    /**
+     * Reads the API key that a call carries.
+     *
+     * @param call the call
+     * @return the key, or empty if there is none or its header is malformed
+     */
+    Optional<String> apiKey(IncomingCall call);
+
     /**
      * Writes an answer.
      *
--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/RecordCodec.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/RecordCodec.java
@@ -101,7 +101,7 @@
             return Result.ok(
                     new JobRecord(state.get(), node.path("endedAtMillis").asLong(), tasks));
         } catch (IOException | DataFormatException malformed) {
-            return Result.failed(new RowFault("progress: " + malformed.getMessage()));
+            return Result.failed(new RowFault("progress: not JSON"));
         }
     }
 
--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/RowCodec.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/RowCodec.java
@@ -83,7 +83,7 @@
             return spec.map(
                     job -> new JobEntry(row.key(), customer, queue, job, acceptedAt, record));
         } catch (IOException malformed) {
-            return Result.failed(new RowFault("job: " + malformed.getMessage()));
+            return Result.failed(new RowFault("job: not JSON"));
         }
     }
 
@@ -127,7 +127,7 @@
                             node.path("holdMillis").asLong(),
                             node.path("beat").asLong()));
         } catch (IOException malformed) {
-            return Result.failed(new RowFault("lease: " + malformed.getMessage()));
+            return Result.failed(new RowFault("lease: not JSON"));
         }
     }
 
@@ -152,7 +152,7 @@
                             node.path("incarnation").asLong(),
                             node.path("milliCores").asInt()));
         } catch (IOException malformed) {
-            return Result.failed(new RowFault("host: " + malformed.getMessage()));
+            return Result.failed(new RowFault("host: not JSON"));
         }
     }
 
@@ -176,7 +176,7 @@
                     .forEach(one -> counts.put(one.getKey(), one.getValue().asInt()));
             return Result.ok(new PendingCounts(node.path("epoch").asLong(), counts));
         } catch (IOException malformed) {
-            return Result.failed(new RowFault("pending: " + malformed.getMessage()));
+            return Result.failed(new RowFault("pending: not JSON"));
         }
     }
 
@@ -196,7 +196,7 @@
             list.forEach(name -> names.add(name.asText()));
             return Result.ok(names);
         } catch (IOException malformed) {
-            return Result.failed(new RowFault("names: " + malformed.getMessage()));
+            return Result.failed(new RowFault("names: not JSON"));
         }
     }
 
@@ -236,7 +236,7 @@
                             OptionalLong.empty(),
                             node.path("bornMillis").asLong()));
         } catch (IOException malformed) {
-            return Result.failed(new RowFault("fleet: " + malformed.getMessage()));
+            return Result.failed(new RowFault("fleet: not JSON"));
         }
     }
 
--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/TableFeed.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/TableFeed.java
@@ -30,6 +30,15 @@
         default void onCaughtUp() {
             // Most listeners need no such news.
         }
+
+        /**
+         * Takes the news that all rows up to a moment were delivered.
+         *
+         * @param asOf the moment
+         */
+        default void onCurrent(long asOf) {
+            // Most listeners need no such news.
+        }
     }
 
     /**
@@ -56,6 +65,10 @@
 
     private List<StoredRow> pages = new ArrayList<>();
     private long position;
+
+    /** When the present reading of the whole table began. */
+    private long startedAt;
+
     private boolean stopped;
     private boolean caughtUp;
 
@@ -75,6 +88,7 @@
     }
 
     void start() {
+        startedAt = loop.now();
         readAll(RowRange.all(mode.table(), mode.part()), 0);
     }
 
@@ -128,6 +142,7 @@
             caughtUp = true;
             listener.onCaughtUp();
         }
+        listener.onCurrent(startedAt);
         follow();
     }
 
@@ -147,22 +162,26 @@
 
     private void follow() {
         if (!stopped && !once) {
+            long sentAt = loop.now();
             store.changes(
                     mode.table(),
                     position,
                     mode.waitMillis(),
                     result -> {
                         if (!stopped) {
-                            onChanges(result);
+                            onChanges(result, sentAt);
                         }
                     });
         }
     }
 
-    private void onChanges(Result<RowSet> result) {
+    private void onChanges(Result<RowSet> result, long sentAt) {
         if (result instanceof Result.Ok<RowSet> ok) {
             ok.value().rows().forEach(this::deliver);
             position = Math.max(position, ok.value().version());
+            // Without changes the store answers only after the whole wait.
+            long waited = ok.value().rows().isEmpty() ? mode.waitMillis() : 0;
+            listener.onCurrent(Math.min(loop.now(), sentAt + waited));
             if (mode.pauseMillis() > 0) {
                 loop.after(mode.pauseMillis(), this::follow);
             } else {
--- a/daemon/src/main/java/org/peridotcourse/daemon/entry/IncomingCall.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/entry/IncomingCall.java
@@ -33,4 +33,10 @@
         List<String> values = headers.get(name);
         return values == null ? Optional.empty() : Optional.of(values.get(0));
     }
+
+    /** Leaves the headers and the query out, which may hold keys of callers. */
+    @Override
+    public String toString() {
+        return "IncomingCall[" + id + " " + method + " " + path + "]";
+    }
 }
--- a/daemon/src/main/java/org/peridotcourse/daemon/http/HttpCall.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/http/HttpCall.java
@@ -50,4 +50,10 @@
         copy.put(name, value);
         return new HttpCall(method, target, copy, body);
     }
+
+    /** Leaves the headers out, which may hold keys of callers. */
+    @Override
+    public String toString() {
+        return "HttpCall[" + method + " " + target + "]";
+    }
 }
--- /dev/null
+++ b/daemon/src/test/java/org/peridotcourse/daemon/dispatch/AdmissionTest.java
@@ -0,0 +1,132 @@
+package org.peridotcourse.daemon.dispatch;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+import org.peridotcourse.daemon.entry.IncomingCall;
+import org.peridotcourse.daemon.log.DecisionRing;
+import org.peridotcourse.daemon.log.EventLog;
+import org.peridotcourse.dispatch.ApiKeys;
+import org.peridotcourse.dispatch.ClusterConfig;
+import org.peridotcourse.dispatch.QueueRules;
+
+/** Guards against refusals and permissions by a configuration that may not be the newest one. */
+class AdmissionTest {
+    private static final long START = 10_000;
+    private static final long OLD = START + ConfigAge.RECENT_MILLIS + 1;
+
+    private final ConfigAge age =
+            new ConfigAge(new EventLog(System.getLogger("test"), new DecisionRing(1)));
+    private ClusterConfig config = config(7);
+    private final Admission admission =
+            new Admission(() -> config, age, call -> call.header("key"));
+
+    AdmissionTest() {
+        age.start(START);
+    }
+
+    private static ClusterConfig config(long version) {
+        ApiKeys keys = ApiKeys.of(Map.of("norte", List.of("good"))).toOptional().orElseThrow();
+        return ClusterConfig.of(version, List.of(route("/q/", false), route("/open/", true)))
+                .withKeys(keys);
+    }
+
+    private static ClusterConfig.Route route(String prefix, boolean anonymous) {
+        QueueRules queue = new QueueRules(prefix, "svc", 0, 1, 1, 0, Optional.empty());
+        return new ClusterConfig.Route("jobs.example", prefix, queue, anonymous);
+    }
+
+    private Admission.Verdict judge(String path, String key, long now, String... more) {
+        Map<String, List<String>> headers = new HashMap<>();
+        headers.put("host", List.of("jobs.example"));
+        headers.put("key", List.of(key));
+        for (int i = 0; i < more.length; i += 2) {
+            headers.put(more[i], List.of(more[i + 1]));
+        }
+        return admission.judge(
+                new IncomingCall("r1", "GET", path, Optional.empty(), headers, new byte[0]), now);
+    }
+
+    private static void assertRejected(Class<? extends JobAnswer> kind, Admission.Verdict verdict) {
+        assertInstanceOf(kind, assertInstanceOf(Admission.Rejected.class, verdict).answer());
+    }
+
+    @Test
+    void aConfirmedConfigurationDecides() {
+        age.confirm(START, 7);
+        assertEquals(
+                new Admission.Admitted(config.routes().get(0), Optional.of("norte")),
+                judge("/q/1", "good", START));
+        assertEquals(
+                new Admission.Admitted(config.routes().get(1), Optional.empty()),
+                judge("/open/1", "bad", START));
+        assertRejected(JobAnswer.Unauthorized.class, judge("/q/1", "bad", START));
+        assertRejected(JobAnswer.NoQueue.class, judge("/none/1", "bad", START));
+    }
+
+    /** A newer version may have the key or the route. */
+    @Test
+    void aRefusalByAnOldViewIsNotFinal() {
+        age.confirm(START, 7);
+        assertEquals(new Admission.Undecided(), judge("/q/1", "bad", OLD));
+        assertEquals(new Admission.Undecided(), judge("/none/1", "good", OLD));
+        assertInstanceOf(Admission.Admitted.class, judge("/q/1", "good", OLD));
+    }
+
+    /** After a restart, a host that missed a withdrawal must not pass its configuration on. */
+    @Test
+    void aConfigurationThatWasOnlyConfirmedBeforeTheStartPermitsNothing() {
+        assertEquals(new Admission.Undecided(), judge("/q/1", "good", START));
+        age.confirm(START - 1, 7);
+        assertEquals(new Admission.Undecided(), judge("/q/1", "good", START));
+        assertEquals(new Admission.Undecided(), judge("/open/1", "good", START));
+    }
+
+    /** The host that passed the call on may know that the key is withdrawn. */
+    @Test
+    void aCallFromAHostWithANewerVersionIsNotCarriedOut() {
+        age.confirm(START, 7);
+        assertRejected(
+                JobAnswer.Refused.class,
+                judge("/q/1", "good", START, "peridot-config-version", "8"));
+        assertInstanceOf(
+                Admission.Admitted.class,
+                judge("/q/1", "good", START, "peridot-config-version", "7"));
+    }
+
+    @Test
+    void withoutAConfigurationACallIsRefused() {
+        config = ClusterConfig.NONE;
+        assertRejected(JobAnswer.Refused.class, judge("/q/1", "good", START));
+    }
+
+    /** Late news of an earlier moment must not make the view look newer or older. */
+    @Test
+    void theNewestConfirmationCounts() {
+        age.confirm(START + 500, 7);
+        age.confirm(START + 200, 7);
+        assertEquals(500, age.millis(START + 1_000));
+        assertTrue(age.isRecent(START + 500 + ConfigAge.RECENT_MILLIS));
+        assertFalse(age.isRecent(START + 501 + ConfigAge.RECENT_MILLIS));
+    }
+
+    @Test
+    void theTextOfACallNamesNoHeader() {
+        IncomingCall call =
+                new IncomingCall(
+                        "r1",
+                        "GET",
+                        "/q/1",
+                        Optional.of("key=good"),
+                        Map.of("authorization", List.of("Bearer good")),
+                        new byte[0]);
+        assertFalse(call.toString().contains("good"));
+    }
+}
