Answer outstanding calls before a host that stops closes its connections

Callers saw their connection closed without an answer when the host that had taken their call was stopped while the outcome of the call was open: the store had not answered, or another host had the call. The job could be accepted all the same.

Cause: DispatchHost.stop waited for calls until its deadline and then closed the connections under those that were left.

CallDesk now keeps the open calls. At the end of the stop each is answered with what is known: 504 if the store or another host had or has it, otherwise 503. A call that arrives after that is refused at once, and the connections are closed only when the answers are out. An outcome that comes later is ignored, so no call is answered or forwarded twice.

--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/CallDesk.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/CallDesk.java
@@ -2,9 +2,11 @@
 
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
+import java.util.Set;
 import org.peridotcourse.Result;
 import org.peridotcourse.daemon.entry.CallSink;
 import org.peridotcourse.daemon.entry.Caller;
@@ -45,7 +47,12 @@
     private final PeerLink peers;
     private final HostDirectory directory;
     private final OwnerElection election;
-    private int outstanding;
+    private final Set<Handling> open = new HashSet<>();
+
+    /** The size of {@link #open}, which other threads read. */
+    private volatile int outstanding;
+
+    private boolean stopping;
     private int nextPeer;
 
     CallDesk(
@@ -86,6 +93,11 @@
         /** True if an earlier try may have taken effect. */
         boolean inDoubt;
 
+        /** True while the store or another host has the call. */
+        boolean handedOver;
+
+        boolean answered;
+
         int repeats;
 
         Handling(IncomingCall call, Caller caller) {
@@ -105,8 +117,18 @@
             finish(parts.format().response(answer), answer.getClass().getSimpleName());
         }
 
+        /** Tells the caller what is known by now. */
+        void cutShort() {
+            answer(new JobDesk.Away(StoreTrouble.NO_ANSWER, inDoubt || handedOver).toAnswer());
+        }
+
         void finish(CallerAnswer response, String name) {
-            outstanding--;
+            if (answered) {
+                return;
+            }
+            answered = true;
+            open.remove(this);
+            outstanding = open.size();
             caller.answer(response);
             long millis = loop.now() - since;
             parts.metrics().call(kind, name.toLowerCase(Locale.ROOT), millis);
@@ -136,10 +158,24 @@
         return outstanding;
     }
 
+    /**
+     * Answers all calls, also those that arrive from now on, since connections are about to be
+     * closed.
+     */
+    void stop() {
+        stopping = true;
+        List.copyOf(open).forEach(Handling::cutShort);
+    }
+
     private void handle(IncomingCall call, Caller caller) {
-        outstanding++;
         Handling handling = new Handling(call, caller);
+        open.add(handling);
+        outstanding = open.size();
         handling.kind = call.method().toLowerCase(Locale.ROOT);
+        if (stopping) {
+            handling.cutShort();
+            return;
+        }
         ClusterConfig present = config.config();
         if (!present.isKnown()) {
             handling.answer(
@@ -176,6 +212,9 @@
     }
 
     private void carryOut(Handling handling) {
+        if (handling.answered) {
+            return;
+        }
         boolean needsStore = !(handling.request instanceof JobRequest.CountPending);
         List<InetSocketAddress> others = handling.forwarded ? List.of() : candidates();
         if (needsStore && parts.health().isAway()) {
@@ -184,10 +223,12 @@
             forward(handling, others, away);
             return;
         }
+        handling.handedOver = true;
         jobs.handle(
                 handling.route,
                 handling.request,
                 outcome -> {
+                    handling.handedOver = false;
                     if (outcome instanceof JobDesk.Answered answered) {
                         handling.answer(answered.answer());
                     } else {
@@ -214,6 +255,9 @@
     }
 
     private void forward(Handling handling, List<InetSocketAddress> others, JobDesk.Away away) {
+        if (handling.answered) {
+            return;
+        }
         if (others.isEmpty()) {
             giveUpOrRepeat(handling, away);
             return;
@@ -229,6 +273,7 @@
                 .with("peer", peer.getHostString())
                 .with("reason", away.trouble().code())
                 .write();
+        handling.handedOver = true;
         peers.forward(
                 peer,
                 handling.call,
@@ -236,6 +281,7 @@
                 new PeerLink.Forwarded() {
                     @Override
                     public void onAnswer(CallerAnswer answer) {
+                        handling.handedOver = false;
                         handling.inDoubt |= answer.status() == GATEWAY_TIMEOUT;
                         if (answer.status() == SERVICE_UNAVAILABLE
                                 || answer.status() == GATEWAY_TIMEOUT) {
@@ -247,6 +293,7 @@
 
                     @Override
                     public void onFailure(ChannelFailure failure) {
+                        handling.handedOver = false;
                         handling.inDoubt |= failure.isHandedOver();
                         parts.log()
                                 .event(DispatchEvent.PEER_LOST)
--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/DispatchHost.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/DispatchHost.java
@@ -37,6 +37,9 @@
     /** Part of the time for the stop that is kept for closing. */
     private static final long CLOSE_MILLIS = 1_200;
 
+    /** Part of that time in which the last answers reach their callers. */
+    private static final long FLUSH_MILLIS = 600;
+
     private static final long POLL_MILLIS = 50;
 
     /** An owner whose timers are this late for a while lets another host take over. */
@@ -205,9 +208,9 @@
         await(released);
         pauseUntil(began + BALANCER_MILLIS);
         servers.forEach(CallServer::closeConnections);
-        while (loop.now() < deadline && isBusy()) {
-            pauseUntil(loop.now() + POLL_MILLIS);
-        }
+        pauseWhileBusy(deadline);
+        loop.post(calls::stop);
+        pauseWhileBusy(loop.now() + FLUSH_MILLIS);
         servers.forEach(CallServer::close);
         loop.close();
         parts.log()
@@ -217,6 +220,12 @@
                 .write();
     }
 
+    private void pauseWhileBusy(long deadline) {
+        while (loop.now() < deadline && isBusy()) {
+            pauseUntil(loop.now() + POLL_MILLIS);
+        }
+    }
+
     private boolean isBusy() {
         int open = 0;
         for (CallServer server : servers) {
