Refuse jobs with more tasks than an owner can hold

One job could end every host in turn: 1,000 steps of 10,000 tasks, or repeat_count without an interval, was accepted, and each owner that read it created all its tasks, ran out of memory and left the job to its successor.

JobSpec.checked bounds the tasks of a job over all its occurrences by 100,000; larger jobs are refused with 400 before they are stored. The largest step, 10,000 tasks, is still taken.

--- a/core/src/main/java/org/peridotcourse/dispatch/JobSpec.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/JobSpec.java
@@ -17,6 +17,9 @@
     /** Largest number of tasks of one step; larger steps do not fit a progress row. */
     public static final int MAX_TASKS_PER_STEP = 10_000;
 
+    /** Bounds the memory that one job takes, over all its occurrences. */
+    public static final long MAX_TASKS_PER_JOB = 100_000;
+
     /** Tells why a job cannot be accepted. Constants are immutable and thread-safe. */
     public enum Fault implements Failure {
         /** The body is not a job. */
@@ -25,6 +28,8 @@
         NO_STEPS("a job has at least one step"),
         /** The number of tasks of a step is out of range. */
         TASK_COUNT("a step has 1 to " + MAX_TASKS_PER_STEP + " tasks"),
+        /** The job has more tasks in all its occurrences than an owner can hold. */
+        JOB_SIZE("a job has at most " + MAX_TASKS_PER_JOB + " tasks"),
         /** A predecessor is not an earlier step. */
         ORDER("a step comes after earlier steps only"),
         /** A resource is negative. */
@@ -67,8 +72,10 @@
         if (steps.isEmpty()) {
             return Result.failed(Fault.NO_STEPS);
         }
+        long tasks = 0;
         for (int i = 0; i < steps.size(); i++) {
             StepSpec step = steps.get(i);
+            tasks += step.count();
             if (step.count() < 1 || step.count() > MAX_TASKS_PER_STEP) {
                 return Result.failed(Fault.TASK_COUNT);
             }
@@ -80,6 +87,10 @@
                 return Result.failed(Fault.RESOURCES);
             }
         }
+        // Steps and their tasks are bounded before, so the product does not overflow.
+        if (tasks * schedule.occurrences() > MAX_TASKS_PER_JOB) {
+            return Result.failed(Fault.JOB_SIZE);
+        }
         return Result.ok(this);
     }
 
