Refuse names of tasks with numbers beyond the range of an int

A worker that reported a task such as ID.0.0.4294967295 made the owner throw on the whole report: the number was read as -1, and an index of -1 passed the check for the length of a step. Its other runs and ends were never taken, and the fault came back with each report.

Evidence: WireFuzzTest.aDamagedReportNamesOnlyTasksThatMayExist failed before (a1.-1.-1.-1) and passes now.

TaskRef.parse now takes signed numbers and refuses negative ones, so such a row is left out of the report and the report counts as not whole, as with other rows that cannot be read.

--- a/core/src/main/java/org/peridotcourse/dispatch/TaskRef.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/TaskRef.java
@@ -27,12 +27,14 @@
             return Optional.empty();
         }
         try {
-            return Optional.of(
+            TaskRef task =
                     new TaskRef(
                             parts[0],
-                            Integer.parseUnsignedInt(parts[1]),
-                            Integer.parseUnsignedInt(parts[2]),
-                            Integer.parseUnsignedInt(parts[3])));
+                            Integer.parseInt(parts[1]),
+                            Integer.parseInt(parts[2]),
+                            Integer.parseInt(parts[3]));
+            boolean negative = task.occurrence < 0 || task.step < 0 || task.index < 0;
+            return negative ? Optional.empty() : Optional.of(task);
         } catch (NumberFormatException malformed) {
             return Optional.empty();
         }
