Go on with a feed after a fault in one of its rows

A fault in the handling of one row ended the feed of its table for good: no configuration, worker, job or cancellation was seen after it, and during the first reading the owner kept its ownership and decided nothing. Accepted jobs waited until another host took over and met the same row.

Cause: the next call to the store was sent only after all rows had been delivered, and the loop survives the exception. The polls and renewals of the election were chained in the same way.

A fault is now logged with the row and concerns that row only, also for jobs of the first reading. The election schedules its next call before it handles an answer.

--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/OwnerDuty.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/OwnerDuty.java
@@ -272,7 +272,8 @@
             jobsRead = true;
             for (StoredRow row : waitingJobs.values()) {
                 JobRecord record = records.get(row.key());
-                addJob(row, record == null ? JobRecord.NEW : record, true);
+                JobRecord known = record == null ? JobRecord.NEW : record;
+                RowLog.isolate(log, row, () -> addJob(row, known, true));
             }
             waitingJobs.clear();
             records = new HashMap<>();
--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/OwnerElection.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/OwnerElection.java
@@ -212,8 +212,8 @@
                 range,
                 health.isAway() ? AWAY_TIMEOUT_MILLIS : TIMEOUT_MILLIS,
                 result -> {
-                    onPoll(result, sentAt);
                     loop.after(POLL_MILLIS, this::poll);
+                    onPoll(result, sentAt);
                 });
     }
 
@@ -399,8 +399,8 @@
                 write.build(),
                 health.isAway() ? AWAY_TIMEOUT_MILLIS : TIMEOUT_MILLIS,
                 outcome -> {
-                    onRenewed(held, row.get(), now, outcome);
                     loop.after(LEASE_MILLIS / 10, () -> renew(epoch));
+                    onRenewed(held, row.get(), now, outcome);
                 });
     }
 
--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/RowLog.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/RowLog.java
@@ -16,4 +16,16 @@
                 .with("reason", why.message())
                 .write();
     }
+
+    /** Runs what a row gives rise to; a fault in it is logged and concerns this row only. */
+    static void isolate(EventLog log, StoredRow row, Runnable task) {
+        try {
+            task.run();
+        } catch (RuntimeException fault) {
+            log.event(DispatchEvent.FAULT)
+                    .with("fault", fault)
+                    .with("at", "row " + row.table() + "/" + row.key())
+                    .write();
+        }
+    }
 }
--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/TableFeed.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/TableFeed.java
@@ -138,10 +138,10 @@
         }
         if (row.deleted()) {
             versions.remove(row.key());
-            listener.onGone(row.key());
+            RowLog.isolate(log, row, () -> listener.onGone(row.key()));
         } else {
             versions.put(row.key(), row.version());
-            listener.onRow(row);
+            RowLog.isolate(log, row, () -> listener.onRow(row));
         }
     }
 
