Pass on no refusal of another host while an acceptance is in doubt

A caller was told 404 although its job had been accepted and ran: the answer of the store was lost, the call was passed on, and the other host did not know the queue yet.

An answer of 400 or more, but for 409 and 410, now leaves a call open that may have taken effect before; the next host is asked, and without a certain answer the caller is told 504.

--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/CallDesk.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/CallDesk.java
@@ -37,6 +37,9 @@
     private static final long USUAL_CALLER_MILLIS = 3_000;
 
     private static final long RETRY_AFTER_MILLIS = 500;
+    private static final int BAD_REQUEST = 400;
+    private static final int CONFLICT = 409;
+    private static final int GONE = 410;
     private static final int SERVICE_UNAVAILABLE = 503;
     private static final int GATEWAY_TIMEOUT = 504;
 
@@ -283,8 +286,7 @@
                     public void onAnswer(CallerAnswer answer) {
                         handling.handedOver = false;
                         handling.inDoubt |= answer.status() == GATEWAY_TIMEOUT;
-                        if (answer.status() == SERVICE_UNAVAILABLE
-                                || answer.status() == GATEWAY_TIMEOUT) {
+                        if (isOpen(handling, answer.status())) {
                             next.run();
                         } else {
                             handling.finish(answer, "forwarded");
@@ -305,6 +307,17 @@
                 });
     }
 
+    /**
+     * Tells whether an answer of another host leaves a call open. A refusal says nothing about an
+     * earlier try that may have taken effect.
+     */
+    private static boolean isOpen(Handling handling, int status) {
+        boolean refused = status >= BAD_REQUEST && status != CONFLICT && status != GONE;
+        return status == SERVICE_UNAVAILABLE
+                || status == GATEWAY_TIMEOUT
+                || handling.inDoubt && refused;
+    }
+
     /** A call that may have taken effect is repeated, which the store makes harmless. */
     private void giveUpOrRepeat(Handling handling, JobDesk.Away away) {
         if (!handling.maySettle()) {
