Pass calls on to hosts that answer before those that left

Rows of hosts stay in the store when a host is gone for good. A host that the store turns away passed each call on to them in turn, a second each, and then answered 503 or 504 although a live host was there.

HostDirectory leaves a host that did not answer out for 10 s, unless none is left. The rows themselves are not removed: their number is that of the hosts that the deployment ever had.

--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/CallDesk.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/CallDesk.java
@@ -247,9 +247,9 @@
         if (!election.isOwner()) {
             election.ownerName().flatMap(directory::holderAddress).ifPresent(chosen::add);
         }
-        List<InetSocketAddress> others = directory.others();
+        List<InetSocketAddress> others = directory.responsive(loop.now());
         for (int i = 0; i < others.size() && chosen.size() < FORWARDS; i++) {
-            InetSocketAddress other = others.get(nextPeer++ % others.size());
+            InetSocketAddress other = others.get(Math.floorMod(nextPeer++, others.size()));
             if (!chosen.contains(other)) {
                 chosen.add(other);
             }
@@ -285,6 +285,7 @@
                     @Override
                     public void onAnswer(CallerAnswer answer) {
                         handling.handedOver = false;
+                        directory.onHeard(peer);
                         handling.inDoubt |= answer.status() == GATEWAY_TIMEOUT;
                         if (isOpen(handling, answer.status())) {
                             next.run();
@@ -296,6 +297,7 @@
                     @Override
                     public void onFailure(ChannelFailure failure) {
                         handling.handedOver = false;
+                        directory.onSilent(peer, loop.now());
                         handling.inDoubt |= failure.isHandedOver();
                         parts.log()
                                 .event(DispatchEvent.PEER_LOST)
--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/HostDirectory.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/HostDirectory.java
@@ -20,6 +20,10 @@
     private static final long READ_PERIOD_MILLIS = 3_000;
     private static final long RETRY_MILLIS = 300;
     private static final long TIMEOUT_MILLIS = 1_500;
+
+    /** Rows of hosts that left stay in the store; each call to one costs its time-out. */
+    private static final long SILENT_MILLIS = 10_000;
+
     private static final int MUCH_LARGER = 2;
 
     private final EventLoop loop;
@@ -29,6 +33,9 @@
     private final Map<String, RowCodec.Host> hosts = new HashMap<>();
     private final List<InetSocketAddress> seeds;
 
+    /** Until when hosts that did not answer are left out. */
+    private final Map<InetSocketAddress, Long> silentUntil = new HashMap<>();
+
     HostDirectory(
             EventLoop loop, RowStore store, EventLog log, HostSettings settings, long incarnation) {
         this.loop = loop;
@@ -127,6 +134,25 @@
         return addresses;
     }
 
+    /** Returns the other hosts that did not fail to answer lately, or all if there is none. */
+    List<InetSocketAddress> responsive(long now) {
+        silentUntil.values().removeIf(until -> until <= now);
+        List<InetSocketAddress> all = others();
+        List<InetSocketAddress> heard =
+                all.stream().filter(host -> !silentUntil.containsKey(host)).toList();
+        return heard.isEmpty() ? all : heard;
+    }
+
+    /** Takes the news that a host did not answer a call. */
+    void onSilent(InetSocketAddress host, long now) {
+        silentUntil.put(host, now + SILENT_MILLIS);
+    }
+
+    /** Takes the news that a host answered. */
+    void onHeard(InetSocketAddress host) {
+        silentUntil.remove(host);
+    }
+
     private static Optional<InetSocketAddress> address(RowCodec.Host host) {
         return HostPort.parse(host.address());
     }
--- /dev/null
+++ b/daemon/src/test/java/org/peridotcourse/daemon/dispatch/HostDirectoryTest.java
@@ -0,0 +1,84 @@
+package org.peridotcourse.daemon.dispatch;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.net.InetSocketAddress;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.peridotcourse.daemon.log.DecisionRing;
+import org.peridotcourse.daemon.log.EventLog;
+import org.peridotcourse.daemon.ring.EventLoop;
+
+/** Guards against calls that are passed on to hosts that left, whose rows stay in the store. */
+class HostDirectoryTest {
+    private static final long PATIENCE_SECONDS = 10;
+    private static final InetSocketAddress GONE = new InetSocketAddress("127.0.0.1", 11);
+    private static final InetSocketAddress LIVE = new InetSocketAddress("127.0.0.1", 12);
+
+    private final EventLog log = new EventLog(System.getLogger("test"), new DecisionRing(16));
+    private final EventLoop loop = new EventLoop("test", 1_024, Throwable::printStackTrace);
+    private final FakeRowStore store = new FakeRowStore(loop);
+    private final HostDirectory directory =
+            new HostDirectory(loop, store, log, TestSettings.host("host"), 7);
+
+    @BeforeEach
+    void readRows() throws InterruptedException {
+        RowWrite rows =
+                RowWrite.builder(Rows.PART)
+                        .put(Rows.HOSTS, "gone", row("gone", GONE))
+                        .put(Rows.HOSTS, "live", row("live", LIVE))
+                        .build();
+        store.write(rows, 0, outcome -> {});
+        CountDownLatch known = new CountDownLatch(1);
+        directory.start();
+        loop.every(
+                5,
+                () -> {
+                    if (directory.others().size() == 2) {
+                        known.countDown();
+                    }
+                });
+        loop.start();
+        assertTrue(known.await(PATIENCE_SECONDS, TimeUnit.SECONDS));
+        loop.close();
+    }
+
+    @AfterEach
+    void close() {
+        loop.close();
+    }
+
+    private static byte[] row(String name, InetSocketAddress address) {
+        return RowCodec.host(new RowCodec.Host(name, "127.0.0.1:" + address.getPort(), 1, 1_000));
+    }
+
+    @Test
+    void aHostThatDidNotAnswerIsLeftOutForAWhile() {
+        directory.onSilent(GONE, 1_000);
+        assertEquals(List.of(LIVE), directory.responsive(1_000));
+        assertEquals(List.of(LIVE), directory.responsive(10_999));
+        assertEquals(Set.of(GONE, LIVE), new HashSet<>(directory.responsive(11_000)));
+    }
+
+    @Test
+    void aHostThatAnswersAgainIsUsedAtOnce() {
+        directory.onSilent(GONE, 1_000);
+        directory.onHeard(GONE);
+        assertEquals(Set.of(GONE, LIVE), new HashSet<>(directory.responsive(1_001)));
+    }
+
+    /** After a disturbance between all hosts each of them is as good as another. */
+    @Test
+    void ifNoHostAnsweredAllAreTried() {
+        directory.onSilent(GONE, 1_000);
+        directory.onSilent(LIVE, 1_000);
+        assertEquals(Set.of(GONE, LIVE), new HashSet<>(directory.responsive(1_001)));
+    }
+}
