--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/CallDesk.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/CallDesk.java
@@ -2,8 +2,10 @@
 
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
+import java.util.Set;
 import org.peridotcourse.Result;
 import org.peridotcourse.daemon.entry.CallSink;
 import org.peridotcourse.daemon.entry.Caller;
@@ -33,8 +35,9 @@
     /** Time of callers that name none. */
     private static final long USUAL_CALLER_MILLIS = 3_000;
 
-    private static final int UNAUTHORIZED = 401;
-    private static final int NOT_FOUND = 404;
+    private static final int BAD_REQUEST = 400;
+    private static final int CONFLICT = 409;
+    private static final int GONE = 410;
     private static final int SERVICE_UNAVAILABLE = 503;
     private static final int GATEWAY_TIMEOUT = 504;
 
@@ -49,7 +52,12 @@
     private final PeerLink peers;
     private final HostDirectory directory;
     private final OwnerElection election;
-    private int outstanding;
+    private final Set<Handling> open = new HashSet<>();
+
+    /** The size of {@link #open}, which other threads read. */
+    private volatile int outstanding;
+
+    private boolean stopping;
     private int nextPeer;
 
     CallDesk(
@@ -91,6 +99,11 @@
         /** True if an earlier try may have taken effect. */
         boolean inDoubt;
 
+        /** True while the store or another host has the call. */
+        boolean handedOver;
+
+        boolean answered;
+
         int repeats;
 
         Handling(IncomingCall call, Caller caller) {
@@ -114,8 +127,18 @@
             finish(parts.format().response(answer), answer.getClass().getSimpleName());
         }
 
+        /** Tells the caller what is known by now. */
+        void cutShort() {
+            answer(new JobDesk.Away(StoreTrouble.NO_ANSWER, inDoubt || handedOver).toAnswer());
+        }
+
         void finish(CallerAnswer response, String name) {
-            outstanding--;
+            if (answered) {
+                return;
+            }
+            answered = true;
+            open.remove(this);
+            outstanding = open.size();
             caller.answer(response);
             long millis = loop.now() - since;
             parts.metrics().call(kind, name.toLowerCase(Locale.ROOT), millis);
@@ -145,10 +168,24 @@
         return outstanding;
     }
 
+    /**
+     * Answers all calls, also those that arrive from now on, since connections are about to be
+     * closed.
+     */
+    void stop() {
+        stopping = true;
+        List.copyOf(open).forEach(Handling::cutShort);
+    }
+
     private void handle(IncomingCall call, Caller caller) {
-        outstanding++;
         Handling handling = new Handling(call, caller);
+        open.add(handling);
+        outstanding = open.size();
         handling.kind = call.method().toLowerCase(Locale.ROOT);
+        if (stopping) {
+            handling.cutShort();
+            return;
+        }
         Admission.Verdict verdict = admission.judge(call, loop.now());
         if (verdict instanceof Admission.Admitted admitted) {
             onAdmitted(handling, admitted);
@@ -185,6 +222,9 @@
     }
 
     private void carryOut(Handling handling) {
+        if (handling.answered) {
+            return;
+        }
         boolean needsStore = !(handling.request instanceof JobRequest.CountPending);
         List<InetSocketAddress> others = peersFor(handling);
         if (needsStore && parts.health().isAway()) {
@@ -193,10 +233,12 @@
             forward(handling, others, away);
             return;
         }
+        handling.handedOver = true;
         jobs.handle(
                 handling.admitted,
                 handling.request,
                 outcome -> {
+                    handling.handedOver = false;
                     if (outcome instanceof JobDesk.Answered answered) {
                         handling.answer(answered.answer());
                     } else {
@@ -216,9 +258,9 @@
         if (!election.isOwner()) {
             election.ownerName().flatMap(directory::holderAddress).ifPresent(chosen::add);
         }
-        List<InetSocketAddress> others = directory.others();
+        List<InetSocketAddress> others = directory.responsive(loop.now());
         for (int i = 0; i < others.size() && chosen.size() < FORWARDS; i++) {
-            InetSocketAddress other = others.get(nextPeer++ % others.size());
+            InetSocketAddress other = others.get(Math.floorMod(nextPeer++, others.size()));
             if (!chosen.contains(other)) {
                 chosen.add(other);
             }
@@ -227,6 +269,9 @@
     }
 
     private void forward(Handling handling, List<InetSocketAddress> others, JobDesk.Away away) {
+        if (handling.answered) {
+            return;
+        }
         if (others.isEmpty()) {
             giveUpOrRepeat(handling, away);
             return;
@@ -242,6 +287,7 @@
                 .with("peer", peer.getHostString())
                 .with("reason", away.trouble().code())
                 .write();
+        handling.handedOver = true;
         peers.forward(
                 peer,
                 handling.call,
@@ -250,8 +296,10 @@
                 new PeerLink.Forwarded() {
                     @Override
                     public void onAnswer(CallerAnswer answer) {
+                        handling.handedOver = false;
+                        directory.onHeard(peer);
                         handling.inDoubt |= answer.status() == GATEWAY_TIMEOUT;
-                        if (isOpen(answer.status()) || handling.inDoubt && isRefusal(answer)) {
+                        if (isOpen(handling, answer.status())) {
                             next.run();
                         } else {
                             handling.finish(answer, "forwarded");
@@ -260,6 +308,8 @@
 
                     @Override
                     public void onFailure(ChannelFailure failure) {
+                        handling.handedOver = false;
+                        directory.onSilent(peer, loop.now());
                         handling.inDoubt |= failure.isHandedOver();
                         parts.log()
                                 .event(DispatchEvent.PEER_LOST)
@@ -271,13 +321,15 @@
                 });
     }
 
-    private static boolean isOpen(int status) {
-        return status == SERVICE_UNAVAILABLE || status == GATEWAY_TIMEOUT;
-    }
-
-    /** An earlier try may have been admitted, so a refusal after it does not tell "not run". */
-    private static boolean isRefusal(CallerAnswer answer) {
-        return answer.status() == UNAUTHORIZED || answer.status() == NOT_FOUND;
+    /**
+     * Tells whether an answer of another host leaves a call open. A refusal says nothing about an
+     * earlier try that may have taken effect.
+     */
+    private static boolean isOpen(Handling handling, int status) {
+        boolean refused = status >= BAD_REQUEST && status != CONFLICT && status != GONE;
+        return status == SERVICE_UNAVAILABLE
+                || status == GATEWAY_TIMEOUT
+                || handling.inDoubt && refused;
     }
 
     /** A call that may have taken effect is repeated, which the store makes harmless. */
