--- a/core/src/test/java/org/peridotcourse/dispatch/CustomerShareTest.java
+++ b/core/src/test/java/org/peridotcourse/dispatch/CustomerShareTest.java
@@ -25,8 +25,9 @@
     }
 
     /**
-     * The pattern: three large customers and seventeen small ones on 64 cores; the large ones use 33
-     * of them and the small ones 28, until one small customer sends fifty times its usual for 10 s.
+     * The pattern: three large customers and seventeen small ones on 64 cores; the large ones use
+     * 33 of them and the small ones 28, until one small customer sends fifty times its usual for 10
+     * s.
      */
     private static final class Load {
         private static final int LARGE = 3;
