Let inherited tasks go on that cannot run on a silent worker

Callers saw LOST: after a change of the owner together with the loss of a worker, lasting tasks that were moved off leaving workers were not started for about 10 s. Cause: all inherited jobs waited until the last worker had reported or outlived its lease, also those whose tasks the new owner had found alive on other workers.

Census now decides task by task. A task that this owner started or found alive cannot run on the silent worker: the earlier owner started it only after all runs before were over, and none after it. Nor can a task of a step that was closed when the owner found an earlier task alive. A listed end alone proves nothing (the earlier owner may have applied it without storing it), nor does a run of a speculative task (copies) or of a member of a gang (done with any member).

Evidence: CensusTest. Four tests guard the cases that must wait.

--- a/core/src/main/java/org/peridotcourse/dispatch/DispatchOwner.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/DispatchOwner.java
@@ -204,7 +204,7 @@
     public void onWorker(WorkerInfo info, long now) {
         Worker worker = state.workers.get(info.id());
         if (worker == null) {
-            boolean newer = state.censusComplete;
+            boolean newer = state.census.isComplete();
             long over = newer ? now : state.term.earlierRunsUntil();
             state.workers.put(info.id(), new Worker(info, over));
             return;
@@ -412,7 +412,7 @@
         jobs.openDue(now);
         runs.expire(now);
         dropWorkers(now);
-        updateCensus(now);
+        state.census.update(now);
         if (now - watchedAt >= WATCH_MILLIS) {
             watchedAt = now;
             choice.refresh();
@@ -469,30 +469,4 @@
         }
         leaving.forEach(worker -> state.workers.remove(worker.id));
     }
-
-    private void updateCensus(long now) {
-        if (state.censusComplete) {
-            return;
-        }
-        for (Worker worker : state.workers.values()) {
-            if (!worker.counted && now < worker.leaseOverAt) {
-                return;
-            }
-        }
-        if (state.workers.isEmpty() && now < state.term.earlierRunsUntil()) {
-            return;
-        }
-        state.censusComplete = true;
-        state.planDue = true;
-        state.log(
-                Decision.Kind.CENSUS_COMPLETE,
-                "epoch-" + state.term.epoch(),
-                null,
-                "workers="
-                        + state.workers.size()
-                        + " jobs="
-                        + state.jobs.size()
-                        + " after="
-                        + (now - state.term.beganAt()));
-    }
 }
--- a/core/src/main/java/org/peridotcourse/dispatch/OwnerState.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/OwnerState.java
@@ -20,8 +20,7 @@
     ClusterConfig config = ClusterConfig.NONE;
     Set<String> evacuated = Set.of();
 
-    /** True once every worker that may run tasks of an earlier owner is accounted for. */
-    boolean censusComplete;
+    final Census census = new Census(this);
 
     boolean deposed;
 
--- a/core/src/main/java/org/peridotcourse/dispatch/Planner.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/Planner.java
@@ -52,7 +52,7 @@
         int started = 0;
         Ranking ranking = null;
         for (Task task : step.tasks) {
-            if (!task.isWaiting() || task.notBefore > now) {
+            if (!mayStart(task, now)) {
                 continue;
             }
             ranking = ranking == null ? choice.rank(task, now) : ranking;
@@ -68,11 +68,15 @@
         return started;
     }
 
+    private boolean mayStart(Task task, long now) {
+        return task.isWaiting() && task.notBefore <= now && state.census.isFree(task);
+    }
+
     /** Starts all members of a gang under one number, or none. */
     private int startGang(Step step, long now) {
         int attempt = 0;
         for (Task task : step.tasks) {
-            if (!task.isWaiting() || task.notBefore > now) {
+            if (!mayStart(task, now)) {
                 return 0;
             }
             attempt = Math.max(attempt, task.lastAttempt + 1);
@@ -130,7 +134,7 @@
         if (!task.step.spec.isSpeculative() || task.runs.size() > 1 || !wanted) {
             return false;
         }
-        if (task.job().inherited && !state.censusComplete) {
+        if (task.job().inherited && !state.census.isComplete()) {
             return false;
         }
         Optional<Worker> worker = choice.choose(task, now);
--- a/core/src/main/java/org/peridotcourse/dispatch/Preemption.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/Preemption.java
@@ -57,10 +57,10 @@
         }
     }
 
-    private static Task longestWaiting(Step step, long now) {
+    private Task longestWaiting(Step step, long now) {
         Task longest = null;
         for (Task task : step.tasks) {
-            boolean waits = task.isWaiting() && task.notBefore <= now;
+            boolean waits = task.isWaiting() && task.notBefore <= now && state.census.isFree(task);
             if (waits && (longest == null || task.waitingSince < longest.waitingSince)) {
                 longest = task;
             }
--- a/core/src/main/java/org/peridotcourse/dispatch/ReportReader.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/ReportReader.java
@@ -176,6 +176,7 @@
     private Run adopt(Task task, WorkerReport.Running running, Worker worker, long now) {
         Run run = new Run(task, running.attempt(), worker, now);
         task.lastAttempt = Math.max(task.lastAttempt, running.attempt());
+        task.seenAlive = true;
         task.runs.add(run);
         worker.add(run);
         runs.begin(task.job());
--- a/core/src/main/java/org/peridotcourse/dispatch/RunBook.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/RunBook.java
@@ -36,6 +36,7 @@
         Run run = new Run(task, attempt, worker, now);
         long waited = task.waited(now);
         task.lastAttempt = Math.max(task.lastAttempt, attempt);
+        task.seenAlive = true;
         task.runs.add(run);
         worker.add(run);
         StepSpec spec = task.step.spec;
--- a/core/src/main/java/org/peridotcourse/dispatch/StepOrder.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/StepOrder.java
@@ -44,7 +44,7 @@
     List<Step> waiting(long now) {
         List<Candidate> candidates = new ArrayList<>();
         for (Job job : state.jobs.values()) {
-            if (job.isActive() && (state.censusComplete || !job.inherited)) {
+            if (job.isActive()) {
                 collect(job, now, candidates);
             }
         }
@@ -60,7 +60,7 @@
                 continue;
             }
             for (Step step : occurrence.steps) {
-                if (step.isOpen() && step.waiting(now) > 0) {
+                if (step.isOpen() && step.waiting(now) > 0 && state.census.hasFree(step)) {
                     step.openedAt = step.openedAt == 0 ? now : step.openedAt;
                     candidates.add(rank(job, step, now));
                 }
--- a/core/src/main/java/org/peridotcourse/dispatch/Task.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/Task.java
@@ -17,6 +17,10 @@
     final Set<String> failedOn = new HashSet<>(2);
 
     boolean done;
+
+    /** True once this owner has started a run or found one alive. */
+    boolean seenAlive;
+
     String checkpoint = "";
     int lastAttempt;
     long waitingSince;
--- /dev/null
+++ b/core/src/test/java/org/peridotcourse/dispatch/CensusTest.java
@@ -0,0 +1,150 @@
+package org.peridotcourse.dispatch;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.peridotcourse.Resources;
+
+/**
+ * Guards inherited work: it must not run twice while a worker is silent, and need not wait for that
+ * worker if it cannot be there.
+ */
+class CensusTest {
+    private static final Resources CAPACITY = Resources.of(8_000, 64_000);
+    private static final QueueRules QUEUE = DispatchWorld.queue("q", 1, 3);
+
+    /** Time for which the earlier owner may go on. */
+    private static final long HOLD_MILLIS = 8_000;
+
+    private final DispatchWorld world = new DispatchWorld(3, 4, CAPACITY);
+
+    private static StepSpec.Builder step(int count, long millis) {
+        return DispatchOwnerTest.step(count, 1_000, millis);
+    }
+
+    /** The owner is lost together with a worker that runs none of the tasks in question. */
+    private void loseOwnerAndWorker(String worker) {
+        world.runners.get(worker).crash();
+        world.takeOver(world.now + HOLD_MILLIS);
+        world.run(500);
+    }
+
+    private FakeRunner runnerOf(String job) {
+        return world.runners.values().stream()
+                .filter(
+                        one ->
+                                one.active.keySet().stream()
+                                        .anyMatch(key -> key.task().job().equals(job)))
+                .findFirst()
+                .orElseThrow();
+    }
+
+    private String otherThan(FakeRunner runner) {
+        return world.runners.keySet().stream()
+                .filter(id -> !id.equals(runner.id))
+                .findFirst()
+                .orElseThrow();
+    }
+
+    /**
+     * The pattern of the incident: lasting tasks were moved off leaving workers and waited 10 s.
+     */
+    @Test
+    void aLastingTaskFoundAliveIsMovedAlthoughAnotherWorkerIsSilent() {
+        String job = world.submit(QUEUE, step(1, 0).lasting(true).build());
+        world.run(500);
+        FakeRunner holder = runnerOf(job);
+        loseOwnerAndWorker(otherThan(holder));
+        holder.draining = true;
+        world.relist();
+        world.run(1_500);
+        assertTrue(world.hasRuns(job));
+        assertTrue(runnerOf(job) != holder);
+    }
+
+    @Test
+    void aStepBehindTasksFoundAliveStartsAlthoughAnotherWorkerIsSilent() {
+        String job =
+                world.submit(
+                        QUEUE,
+                        step(1, 1_500).build(),
+                        step(2, 200).after(List.of(0)).build(),
+                        step(2, 200).after(List.of(1)).build());
+        world.run(500);
+        loseOwnerAndWorker(otherThan(runnerOf(job)));
+        world.runUntilEnded(2_500, job);
+        world.assertCompleted(job);
+    }
+
+    @Test
+    void aTaskThatWasNotSeenWaitsForTheSilentWorker() {
+        String job = world.submit(QUEUE, step(2, 6_000).build());
+        world.run(500);
+        String silent = runnerOf(job).id;
+        world.cut.add(silent);
+        int starts = world.starts();
+        world.takeOver(world.now + HOLD_MILLIS);
+        world.run(3_000);
+        assertEquals(starts, world.starts());
+    }
+
+    /** The earlier owner saw the failure, started the task again and died before it stored that. */
+    @Test
+    void aTaskOfWhichOnlyAnEndIsSeenWaitsForTheSilentWorker() {
+        world.storeAway = true;
+        String job = world.submit(QUEUE, step(1, 6_000).build());
+        world.run(500);
+        FakeRunner first = runnerOf(job);
+        first.failAfter = 20;
+        while (world.starts() < 2) {
+            world.run(10);
+        }
+        world.run(50);
+        FakeRunner second = runnerOf(job);
+        assertTrue(first != second);
+        world.cut.add(second.id);
+        world.takeOver(world.now + HOLD_MILLIS);
+        world.storeAway = false;
+        first.failAfter = 0;
+        world.run(3_000);
+        assertEquals(2, world.starts());
+    }
+
+    /** The earlier owner saw the first step done and started the next one without storing that. */
+    @Test
+    void aStepBehindAnEndThatWasNotStoredWaitsForTheSilentWorker() {
+        world.storeAway = true;
+        String job =
+                world.submit(QUEUE, step(1, 300).build(), step(1, 6_000).after(List.of(0)).build());
+        while (world.starts() < 2) {
+            world.run(10);
+        }
+        world.run(50);
+        world.cut.add(runnerOf(job).id);
+        world.takeOver(world.now + HOLD_MILLIS);
+        world.storeAway = false;
+        world.run(3_000);
+        assertEquals(2, world.starts());
+    }
+
+    @Test
+    void aSpeculativeTaskFoundAliveWaitsForItsCopyOnTheSilentWorker() {
+        String job = world.submit(QUEUE, step(1, 20_000).speculative(true).build());
+        world.run(500);
+        FakeRunner silent = runnerOf(job);
+        world.cut.add(silent.id);
+        while (world.starts() < 2) {
+            world.run(50);
+        }
+        world.takeOver(world.now + HOLD_MILLIS);
+        world.run(300);
+        world.runners.values().stream()
+                .filter(runner -> runner != silent)
+                .forEach(runner -> runner.failAfter = 20);
+        world.run(1_000);
+        assertEquals(2, world.starts());
+        assertEquals(1, world.runners.values().stream().mapToInt(one -> one.active.size()).sum());
+    }
+}
