Log why a task waits long, by what keeps workers from it

TASK_WAITS reports a task that has waited for 2 s and counts the workers for each reason (Hindrance). At most two a second, and one each 5 s for a step, so that one look at all workers is the whole cost.

--- a/core/src/main/java/org/peridotcourse/dispatch/Decision.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/Decision.java
@@ -17,6 +17,8 @@
         JOB_KNOWN,
         /** A job ended. */
         JOB_ENDED,
+        /** A task has waited long; its detail counts workers by what keeps them from it. */
+        TASK_WAITS,
         /** A run was ordered. */
         RUN_ORDERED,
         /** A run was found on a worker. */
--- a/core/src/main/java/org/peridotcourse/dispatch/Planner.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/Planner.java
@@ -20,6 +20,7 @@
     private final WorkerChoice choice;
     private final RunBook runs;
     private final Preemption preemption;
+    private final WaitLog waits;
 
     Planner(OwnerState state, WorkerChoice choice, RunBook runs) {
         this.state = state;
@@ -27,6 +28,7 @@
         this.choice = choice;
         this.runs = runs;
         this.preemption = new Preemption(state, choice, runs);
+        this.waits = new WaitLog(state, choice);
     }
 
     /** Starts what has room; true if more could start at once. */
@@ -40,6 +42,7 @@
             started += step.spec.isGang() ? startGang(step, now) : startTasks(step, now);
             if (started == before) {
                 preemption.consider(step, now);
+                waits.consider(step, now);
             }
         }
         return false;
@@ -69,7 +72,7 @@
     }
 
     private boolean mayStart(Task task, long now) {
-        return task.isWaiting() && task.notBefore <= now && state.census.isFree(task);
+        return task.mayStart(now) && state.census.isFree(task);
     }
 
     /** Starts all members of a gang under one number, or none. */
--- a/core/src/main/java/org/peridotcourse/dispatch/Preemption.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/Preemption.java
@@ -60,7 +60,7 @@
     private Task longestWaiting(Step step, long now) {
         Task longest = null;
         for (Task task : step.tasks) {
-            boolean waits = task.isWaiting() && task.notBefore <= now && state.census.isFree(task);
+            boolean waits = task.mayStart(now) && state.census.isFree(task);
             if (waits && (longest == null || task.waitingSince < longest.waitingSince)) {
                 longest = task;
             }
--- a/core/src/main/java/org/peridotcourse/dispatch/Step.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/Step.java
@@ -25,6 +25,9 @@
     /** No search for runs to preempt before this time. */
     long preemptAt;
 
+    /** No report on its waiting tasks before this time. */
+    long waitLogAt;
+
     /** When it was first seen open, 0 before. */
     long openedAt;
 
@@ -67,7 +70,7 @@
     int waiting(long now) {
         int count = 0;
         for (Task task : tasks) {
-            if (task.isWaiting() && task.notBefore <= now) {
+            if (task.mayStart(now)) {
                 count++;
             }
         }
--- a/core/src/main/java/org/peridotcourse/dispatch/Task.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/Task.java
@@ -43,6 +43,11 @@
         return !done && runs.isEmpty();
     }
 
+    /** Tells whether it waits for nothing but a worker. */
+    boolean mayStart(long now) {
+        return isWaiting() && notBefore <= now;
+    }
+
     boolean isActive() {
         return !runs.isEmpty();
     }
--- /dev/null
+++ b/core/src/main/java/org/peridotcourse/dispatch/WaitLog.java
@@ -0,0 +1,60 @@
+package org.peridotcourse.dispatch;
+
+import java.util.EnumMap;
+import java.util.Map;
+import java.util.StringJoiner;
+
+/**
+ * Logs why a task that has waited long finds no worker, as the number of workers that each reason
+ * keeps out. Only a few such tasks are looked at each second. Confined to one thread.
+ */
+final class WaitLog {
+    /** Wait from which a task is reported. */
+    static final long LONG_MILLIS = 2_000;
+
+    /** Time between two reports. */
+    static final long PAUSE_MILLIS = 500;
+
+    /** Time between two reports on one step. */
+    static final long STEP_PAUSE_MILLIS = 5_000;
+
+    private final OwnerState state;
+    private final WorkerChoice choice;
+    private long nextAt;
+
+    WaitLog(OwnerState state, WorkerChoice choice) {
+        this.state = state;
+        this.choice = choice;
+    }
+
+    /** Takes note that no task of a step has found a worker. */
+    void consider(Step step, long now) {
+        if (now < nextAt || now < step.waitLogAt) {
+            return;
+        }
+        for (Task task : step.tasks) {
+            boolean free = task.mayStart(now) && state.census.isFree(task);
+            if (free && task.waited(now) >= LONG_MILLIS) {
+                nextAt = now + PAUSE_MILLIS;
+                step.waitLogAt = now + STEP_PAUSE_MILLIS;
+                report(task, now);
+                return;
+            }
+        }
+    }
+
+    private void report(Task task, long now) {
+        WorkerChoice.Search search = choice.search(task, now);
+        Map<Hindrance, Integer> counts = new EnumMap<>(Hindrance.class);
+        for (Worker worker : state.workers.values()) {
+            Hindrance hindrance = choice.hindrance(worker, search, now);
+            boolean full = hindrance == Hindrance.NONE && !worker.fits(search.spec());
+            counts.merge(full ? Hindrance.NO_ROOM : hindrance, 1, Integer::sum);
+        }
+        StringJoiner detail = new StringJoiner(" ");
+        detail.add("waited=" + task.waited(now));
+        detail.add("workers=" + state.workers.size());
+        counts.forEach((hindrance, count) -> detail.add(hindrance.code() + "=" + count));
+        state.log(Decision.Kind.TASK_WAITS, task.ref.toString(), null, detail.toString());
+    }
+}
