Wait for the longest lease of a worker that started again

A worker that started again under its id and then fell silent ran a task beside its replacement (TWICE). Cause: a lease call for the life before was still waiting there. Its lease is on the old clock, far ahead of the new one, so the new life kept the longest lease (6 s), while the owner counted on the length that it had granted (5 s).

The new test in DispatchFaultTest failed ("runs on w0 and w1 at 12540") and passes now: a new life counts as leased for the longest time from its first report.

--- a/core/src/main/java/org/peridotcourse/dispatch/ReportReader.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/ReportReader.java
@@ -82,6 +82,10 @@
         worker.seenEnd = 0;
         worker.storedEnd = 0;
         worker.awaitingJobSince = 0;
+        // A call with a lease on the clock of the life before may have given this one the longest.
+        LeaseTimes times = state.term.times();
+        long longest = times.longestMillis(times.longestLeaseMillis());
+        worker.leaseOverAt = Math.max(worker.leaseOverAt, now + longest);
         worker.health.reset();
         worker.strays.clear();
         for (Run run : new ArrayList<>(worker.runs.values())) {
--- a/core/src/test/java/org/peridotcourse/dispatch/DispatchFaultTest.java
+++ b/core/src/test/java/org/peridotcourse/dispatch/DispatchFaultTest.java
@@ -88,6 +88,23 @@
         assertEquals(1, world.count(Decision.Kind.WORKER_REBORN));
     }
 
+    /**
+     * Found by seed 1476 of {@link WaitBoundTest}: a call for the life before extended the lease.
+     */
+    @Test
+    void aCallForTheLifeBeforeDoesNotLetTheNextLifeRunOnBesideARepeat() {
+        DispatchWorld world = new DispatchWorld(5, 2, CAPACITY);
+        world.submit(QUEUE, step(8, 0).lasting(true).build());
+        world.run(6_000);
+        FakeRunner reborn = world.runners.get("w0");
+        reborn.restart(world.now);
+        while (reborn.active.isEmpty()) {
+            world.run(10);
+        }
+        world.cut.add("w0");
+        world.run(10_000);
+    }
+
     @Test
     void aLateStartThatReachesTheNextLifeOfAWorkerDoesNotRunBesideItsReplacement() {
         DispatchWorld world = new DispatchWorld(3, 2, CAPACITY);
