Keep a run whose start was carried out without an answer

Operators saw work run again after a lost answer. Cause: a start without an answer was stopped after 600 ms, also if the worker had carried it out, unless a report came first; reports may take 1 s.

The next report that was asked for later now decides: a listed run is kept, and only one that is not listed is stopped, so that the worker refuses a late start as before. The call for that report does not wait.

--- a/core/src/main/java/org/peridotcourse/dispatch/DispatchOwner.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/DispatchOwner.java
@@ -292,7 +292,7 @@
         if (worker == null) {
             return Optional.empty();
         }
-        boolean unstored = worker.hasUnstoredEnds();
+        boolean urgent = worker.hasUnstoredEnds() || worker.hasUnansweredStart();
         boolean renews = worker.hasClock() && worker.reachable;
         OptionalLong lease =
                 renews
@@ -304,7 +304,7 @@
                         state.term.epoch(),
                         lease,
                         worker.storedEnd,
-                        unstored || !renews ? 0 : waitMillis));
+                        urgent || !renews ? 0 : waitMillis));
     }
 
     /**
--- a/core/src/main/java/org/peridotcourse/dispatch/ReportReader.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/ReportReader.java
@@ -214,6 +214,10 @@
             if (listed.containsKey(run.key())) {
                 continue;
             }
+            if (run.unanswered && sentAt > run.unansweredAt) {
+                // The start may still be carried out late; the stop makes the worker refuse it.
+                runs.stop(run, StopReason.START_UNANSWERED, now);
+            }
             boolean stopped = run.stopConfirmedAt != 0 && sentAt > run.stopConfirmedAt;
             boolean ended = !run.isStopping() && run.confirmed && sentAt > run.confirmedAt;
             if (stopped || ended) {
--- a/core/src/main/java/org/peridotcourse/dispatch/Run.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/Run.java
@@ -16,6 +16,9 @@
     /** True if the start had no answer. */
     boolean unanswered;
 
+    /** When that was known. */
+    long unansweredAt;
+
     /** When the start was confirmed. */
     long confirmedAt;
 
--- a/core/src/main/java/org/peridotcourse/dispatch/RunBook.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/RunBook.java
@@ -152,10 +152,9 @@
                 begin(task.job());
                 return;
             case UNANSWERED:
+                // The next report tells whether the start was carried out.
                 run.unanswered = !run.confirmed;
-                if (run.unanswered) {
-                    stop(run, StopReason.START_UNANSWERED, now);
-                }
+                run.unansweredAt = now;
                 return;
             case NO_ROOM:
                 worker.avoidUntil = now + NO_ROOM_PAUSE_MILLIS;
--- a/core/src/main/java/org/peridotcourse/dispatch/Worker.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/Worker.java
@@ -172,6 +172,16 @@
         return seenEnd > storedEnd || awaitingJobSince > 0;
     }
 
+    /** Tells whether a report must show if a start without an answer was carried out. */
+    boolean hasUnansweredStart() {
+        for (Run run : runs.values()) {
+            if (run.unanswered && !run.isStopping()) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     /** Takes a reading of the worker's clock; it was taken no later than its receipt. */
     void readClock(long reading, long receivedAt) {
         hasClock = true;
--- a/core/src/test/java/org/peridotcourse/dispatch/DispatchFaultTest.java
+++ b/core/src/test/java/org/peridotcourse/dispatch/DispatchFaultTest.java
@@ -63,6 +63,18 @@
         world.run(15_000);
     }
 
+    /** Reported by operators: work was run again after a lost answer. */
+    @Test
+    void aStartThatWasCarriedOutWithoutAnAnswerIsNotRunAgain() {
+        DispatchWorld world = new DispatchWorld(5, 3, CAPACITY);
+        world.unansweredShare = 1;
+        world.waitMillis = 1_000;
+        String job = world.submit(QUEUE, step(6, 3_000).build());
+        world.runUntilEnded(6_000, job);
+        world.assertCompleted(job);
+        assertEquals(6, world.starts());
+    }
+
     @Test
     void tasksOfAWorkerThatIsCutOffWaitUntilItsLeaseIsOver() {
         DispatchWorld world = new DispatchWorld(5, 2, CAPACITY);
--- a/core/src/test/java/org/peridotcourse/dispatch/DispatchWorld.java
+++ b/core/src/test/java/org/peridotcourse/dispatch/DispatchWorld.java
@@ -46,6 +46,12 @@
     /** Share of orders that have no answer and are carried out late. */
     double lateShare;
 
+    /** Share of orders that are carried out at once, but have no answer. */
+    double unansweredShare;
+
+    /** How long a lease call waits for an end. */
+    long waitMillis = 500;
+
     /** Workers that no owner reaches. */
     final Set<String> cut = new HashSet<>();
 
@@ -236,7 +242,7 @@
     }
 
     private void call(DispatchOwner acting, String id) {
-        Optional<LeaseCall> call = acting.leaseCall(id, 500, now);
+        Optional<LeaseCall> call = acting.leaseCall(id, waitMillis, now);
         FakeRunner runner = runners.get(id);
         if (call.isEmpty()) {
             return;
@@ -298,6 +304,11 @@
             later(2_000 + random.nextInt(10_000), () -> carryOut(runner, order));
             return;
         }
+        if (unansweredShare > 0 && random.nextDouble() < unansweredShare) {
+            later(DELAY, () -> carryOut(runner, order));
+            later(600, () -> acting.onReply(order, OrderReply.UNANSWERED, now));
+            return;
+        }
         later(
                 DELAY,
                 () -> {
