--- a/core/src/main/java/org/peridotcourse/dispatch/Planner.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/Planner.java
@@ -22,6 +22,7 @@
     private final WorkerChoice choice;
     private final RunBook runs;
     private final Preemption preemption;
+    private final WaitLog waits;
 
     Planner(OwnerState state, WorkerChoice choice, RunBook runs) {
         this.state = state;
@@ -30,6 +31,7 @@
         this.choice = choice;
         this.runs = runs;
         this.preemption = new Preemption(state, choice, runs);
+        this.waits = new WaitLog(state, choice);
     }
 
     /** Starts what has room; true if more could start at once. */
@@ -49,6 +51,7 @@
                 waiting.add(candidate.withShareReached());
             } else if (starts == 0 && !state.limits.holdsBack(step, now)) {
                 preemption.consider(step, now);
+                waits.consider(step, now);
             }
         }
         return false;
@@ -71,7 +74,7 @@
         int started = 0;
         Ranking ranking = null;
         for (Task task : step.tasks) {
-            if (!task.isWaiting() || task.notBefore > now) {
+            if (!mayStart(task, now)) {
                 continue;
             }
             if (isPastShare(candidate) || state.limits.holdsBack(step, now)) {
@@ -90,11 +93,15 @@
         return started;
     }
 
+    private boolean mayStart(Task task, long now) {
+        return task.mayStart(now) && state.census.isFree(task);
+    }
+
     /** Starts all members of a gang under one number, or none. */
     private int startGang(Step step, long now) {
         int attempt = 0;
         for (Task task : step.tasks) {
-            if (!task.isWaiting() || task.notBefore > now) {
+            if (!mayStart(task, now)) {
                 return 0;
             }
             attempt = Math.max(attempt, task.lastAttempt + 1);
@@ -155,7 +162,7 @@
         if (!task.step.spec.isSpeculative() || task.runs.size() > 1 || !wanted) {
             return false;
         }
-        if (task.job().inherited && !state.censusComplete) {
+        if (task.job().inherited && !state.census.isComplete()) {
             return false;
         }
         if (state.limits.holdsBack(task.step, now)) {
--- a/core/src/main/java/org/peridotcourse/dispatch/ReportReader.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/ReportReader.java
@@ -82,6 +82,10 @@
         worker.seenEnd = 0;
         worker.storedEnd = 0;
         worker.awaitingJobSince = 0;
+        // A call with a lease on the clock of the life before may have given this one the longest.
+        LeaseTimes times = state.term.times();
+        long longest = times.longestMillis(times.longestLeaseMillis());
+        worker.leaseOverAt = Math.max(worker.leaseOverAt, now + longest);
         worker.health.reset();
         worker.strays.clear();
         for (Run run : new ArrayList<>(worker.runs.values())) {
@@ -176,6 +180,7 @@
     private Run adopt(Task task, WorkerReport.Running running, Worker worker, long now) {
         Run run = new Run(task, running.attempt(), worker, now);
         task.lastAttempt = Math.max(task.lastAttempt, running.attempt());
+        task.seenAlive = true;
         task.runs.add(run);
         worker.add(run);
         runs.begin(task.job());
@@ -209,6 +214,10 @@
             if (listed.containsKey(run.key())) {
                 continue;
             }
+            if (run.unanswered && sentAt > run.unansweredAt) {
+                // The start may still be carried out late; the stop makes the worker refuse it.
+                runs.stop(run, StopReason.START_UNANSWERED, now);
+            }
             boolean stopped = run.stopConfirmedAt != 0 && sentAt > run.stopConfirmedAt;
             boolean ended = !run.isStopping() && run.confirmed && sentAt > run.confirmedAt;
             if (stopped || ended) {
--- a/core/src/main/java/org/peridotcourse/dispatch/RunBook.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/RunBook.java
@@ -36,6 +36,7 @@
         Run run = new Run(task, attempt, worker, now);
         long waited = task.waited(now);
         task.lastAttempt = Math.max(task.lastAttempt, attempt);
+        task.seenAlive = true;
         task.runs.add(run);
         worker.add(run);
         StepSpec spec = task.step.spec;
@@ -151,10 +152,9 @@
                 begin(task.job());
                 return;
             case UNANSWERED:
+                // The next report tells whether the start was carried out.
                 run.unanswered = !run.confirmed;
-                if (run.unanswered) {
-                    stop(run, StopReason.START_UNANSWERED, now);
-                }
+                run.unansweredAt = now;
                 return;
             case NO_ROOM:
                 worker.avoidUntil = now + NO_ROOM_PAUSE_MILLIS;
--- a/core/src/main/java/org/peridotcourse/dispatch/Task.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/Task.java
@@ -17,6 +17,10 @@
     final Set<String> failedOn = new HashSet<>(2);
 
     boolean done;
+
+    /** True once this owner has started a run or found one alive. */
+    boolean seenAlive;
+
     String checkpoint = "";
     int lastAttempt;
     long waitingSince;
@@ -39,6 +43,11 @@
         return !done && runs.isEmpty();
     }
 
+    /** Tells whether it waits for nothing but a worker. */
+    boolean mayStart(long now) {
+        return isWaiting() && notBefore <= now;
+    }
+
     boolean isActive() {
         return !runs.isEmpty();
     }
