--- a/core/src/test/java/org/peridotcourse/dispatch/WaitCheck.java
+++ b/core/src/test/java/org/peridotcourse/dispatch/WaitCheck.java
@@ -22,7 +22,7 @@
     /** Time in which a lasting task is placed again after its last run. */
     static final long LASTING_PAUSE_MILLIS = 6_000;
 
-    private static final long PERIOD_MILLIS = 50;
+    private static final long PERIOD_MILLIS = DispatchWorld.TICK;
 
     /** Room that must be free, as a multiple of what the waiting work takes. */
     private static final int SPARE_FACTOR = 2;
