Stop no run as slow while no other worker takes its task

Cause: RunWatch.moveSlow compared the time that is left with the usual duration and did not ask whether another worker could take the task. FillPacing asks that before it moves a run. Change: it asks too. SlowWorkerTest failed before (34 starts of 12 tasks, many of them on the slow worker again) and passes; all tests of core dispatch pass.

--- a/core/src/main/java/org/peridotcourse/dispatch/RunWatch.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/RunWatch.java
@@ -142,13 +142,17 @@
             if (age > COPY_AFTER * usual.getAsLong() + COPY_AFTER_MILLIS) {
                 planner.startCopy(run, now, "copy-of-slow");
             }
-            boolean worth = slow && isWorthMoving(run, usual.getAsLong(), now);
-            if (worth && state.limits.mayMove(run)) {
+            if (slow && isWorthMoving(run, usual.getAsLong(), now) && hasPlace(run, now)) {
                 runs.stop(run, StopReason.SLOW, now);
             }
         }
     }
 
+    /** Tells whether another worker can take the task; otherwise it would start here again. */
+    private boolean hasPlace(Run run, long now) {
+        return state.limits.mayMove(run) && choice.choose(run.task, now).isPresent();
+    }
+
     private static boolean isWorthMoving(Run run, long usual, long now) {
         double left = run.spec().isCheckpointing() ? (100 - run.percent) / 100.0 : 1;
         double elsewhere = left * usual + MOVE_MILLIS;
--- /dev/null
+++ b/core/src/test/java/org/peridotcourse/dispatch/SlowWorkerTest.java
@@ -0,0 +1,56 @@
+package org.peridotcourse.dispatch;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.junit.jupiter.api.Test;
+import org.peridotcourse.Resources;
+
+/** Guards against runs that are stopped on a slow worker while no other may run them. */
+class SlowWorkerTest {
+    private static final Resources CAPACITY = Resources.of(8_000, 64_000);
+    private static final QueueRules QUEUE = DispatchWorld.queue("q", 1, 3);
+    private static final String RARE = "rare";
+    private static final long MILLIS = 1_600;
+
+    private final DispatchWorld world = new DispatchWorld(1, 6, CAPACITY);
+    private final FakeRunner slow = world.runners.get("w0");
+
+    SlowWorkerTest() {
+        slow.labels = List.of("a", RARE);
+        world.runners.get("w1").labels = List.of("a", RARE);
+        slow.slowness = 4;
+        world.relist();
+        world.run(100);
+    }
+
+    @Test
+    void aRunIsNotStoppedAsSlowWhileTheOtherWorkersAreAtTheirLimit() {
+        StepSpec step =
+                DispatchOwnerTest.step(12, 1_000, MILLIS)
+                        .requiredLabel(Optional.of(RARE))
+                        .maxPerWorker(1)
+                        .build();
+        String learned = world.submit(QUEUE, DispatchOwnerTest.step(96, 1_000, MILLIS).build());
+        world.runUntilEnded(30_000, learned);
+        String job = world.submit(QUEUE, step);
+        world.runUntilEnded(60_000, job);
+        world.assertCompleted(job);
+        assertEquals(List.of(), startedAgain(job));
+    }
+
+    /** Tasks of a job that were started on the slow worker more than once. */
+    private List<String> startedAgain(String job) {
+        Set<String> seen = new HashSet<>();
+        return world.decisions.stream()
+                .filter(one -> one.kind() == Decision.Kind.RUN_ORDERED)
+                .filter(one -> one.worker().equals(slow.id) && one.subject().startsWith(job))
+                .map(one -> one.subject().substring(0, one.subject().indexOf('#')))
+                .filter(task -> !seen.add(task))
+                .collect(Collectors.toList());
+    }
+}
