Wait for failures on silent workers, repeat lost starts sooner, and bound what a successor does not know

The call after the confirmed stop does not wait either, and a damaged report lets the stop go out (ReportReader). - TWICE: a lease call of the earlier owner for the life before gave the new life the longest lease. Each first report counts with it, since a successor does not know the lives before. - QUOTA and LOST: each silent worker was charged to each customer, so that new jobs waited 9.45 s for a worker that is gone. A customer is charged with its own inherited tasks at most.

--- a/core/src/main/java/org/peridotcourse/Resources.java
+++ b/core/src/main/java/org/peridotcourse/Resources.java
@@ -87,6 +87,19 @@
                 Math.max(accelerators, other.accelerators));
     }
 
+    /**
+     * Returns the smaller of this amount and another one in every part.
+     *
+     * @param other the other amount
+     * @return the smaller parts of both
+     */
+    public Resources min(Resources other) {
+        return new Resources(
+                Math.min(milliCores, other.milliCores),
+                Math.min(memoryMib, other.memoryMib),
+                Math.min(accelerators, other.accelerators));
+    }
+
     /**
      * Returns the largest share that any part of this amount has of a total.
      *
--- a/core/src/main/java/org/peridotcourse/dispatch/Census.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/Census.java
@@ -14,7 +14,9 @@
  * </ul>
  *
  * <p>A speculative task may have a copy elsewhere, and a gang is done with any of its members, so
- * that neither tells anything. Confined to one thread.
+ * that neither tells anything. A silent worker may also list failures that the earlier owner knew:
+ * they leave room for one more failure, so that a task which fails under this owner waits for them.
+ * Confined to one thread.
  */
 final class Census {
     private final OwnerState state;
@@ -58,7 +60,7 @@
 
     /** Tells whether no run of an earlier owner can hold a task. */
     boolean isFree(Task task) {
-        return complete || !task.job().inherited || isOwn(task) || hasOpenedHere(task.step);
+        return complete || !task.job().inherited || hasNoOtherRun(task) || hasOpenedHere(task.step);
     }
 
     /** Tells whether some waiting task of a step is free. */
@@ -68,18 +70,22 @@
         }
         boolean opened = hasOpenedHere(step);
         for (Task task : step.tasks) {
-            if (task.isWaiting() && (opened || isOwn(task))) {
+            if (task.isWaiting() && (opened || hasNoOtherRun(task))) {
                 return true;
             }
         }
         return false;
     }
 
-    private static boolean isOwn(Task task) {
+    private static boolean hasNoOtherRun(Task task) {
+        return wasFoundAlive(task) && (task.step.spec.isLasting() || !task.failedHere);
+    }
+
+    private static boolean wasFoundAlive(Task task) {
         return task.seenAlive && !task.step.spec.isSpeculative();
     }
 
-    /** Tells whether a step was closed when this owner began. */
+    /** Tells whether a step can only have opened under this owner. */
     private static boolean hasOpenedHere(Step step) {
         for (int before : step.spec.after()) {
             Step earlier = step.occurrence.steps[before];
@@ -95,7 +101,7 @@
             return false;
         }
         for (Task task : step.tasks) {
-            if (isOwn(task)) {
+            if (wasFoundAlive(task)) {
                 return true;
             }
         }
--- a/core/src/main/java/org/peridotcourse/dispatch/CustomerLimits.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/CustomerLimits.java
@@ -10,12 +10,12 @@
  * Keeps what a customer has running within its limit. A start counts from its order until the run
  * has certainly ended, and runs that a worker lists of tasks that are not wanted count too.
  *
- * <p>A successor does not know the runs of workers that have not reported to it, nor the size of
- * listed runs of jobs that it never read. Each customer with a limit is charged with all the room
- * of these workers, since any of it may be its own: the capacity once for tasks that reserve
- * processor, and the processor once more for filling tasks, which {@link WorkerChoice} keeps within
- * it for customers with a limit. The charge of a worker ends with its first report or its leases,
- * so a customer well below its limit is not held back by a few silent workers.
+ * <p>A successor does not know the runs of workers that have not reported to it. A customer is
+ * charged with what its inherited tasks may hold there, and with no more than the room of these
+ * workers: the capacity once for tasks that reserve processor, and the processor once more for
+ * filling tasks, which {@link WorkerChoice} keeps within it for customers with a limit. Workers
+ * that list a run of a job that was never read are charged with all their room. The charge of a
+ * worker ends with its first report or its leases.
  *
  * <p>Confined to one thread.
  */
@@ -28,8 +28,14 @@
     /** Listed runs that are not wanted, by customer. */
     private final Map<String, Resources> strays = new HashMap<>();
 
-    /** The most that runs of unknown size or on unknown workers may hold. */
-    private Resources unknown = Resources.ZERO;
+    /** The room of workers that have not reported. */
+    private Resources uncounted = Resources.ZERO;
+
+    /** The room of workers that list runs of unknown size. */
+    private Resources unread = Resources.ZERO;
+
+    /** By customer, what inherited tasks may hold on workers that have not reported. */
+    private final Map<String, Resources> unseen = new HashMap<>();
 
     /** Customers that are held back, with the last time at which a step was. */
     private final Map<String, Long> heldBackAt = new LinkedHashMap<>();
@@ -41,30 +47,59 @@
     /** Determines anew what is unknown, and which customers are no longer held back. */
     void refresh(long now) {
         strays.clear();
-        unknown = Resources.ZERO;
+        unseen.clear();
+        uncounted = Resources.ZERO;
+        unread = Resources.ZERO;
         for (Worker worker : state.workers.values()) {
             boolean leased = now < worker.leaseOverAt;
             if (!worker.counted) {
-                unknown = leased ? unknown.plus(room(worker)) : unknown;
+                uncounted = leased ? uncounted.plus(room(worker)) : uncounted;
             } else if (!worker.strays.isEmpty() && (worker.reachable || leased)) {
                 countStrays(worker);
             }
         }
+        if (!uncounted.equals(Resources.ZERO)) {
+            state.jobs.values().forEach(this::countUnseen);
+        }
         noteFree(now);
     }
 
+    private void countUnseen(Job job) {
+        if (job.customer.isEmpty() || !job.inherited || !job.isActive()) {
+            return;
+        }
+        Resources sum = Resources.ZERO;
+        for (Occurrence occurrence : job.occurrences) {
+            for (Step step : occurrence.steps) {
+                sum = sum.plus(times(step.spec.need(), unseenRuns(step)));
+            }
+        }
+        unseen.merge(job.customer.get(), sum, Resources::plus);
+    }
+
+    private int unseenRuns(Step step) {
+        int most = step.spec.isSpeculative() ? 2 : 1;
+        int sum = 0;
+        for (Task task : step.tasks) {
+            if (!task.done && !state.census.isFree(task)) {
+                sum += Math.max(0, most - task.runs.size());
+            }
+        }
+        return sum;
+    }
+
     private void countStrays(Worker worker) {
-        boolean unread = false;
+        boolean hasUnread = false;
         for (Run.Key key : worker.strays.keySet()) {
             Task task = state.task(key.task()).orElse(null);
             if (task == null) {
-                unread = true;
+                hasUnread = true;
             } else {
                 Resources need = task.step.spec.need();
                 task.job().customer.ifPresent(name -> strays.merge(name, need, Resources::plus));
             }
         }
-        unknown = unread ? unknown.plus(room(worker)) : unknown;
+        unread = hasUnread ? unread.plus(room(worker)) : unread;
     }
 
     /** The most that a worker can run beside its known runs. */
@@ -113,7 +148,12 @@
         if (limit.equals(Resources.ZERO)) {
             return true;
         }
-        Resources sum = known(job.customer.get()).plus(unknown).plus(added);
+        Resources held = known(job.customer.get()).plus(unknown(job.customer.get()));
+        if (held.equals(Resources.ZERO) && added.equals(need)) {
+            // A task that is larger than the limit runs alone.
+            return true;
+        }
+        Resources sum = held.plus(added);
         return isPartWithin(sum.milliCores(), need.milliCores(), limit.milliCores())
                 && isPartWithin(sum.memoryMib(), need.memoryMib(), limit.memoryMib())
                 && isPartWithin(sum.accelerators(), need.accelerators(), limit.accelerators());
@@ -128,6 +168,11 @@
         return state.usage.of(customer).plus(strays.getOrDefault(customer, Resources.ZERO));
     }
 
+    /** The most that runs of unknown size or on unknown workers may hold. */
+    private Resources unknown(String customer) {
+        return unseen.getOrDefault(customer, Resources.ZERO).min(uncounted).plus(unread);
+    }
+
     private static Resources times(Resources need, int count) {
         return Resources.of(
                 need.milliCores() * count, need.memoryMib() * count, need.accelerators() * count);
@@ -143,7 +188,7 @@
                     "running="
                             + describe(known(customer))
                             + " unknown="
-                            + describe(unknown)
+                            + describe(unknown(customer))
                             + " wanted="
                             + describe(added)
                             + " limit="
@@ -164,7 +209,10 @@
                         Decision.Kind.CUSTOMER_BELOW_LIMIT,
                         customer,
                         null,
-                        "running=" + describe(known(customer)) + " unknown=" + describe(unknown));
+                        "running="
+                                + describe(known(customer))
+                                + " unknown="
+                                + describe(unknown(customer)));
             }
         }
     }
--- a/core/src/main/java/org/peridotcourse/dispatch/JobBook.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/JobBook.java
@@ -121,6 +121,7 @@
             return;
         }
         task.failedAttempts.add(attempt);
+        task.failedHere = true;
         job.changed = true;
         int failures = failuresOf(task);
         if (job.isActive() && failures >= state.rules(job).maxAttempts()) {
--- a/core/src/main/java/org/peridotcourse/dispatch/ReportReader.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/ReportReader.java
@@ -36,6 +36,9 @@
         worker.life = Math.max(worker.life, report.bornMillis());
         worker.readClock(report.clockMillis(), now);
         worker.lastReportAt = now;
+        if (!worker.counted) {
+            countLongestLease(worker, now);
+        }
         if (!worker.reachable || !worker.counted) {
             worker.reachable = true;
             worker.counted = true;
@@ -53,6 +56,7 @@
         }
         listed.forEach((key, running) -> onRunning(worker, key, running, now));
         worker.strays.keySet().retainAll(listed.keySet());
+        stopMissingStarts(worker, listed, sentAt, now);
         if (!report.whole()) {
             state.log(
                     Decision.Kind.REPORT_DAMAGED, worker.id, worker, "runs=" + worker.runs.size());
@@ -72,6 +76,16 @@
         return worker.hasClock() && report.clockMillis() < worker.lastClock() - CLOCK_FALL_MILLIS;
     }
 
+    /**
+     * A call with a lease on the clock of an earlier life may have given the present one the
+     * longest lease. At the first report it is not known whether there was such a life.
+     */
+    private void countLongestLease(Worker worker, long now) {
+        LeaseTimes times = state.term.times();
+        long longest = times.longestMillis(times.longestLeaseMillis());
+        worker.leaseOverAt = Math.max(worker.leaseOverAt, now + longest);
+    }
+
     void onNewLife(Worker worker, WorkerReport report, long now) {
         state.log(
                 Decision.Kind.WORKER_REBORN,
@@ -82,10 +96,7 @@
         worker.seenEnd = 0;
         worker.storedEnd = 0;
         worker.awaitingJobSince = 0;
-        // A call with a lease on the clock of the life before may have given this one the longest.
-        LeaseTimes times = state.term.times();
-        long longest = times.longestMillis(times.longestLeaseMillis());
-        worker.leaseOverAt = Math.max(worker.leaseOverAt, now + longest);
+        countLongestLease(worker, now);
         worker.health.reset();
         worker.strays.clear();
         for (Run run : new ArrayList<>(worker.runs.values())) {
@@ -206,6 +217,19 @@
                 && run.figure < STARVED_SHARE * run.spec().need().milliCores();
     }
 
+    /**
+     * Stops runs whose starts had no answer and that the worker does not list. Such a start may
+     * still be carried out late; the stop makes the worker refuse it.
+     */
+    private void stopMissingStarts(
+            Worker worker, Map<Run.Key, WorkerReport.Running> listed, long sentAt, long now) {
+        for (Run run : worker.runs.values()) {
+            if (run.unanswered && sentAt > run.unansweredAt && !listed.containsKey(run.key())) {
+                runs.stop(run, StopReason.START_UNANSWERED, now);
+            }
+        }
+    }
+
     /** Ends runs that the worker does not list although it confirmed their start or their stop. */
     private void endMissing(
             Worker worker, Map<Run.Key, WorkerReport.Running> listed, long sentAt, long now) {
@@ -214,10 +238,6 @@
             if (listed.containsKey(run.key())) {
                 continue;
             }
-            if (run.unanswered && sentAt > run.unansweredAt) {
-                // The start may still be carried out late; the stop makes the worker refuse it.
-                runs.stop(run, StopReason.START_UNANSWERED, now);
-            }
             boolean stopped = run.stopConfirmedAt != 0 && sentAt > run.stopConfirmedAt;
             boolean ended = !run.isStopping() && run.confirmed && sentAt > run.confirmedAt;
             if (stopped || ended) {
--- a/core/src/main/java/org/peridotcourse/dispatch/Task.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/Task.java
@@ -21,6 +21,9 @@
     /** True once this owner has started a run or found one alive. */
     boolean seenAlive;
 
+    /** True once a run has failed under this owner. */
+    boolean failedHere;
+
     String checkpoint = "";
     int lastAttempt;
     long waitingSince;
--- a/core/src/main/java/org/peridotcourse/dispatch/Worker.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/Worker.java
@@ -177,10 +177,10 @@
         return seenEnd > storedEnd || awaitingJobSince > 0;
     }
 
-    /** Tells whether a report must show if a start without an answer was carried out. */
+    /** Tells whether a report must show what became of a start without an answer. */
     boolean hasUnansweredStart() {
         for (Run run : runs.values()) {
-            if (run.unanswered && !run.isStopping()) {
+            if (run.unanswered && (!run.isStopping() || run.stopConfirmedAt != 0)) {
                 return true;
             }
         }
--- a/core/src/test/java/org/peridotcourse/dispatch/CustomerLimitTest.java
+++ b/core/src/test/java/org/peridotcourse/dispatch/CustomerLimitTest.java
@@ -373,4 +373,28 @@
         assertEquals(
                 Resources.of(8_000, 0).milliCores(), world.runners.get("w0").used().milliCores());
     }
+
+    @Test
+    void aTaskLargerThanTheLimitOfItsCustomerRunsAlone() {
+        DispatchWorld world = new DispatchWorld(5, 4, CAPACITY);
+        world.customers(List.of(new CustomerRules("small", 1, Resources.of(500, 0))));
+        String job = world.submit("small", QUEUE, step(2, 1_000, 500).build());
+        world.runUntilEnded(20_000, job);
+        world.assertCompleted(job);
+    }
+
+    /** Only its own inherited tasks may be on the worker that is gone. */
+    @Test
+    void aNewJobOfALimitedCustomerDoesNotWaitForAWorkerThatIsGone() {
+        DispatchWorld world = new DispatchWorld(5, 6, CAPACITY);
+        world.customers(List.of(new CustomerRules("small", 1, Resources.of(10_000, 0))));
+        world.run(1_000);
+        world.runners.get("w0").crash();
+        world.takeOver(world.now + 8_000);
+        world.run(500);
+        String job = world.submit("small", QUEUE, step(2, 1_000, 500).build());
+        long began = world.now;
+        world.runUntilEnded(20_000, job);
+        assertTrue(world.now - began < 5_000, "waited " + (world.now - began));
+    }
 }
