Use the usual terms for quarantine and placement, and describe what the review changed

Renames: LastResort is QuarantineOverride, Hindrance is PlacementBlocker. A nested conditional of StepOrder became a method. No change of behaviour: all tests of core dispatch pass.

--- a/core/src/main/java/org/peridotcourse/dispatch/Hindrance.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/PlacementBlocker.java
@@ -1,9 +1,9 @@
 package org.peridotcourse.dispatch;
 
-import java.util.Locale;
+import org.peridotcourse.base.Codes;
 
 /** Why a worker gets no run of a task. Constants are immutable and thread-safe. */
-enum Hindrance {
+enum PlacementBlocker {
     /** Nothing: the worker may run the task. */
     NONE,
     /** It runs tasks of another service. */
@@ -37,6 +37,6 @@
 
     /** Returns the name in the log, such as {@code no-room}. */
     String code() {
-        return name().toLowerCase(Locale.ROOT).replace('_', '-');
+        return Codes.of(this);
     }
 }
--- a/core/src/main/java/org/peridotcourse/dispatch/LastResort.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/QuarantineOverride.java
@@ -9,9 +9,9 @@
  * that has waited while there is room therefore uses workers that are in quarantine or on
  * probation. Confined to one thread.
  */
-final class LastResort {
+final class QuarantineOverride {
     /** Wait after which a task is tried on a quarantined worker. */
-    static final long PATIENCE_MILLIS = 1_000;
+    static final long MIN_WAIT_MILLIS = 1_000;
 
     /** Wait after which a task is tried again on a quarantined worker where it failed. */
     static final long RETRY_THERE_MILLIS = 2_000;
@@ -32,7 +32,7 @@
         }
     }
 
-    LastResort(OwnerState state) {
+    QuarantineOverride(OwnerState state) {
         this.state = state;
     }
 
@@ -50,7 +50,7 @@
 
     /** Tells whether a task may use workers in quarantine. */
     boolean applies(Task task, String service, long waited) {
-        if (waited < PATIENCE_MILLIS) {
+        if (waited < MIN_WAIT_MILLIS) {
             return false;
         }
         StepSpec spec = task.step.spec;
--- a/core/src/main/java/org/peridotcourse/dispatch/StepOrder.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/StepOrder.java
@@ -112,8 +112,7 @@
         long age = now - Math.max(step.occurrence.dueAt, job.acceptedAt);
         long rest = job.spec.chainMillis(step.number);
         int hope = hope(step, age + rest, objective);
-        long left =
-                hope == HOPELESS ? 0 : (hope == 0 ? 1 : WORTHLESS_AFTER) * objective - age - rest;
+        long left = millisLeft(hope, age + rest, objective);
         long weight = Math.round(WORK_WEIGHT * remainingCoreMillis(step.occurrence));
         return new Candidate(
                 step, sequence, rules.priority(), job.beyondRate, false, hope, left + weight);
@@ -126,6 +125,15 @@
         return end <= WORTHLESS_AFTER * objective ? 1 : HOPELESS;
     }
 
+    /** Time by which a step may be later without a worse class of completion. */
+    private static long millisLeft(int hope, long end, long objective) {
+        if (hope == HOPELESS) {
+            return 0;
+        }
+        long latest = hope == 0 ? objective : WORTHLESS_AFTER * objective;
+        return latest - end;
+    }
+
     /** Estimated work of the tasks that are not done, in core milliseconds. */
     private static double remainingCoreMillis(Occurrence occurrence) {
         double sum = 0;
--- a/core/src/main/java/org/peridotcourse/dispatch/WaitLog.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/WaitLog.java
@@ -45,16 +45,16 @@
 
     private void report(Task task, long now) {
         WorkerChoice.Search search = choice.search(task, now);
-        Map<Hindrance, Integer> counts = new EnumMap<>(Hindrance.class);
+        Map<PlacementBlocker, Integer> counts = new EnumMap<>(PlacementBlocker.class);
         for (Worker worker : state.workers.values()) {
-            Hindrance hindrance = choice.hindrance(worker, search, now);
-            boolean full = hindrance == Hindrance.NONE && !worker.fits(search.spec());
-            counts.merge(full ? Hindrance.NO_ROOM : hindrance, 1, Integer::sum);
+            PlacementBlocker blocker = choice.blocker(worker, search, now);
+            boolean full = blocker == PlacementBlocker.NONE && !worker.fits(search.spec());
+            counts.merge(full ? PlacementBlocker.NO_ROOM : blocker, 1, Integer::sum);
         }
         StringJoiner detail = new StringJoiner(" ");
         detail.add("waited=" + task.waited(now));
         detail.add("workers=" + state.workers.size());
-        counts.forEach((hindrance, count) -> detail.add(hindrance.code() + "=" + count));
+        counts.forEach((blocker, count) -> detail.add(blocker.code() + "=" + count));
         state.log(Decision.Kind.TASK_WAITS, task.ref.toString(), null, detail.toString());
     }
 }
--- a/core/src/main/java/org/peridotcourse/dispatch/WorkerChoice.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/WorkerChoice.java
@@ -42,17 +42,17 @@
     private static final double TIGHTNESS_COST = 3;
 
     private final OwnerState state;
-    private final LastResort lastResort;
+    private final QuarantineOverride quarantineOverride;
     private double usualSlowness = 1;
 
     WorkerChoice(OwnerState state) {
         this.state = state;
-        this.lastResort = new LastResort(state);
+        this.quarantineOverride = new QuarantineOverride(state);
     }
 
     /** Measures anew how fast workers usually progress and how much of them is in use. */
     void refresh() {
-        lastResort.refresh();
+        quarantineOverride.refresh();
         double[] rates =
                 state.workers.values().stream()
                         .filter(worker -> worker.health.hasRate())
@@ -73,9 +73,10 @@
      * @param service the service whose workers may run it
      * @param waited how long it has waited
      * @param neglected true if it has waited long and nothing of its job runs
-     * @param lastResort true if it may use workers that are in quarantine
+     * @param quarantineOverride true if it may use workers that are in quarantine
      */
-    record Search(Task task, String service, long waited, boolean neglected, boolean lastResort) {
+    record Search(
+            Task task, String service, long waited, boolean neglected, boolean quarantineOverride) {
         StepSpec spec() {
             return task.step.spec;
         }
@@ -85,7 +86,7 @@
         long waited = task.waited(now);
         boolean neglected = waited >= NOTHING_RUNS_MILLIS && !task.job().hasRuns();
         String service = state.rules(task.job()).service();
-        boolean last = lastResort.applies(task, service, waited);
+        boolean last = quarantineOverride.applies(task, service, waited);
         return new Search(task, service, waited, neglected, last);
     }
 
@@ -112,79 +113,79 @@
 
     /** Tells whether a worker may run a task, leaving aside its room. */
     boolean mayRun(Worker worker, Search search, long now) {
-        return hindrance(worker, search, now) == Hindrance.NONE;
+        return blocker(worker, search, now) == PlacementBlocker.NONE;
     }
 
     /** Returns what keeps a worker from running a task, leaving aside its room. */
-    Hindrance hindrance(Worker worker, Search search, long now) {
+    PlacementBlocker blocker(Worker worker, Search search, long now) {
         if (!worker.info.service().equals(search.service())) {
-            return Hindrance.OTHER_SERVICE;
+            return PlacementBlocker.OTHER_SERVICE;
         }
-        Hindrance absence = absence(worker, now);
-        if (absence != Hindrance.NONE) {
+        PlacementBlocker absence = absence(worker, now);
+        if (absence != PlacementBlocker.NONE) {
             return absence;
         }
-        Hindrance limit = limit(worker, search);
-        if (limit != Hindrance.NONE) {
+        PlacementBlocker limit = limit(worker, search);
+        if (limit != PlacementBlocker.NONE) {
             return limit;
         }
         if (search.spec().isFilling() && !mayFill(worker, search, now)) {
-            return Hindrance.INTERFERENCE;
+            return PlacementBlocker.INTERFERENCE;
         }
-        return distrust(worker, search, now);
+        return healthBlocker(worker, search, now);
     }
 
     /** Returns why a worker takes no task at all. */
-    private Hindrance absence(Worker worker, long now) {
+    private PlacementBlocker absence(Worker worker, long now) {
         if (!worker.reachable) {
-            return worker.counted ? Hindrance.SILENT : Hindrance.NOT_COUNTED;
+            return worker.counted ? PlacementBlocker.SILENT : PlacementBlocker.NOT_COUNTED;
         }
         if (!worker.counted || !worker.hasClock()) {
-            return Hindrance.NOT_COUNTED;
+            return PlacementBlocker.NOT_COUNTED;
         }
         if (!worker.listed && now - worker.unlistedAt >= UNLISTED_MILLIS) {
-            return Hindrance.UNLISTED;
+            return PlacementBlocker.UNLISTED;
         }
         if (worker.info.draining()) {
-            return Hindrance.DRAINING;
+            return PlacementBlocker.DRAINING;
         }
         if (worker.avoidUntil > now) {
-            return Hindrance.PAUSED;
+            return PlacementBlocker.PAUSED;
         }
         boolean evacuated = state.evacuated.contains(worker.info.dataCentre());
-        return evacuated ? Hindrance.EVACUATED : Hindrance.NONE;
+        return evacuated ? PlacementBlocker.EVACUATED : PlacementBlocker.NONE;
     }
 
     /** Returns why a step is not for a worker. */
-    private static Hindrance limit(Worker worker, Search search) {
+    private static PlacementBlocker limit(Worker worker, Search search) {
         Task task = search.task();
         StepSpec spec = search.spec();
         if (spec.requiredLabel().isPresent()
                 && !worker.info.labels().contains(spec.requiredLabel().get())) {
-            return Hindrance.LABEL;
+            return PlacementBlocker.LABEL;
         }
         if (spec.maxPerWorker() > 0 && task.step.activeOn(worker) >= spec.maxPerWorker()) {
-            return Hindrance.WORKER_LIMIT;
+            return PlacementBlocker.WORKER_LIMIT;
         }
         for (Run run : task.runs) {
             if (run.worker == worker) {
-                return Hindrance.OWN_COPY;
+                return PlacementBlocker.OWN_COPY;
             }
         }
-        return Hindrance.NONE;
+        return PlacementBlocker.NONE;
     }
 
     /** Returns whether the way in which runs ended on a worker keeps a task away. */
-    private Hindrance distrust(Worker worker, Search search, long now) {
+    private PlacementBlocker healthBlocker(Worker worker, Search search, long now) {
         if (!worker.health.isOnProbation()
-                || search.lastResort()
-                        && lastResort.admits(worker, search.task(), search.waited())) {
-            return Hindrance.NONE;
+                || search.quarantineOverride()
+                        && quarantineOverride.admits(worker, search.task(), search.waited())) {
+            return PlacementBlocker.NONE;
         }
         if (worker.health.isQuarantined(now)) {
-            return Hindrance.QUARANTINED;
+            return PlacementBlocker.QUARANTINED;
         }
-        return isProbed(worker) ? Hindrance.ON_PROBATION : Hindrance.NONE;
+        return isProbed(worker) ? PlacementBlocker.ON_PROBATION : PlacementBlocker.NONE;
     }
 
     /** Tells whether a probe runs. Runs from before the quarantine say nothing and may last. */
@@ -276,7 +277,7 @@
     }
 
     boolean isUsable(Worker worker, long now) {
-        return absence(worker, now) == Hindrance.NONE && !worker.health.isQuarantined(now);
+        return absence(worker, now) == PlacementBlocker.NONE && !worker.health.isQuarantined(now);
     }
 
     /** Returns what speaks against a worker; the least is chosen. */
--- a/core/src/test/java/org/peridotcourse/dispatch/LastResortTest.java
+++ b/core/src/test/java/org/peridotcourse/dispatch/QuarantineOverrideTest.java
@@ -10,7 +10,7 @@
 import org.peridotcourse.Resources;
 
 /** Guards against quarantines that hold work back although there is room. */
-class LastResortTest {
+class QuarantineOverrideTest {
     private static final Resources CAPACITY = Resources.of(8_000, 64_000);
     private static final QueueRules QUEUE = DispatchWorld.queue("q", 1, 3);
     private static final String RARE = "rare";
@@ -18,7 +18,7 @@
     private final DispatchWorld world = new DispatchWorld(1, 6, CAPACITY);
     private final FakeRunner labelled = world.runners.get("w0");
 
-    LastResortTest() {
+    QuarantineOverrideTest() {
         labelled.labels = List.of("a", RARE);
         world.relist();
         world.run(100);
