Show in a model that a slow owner stops tasks of cancelled jobs too late

The model charges the owner's process for each call and reply, as on a small host whose process has just started, and lets orders and lease calls time out on the owner's clock. Judged by what the workers run. The calls of DispatchSimulation move to SimulatedWorkerCalls.

--- a/core/src/test/java/org/peridotcourse/dispatch/DispatchSimulation.java
+++ b/core/src/test/java/org/peridotcourse/dispatch/DispatchSimulation.java
@@ -30,9 +30,6 @@
     /** Step of the simulated time, in milliseconds. */
     static final long TICK_MILLIS = 10;
 
-    /** One-way delay of calls and replies. */
-    static final long NETWORK_DELAY_MILLIS = 5;
-
     /** Difference between the wall clock and the simulated time. */
     static final long WALL_CLOCK_OFFSET_MILLIS = 1_700_000_000_000L;
 
@@ -65,6 +62,9 @@
     /** True while the store accepts no writes. */
     boolean storeDown;
 
+    /** The processor of the owner's process; by default calls take no time. */
+    OwnerProcessModel process = new OwnerProcessModel(0);
+
     /** Returns the duration of the runs of a step; by default its estimate. */
     ToLongFunction<StepSpec> runMillis = step -> step.estimateMillis();
 
@@ -86,8 +86,7 @@
     private List<CustomerRules> customers = List.of();
     private final PriorityQueue<Event> events = new PriorityQueue<>();
 
-    /** By worker id, when the next lease call is due. */
-    private final Map<String, Long> nextCallAt = new HashMap<>();
+    private final SimulatedWorkerCalls calls = new SimulatedWorkerCalls(this);
 
     /** Tasks that are stored as done. */
     private final Set<TaskRef> storedDone = new HashSet<>();
@@ -152,7 +151,7 @@
     /** Replaces the owner by a successor, which starts from the contents of the store. */
     void takeOver(long earlierOwnersMayOrderUntil) {
         epoch++;
-        nextCallAt.clear();
+        calls.onTakeover();
         storeInProgress = false;
         DispatchOwner next =
                 new DispatchOwner(
@@ -254,122 +253,33 @@
         }
     }
 
-    private void schedule(long millis, Runnable action) {
+    void schedule(long millis, Runnable action) {
         events.add(new Event(now + millis, sequence++, action));
     }
 
     private void stepOwner() {
         DispatchOwner sender = owner;
+        if (process.isBusy(now)) {
+            return;
+        }
         long startNanos = CPU.getCurrentThreadCpuTime();
         List<Order> orders = sender.decide(now);
         ownerCpuNanos += CPU.getCurrentThreadCpuTime() - startNanos;
         for (Order order : orders) {
-            send(sender, order);
-        }
-        for (String id : sender.workerIds()) {
-            long due = nextCallAt.getOrDefault(id, 0L);
-            if (due <= now) {
-                nextCallAt.put(id, Long.MAX_VALUE);
-                call(sender, id);
-            }
+            calls.send(sender, order);
         }
+        calls.sendDueLeaseCalls(sender);
         store(sender);
     }
 
-    private void call(DispatchOwner sender, String id) {
-        Optional<LeaseCall> call = sender.leaseCall(id, waitMillis, now);
-        FakeWorker worker = workers.get(id);
-        if (call.isEmpty()) {
-            return;
-        }
-        long sentAt = now;
-        if (unreachableWorkers.contains(id) || !worker.up) {
-            schedule(
-                    1_200,
-                    () -> {
-                        sender.onLeaseCallFailed(id, OrderReply.UNANSWERED, now);
-                        nextCallAt.put(id, now + 200);
-                    });
-            return;
-        }
-        schedule(NETWORK_DELAY_MILLIS, () -> answer(sender, worker, call.get(), sentAt, now));
-    }
-
-    /** Answers a lease call once a run has ended or the wait of the call is over. */
-    private void answer(
-            DispatchOwner sender, FakeWorker worker, LeaseCall call, long sentAt, long since) {
-        boolean waits = now - since < call.waitMillis() && !worker.hasEnds();
-        if (waits && worker.up && !unreachableWorkers.contains(worker.id)) {
-            worker.onLeaseCall(call, now);
-            schedule(TICK_MILLIS, () -> answer(sender, worker, call, sentAt, since));
-            return;
-        }
-        if (!worker.up || unreachableWorkers.contains(worker.id)) {
-            schedule(
-                    1_200,
-                    () -> {
-                        sender.onLeaseCallFailed(worker.id, OrderReply.UNANSWERED, now);
-                        nextCallAt.put(worker.id, now + 200);
-                    });
-            return;
-        }
-        Optional<WorkerReport> report = worker.onLeaseCall(call, now);
-        schedule(
-                NETWORK_DELAY_MILLIS,
-                () -> {
-                    nextCallAt.put(worker.id, now + (sender.hasUnstoredEnds(worker.id) ? 30 : 0));
-                    if (report.isPresent()) {
-                        long startNanos = CPU.getCurrentThreadCpuTime();
-                        sender.onReport(worker.id, report.get(), sentAt, now);
-                        ownerCpuNanos += CPU.getCurrentThreadCpuTime() - startNanos;
-                    } else {
-                        sender.onLeaseCallFailed(worker.id, OrderReply.STALE_EPOCH, now);
-                    }
-                });
-    }
-
-    private void send(DispatchOwner sender, Order order) {
-        FakeWorker worker = workers.get(order.worker().id());
-        if (unreachableWorkers.contains(worker.id) || !worker.up) {
-            schedule(600, () -> sender.onOrderReply(order, OrderReply.UNANSWERED, now));
-            return;
-        }
-        if (random.nextDouble() < lateOrderShare) {
-            schedule(600, () -> sender.onOrderReply(order, OrderReply.UNANSWERED, now));
-            schedule(2_000 + random.nextInt(10_000), () -> carryOut(worker, order));
-            return;
-        }
-        if (unansweredOrderShare > 0 && random.nextDouble() < unansweredOrderShare) {
-            schedule(NETWORK_DELAY_MILLIS, () -> carryOut(worker, order));
-            schedule(600, () -> sender.onOrderReply(order, OrderReply.UNANSWERED, now));
-            return;
-        }
-        schedule(
-                NETWORK_DELAY_MILLIS,
-                () -> {
-                    OrderReply reply = worker.up ? carryOut(worker, order) : OrderReply.UNANSWERED;
-                    schedule(NETWORK_DELAY_MILLIS, () -> sender.onOrderReply(order, reply, now));
-                });
+    void applyReport(DispatchOwner receiver, FakeWorker worker, WorkerReport report, long sentAt) {
+        long startNanos = CPU.getCurrentThreadCpuTime();
+        receiver.onReport(worker.id, report, sentAt, now);
+        ownerCpuNanos += CPU.getCurrentThreadCpuTime() - startNanos;
     }
 
-    private OrderReply carryOut(FakeWorker worker, Order order) {
-        if (!worker.up) {
-            return OrderReply.UNANSWERED;
-        }
-        if (order instanceof Order.Start start) {
-            StepSpec spec = spec(order.task());
-            assertEarlierStepsDone(order.task());
-            OrderReply reply = worker.start(start, spec, runMillis.applyAsLong(spec), now);
-            if (reply == OrderReply.ACCEPTED) {
-                assertTrue(
-                        !storedDone.contains(order.task()),
-                        "started although it is done: " + order);
-            }
-            return reply;
-        }
-        return order instanceof Order.Stop stop
-                ? worker.stop(stop)
-                : worker.pace((Order.Pace) order);
+    boolean isStoredAsDone(TaskRef task) {
+        return storedDone.contains(task);
     }
 
     StepSpec spec(TaskRef task) {
@@ -377,7 +287,7 @@
     }
 
     /** Checks that all tasks of earlier steps were reported as done before a task starts. */
-    private void assertEarlierStepsDone(TaskRef task) {
+    void assertEarlierStepsDone(TaskRef task) {
         for (int before : spec(task).predecessors()) {
             int count = jobs.get(task.job()).spec().steps().get(before).taskCount();
             for (int i = 0; i < count; i++) {
