Tell calls that were never sent from failures of the worker

An order that waited in this process for its whole time-out was reported as NOT_SENT like a refused connection, and its worker counted as unreachable until the next report, so that stops were held back. In the users' log 40 starts and all stops end like this at one moment on workers that answer 1 s later. Such orders now end as EXPIRED, which pauses starts on the worker and says nothing else about it.

Connections that answered after the start of the call stay open.

Tests: PooledHttpClientTest; two of its three tests fail before the change (the names EXPIRED and the closed connection).

--- a/core/src/main/java/org/peridotcourse/dispatch/OrderReply.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/OrderReply.java
@@ -20,8 +20,10 @@
     UNHEALTHY,
     /** Rejected: another incarnation of the worker, or another worker, has the address. */
     OTHER_LIFE,
-    /** The connection failed, so that the order was not sent. */
+    /** The worker refused the connection, so that the order was not sent. */
     NOT_SENT,
+    /** The order was not sent within its time-out, which says nothing about the worker. */
+    EXPIRED,
     /** No reply: the order may have been carried out, or may still be. */
     UNANSWERED
 }
--- a/core/src/main/java/org/peridotcourse/dispatch/RunLifecycle.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/RunLifecycle.java
@@ -15,6 +15,9 @@
     /** Time for which nothing is started on a worker that reported that it is unhealthy. */
     static final long UNHEALTHY_PAUSE_MILLIS = 1_000;
 
+    /** Time for which nothing is started on a worker to which a start was not sent in time. */
+    static final long EXPIRED_PAUSE_MILLIS = 300;
+
     /** Delay before a start is repeated that was rejected as malformed or because of its ticket. */
     static final long MALFORMED_PAUSE_MILLIS = 1_000;
 
@@ -167,6 +170,9 @@
             case UNHEALTHY:
                 worker.noStartBefore = now + UNHEALTHY_PAUSE_MILLIS;
                 break;
+            case EXPIRED:
+                worker.noStartBefore = now + EXPIRED_PAUSE_MILLIS;
+                break;
             case MALFORMED:
             case NO_TICKET:
                 task.noStartBefore = now + MALFORMED_PAUSE_MILLIS;
--- a/daemon/src/main/java/org/peridotcourse/daemon/http/ChannelFailure.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/http/ChannelFailure.java
@@ -12,6 +12,8 @@
 public enum ChannelFailure implements Failure {
     /** No connection could be made; nothing was sent. */
     CONNECT_FAILED(false, "the connection could not be opened"),
+    /** The time-out ended before a connection was available; nothing was sent. */
+    EXPIRED(false, "the call could not be sent within its time-out"),
     /** The connection was closed before the request was written to it. */
     CLOSED_BEFORE_SEND(false, "the connection was closed before the request was sent"),
     /** The connection ended after the request was sent and before the complete response arrived. */
--- a/daemon/src/main/java/org/peridotcourse/daemon/http/PooledHttpClient.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/http/PooledHttpClient.java
@@ -14,8 +14,9 @@
  * Sends calls over pooled keep-alive connections and reports their outcome on an {@link EventLoop}.
  *
  * <p>A call has one outcome: a response, or a {@link ChannelFailure} that tells whether it may have
- * reached the server. When a call times out, its connection and all idle connections to the same
- * address are closed, since these may have stopped responding as well. Confined to the loop.
+ * reached the server. When a call times out, its connection and those idle connections to the same
+ * address are closed that have had no response since the call began, since these may have stopped
+ * responding as well. Confined to the loop.
  */
 public final class PooledHttpClient {
     private static final int MAX_IDLE_PER_ADDRESS = 4;
@@ -24,6 +25,9 @@
     private final EventLoop loop;
     private final Map<InetSocketAddress, AddressPool> pools = new HashMap<>();
 
+    /** Numbers the starts of calls and the responses in their order. */
+    private long nextEvent;
+
     /**
      * Creates a client without connections.
      *
@@ -35,9 +39,12 @@
         this.loop = loop;
     }
 
+    /** A connection without a call, and the number of the event by which it became idle. */
+    private record IdleChannel(HttpChannel channel, long since) {}
+
     /** The idle connections, waiting calls and number of active calls of one address. */
     private static final class AddressPool {
-        final Deque<HttpChannel> idle = new ArrayDeque<>();
+        final Deque<IdleChannel> idle = new ArrayDeque<>();
         final Deque<PendingCall> waiting = new ArrayDeque<>();
         int active;
     }
@@ -47,6 +54,7 @@
         final InetSocketAddress address;
         final HttpCall call;
         final Consumer<Result<HttpReply>> handler;
+        final long startedAt = nextEvent++;
         HttpChannel channel;
         boolean countedAsActive;
         boolean finished;
@@ -92,7 +100,7 @@
     public void closeIdleConnections(InetSocketAddress address) {
         AddressPool pool = pools.get(address);
         if (pool != null) {
-            closeIdle(pool);
+            closeIdle(pool, Long.MAX_VALUE);
             if (pool.active == 0 && pool.waiting.isEmpty()) {
                 pools.remove(address);
             }
@@ -111,11 +119,11 @@
     }
 
     private static HttpChannel pollIdle(AddressPool pool) {
-        for (HttpChannel idle = pool.idle.pollLast(); idle != null; idle = pool.idle.pollLast()) {
-            if (idle.isIdle()) {
-                return idle;
+        for (IdleChannel idle = pool.idle.pollLast(); idle != null; idle = pool.idle.pollLast()) {
+            if (idle.channel().isIdle()) {
+                return idle.channel();
             }
-            idle.close();
+            idle.channel().close();
         }
         return null;
     }
@@ -153,7 +161,7 @@
             AddressPool pool = pools.get(pending.address);
             channel.releaseResponseBytes();
             if (channel.isIdle() && pool != null && pool.idle.size() < MAX_IDLE_PER_ADDRESS) {
-                pool.idle.addLast(channel);
+                pool.idle.addLast(new IdleChannel(channel, nextEvent++));
             } else {
                 channel.close();
             }
@@ -178,18 +186,23 @@
         boolean sent = pending.channel != null;
         if (sent) {
             pending.channel.abandon(ChannelFailure.TIMED_OUT);
-            closeIdle(pool);
+            closeIdle(pool, pending.startedAt);
         } else {
             pool.waiting.remove(pending);
         }
-        finish(
-                pending,
-                Result.failed(sent ? ChannelFailure.TIMED_OUT : ChannelFailure.CONNECT_FAILED));
+        finish(pending, Result.failed(sent ? ChannelFailure.TIMED_OUT : ChannelFailure.EXPIRED));
     }
 
-    private static void closeIdle(AddressPool pool) {
-        pool.idle.forEach(HttpChannel::close);
-        pool.idle.clear();
+    /** Closes the connections that became idle before an event. */
+    private static void closeIdle(AddressPool pool, long before) {
+        pool.idle.removeIf(
+                idle -> {
+                    boolean closes = idle.since() < before;
+                    if (closes) {
+                        idle.channel().close();
+                    }
+                    return closes;
+                });
     }
 
     private void finish(PendingCall pending, Result<HttpReply> outcome) {
