Bound the orders without a reply and send stops before starts

Cause: after a takeover an owner whose process has just started ordered about 100 starts in one round, each of which costs it several milliseconds, and the stops behind them. The time-outs of the orders ended before they were sent or their replies read; everything was ordered again, the starts first. Class of fault: work without a bound on what is in flight, and urgent work queued behind work that can wait.

OrderWindow bounds the orders without a reply: one more for each prompt reply, half after late replies. Stops and paces come first and have a reserve of their own; waiting starts stay with the planner, which can still change its mind.

--- a/core/src/main/java/org/peridotcourse/dispatch/DispatchOwner.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/DispatchOwner.java
@@ -395,6 +395,7 @@
      * @param now the current time
      */
     public void onOrderReply(Order order, OrderReply reply, long now) {
+        state.orderWindow.onReply(order, reply, now);
         runs.onReply(order, reply, now);
         throttle.onOrderReply(order, reply);
     }
@@ -409,6 +410,7 @@
         if (state.deposed) {
             return List.of();
         }
+        state.orderWindow.removeOld(now);
         jobs.openDueOccurrences(now);
         runs.endRunsOfExpiredLeases(now);
         removeUnlistedWorkers(now);
@@ -425,7 +427,7 @@
             state.planDue = planner.startWaitingTasks(now);
         }
         runs.sendStops(now);
-        return state.takeOrders();
+        return state.takeOrders(now);
     }
 
     /**
--- a/core/src/main/java/org/peridotcourse/dispatch/OwnerState.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/OwnerState.java
@@ -1,6 +1,5 @@
 package org.peridotcourse.dispatch;
 
-import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -17,8 +16,9 @@
     final CustomerUsage usage = new CustomerUsage();
     final CustomerLimits limits = new CustomerLimits(this);
     final CustomerRates rates = new CustomerRates(this);
+    final OrderWindow orderWindow = new OrderWindow();
     private final Decision.Sink sink;
-    private List<Order> orders = new ArrayList<>();
+    private final OrderQueue orders = new OrderQueue(orderWindow);
 
     ClusterConfig config = ClusterConfig.EMPTY;
 
@@ -66,11 +66,19 @@
         orders.add(order);
     }
 
-    /** Returns the orders that were added since the last call. */
-    List<Order> takeOrders() {
-        List<Order> taken = orders;
-        orders = new ArrayList<>();
-        return taken;
+    /** Returns how many stops may be ordered now. */
+    int availableStops() {
+        return orders.availableForStops();
+    }
+
+    /** Returns how many starts may be ordered now. */
+    int availableStarts() {
+        return orders.availableForStarts();
+    }
+
+    /** Returns the orders that are to be sent now, in this sequence. */
+    List<Order> takeOrders(long now) {
+        return orders.take(now);
     }
 
     void log(Decision.Kind kind, String subject, Worker worker, String detail) {
--- a/core/src/main/java/org/peridotcourse/dispatch/Planner.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/Planner.java
@@ -43,15 +43,17 @@
      * @return true if the round reached its maximum of starts, so that another one should follow
      */
     boolean startWaitingTasks(long now) {
+        if (state.availableStarts() == 0) {
+            return true;
+        }
+        int maxStarts = Math.min(STARTS_PER_ROUND, state.availableStarts());
         int started = 0;
         PriorityQueue<StepOrder.Candidate> waiting = stepOrder.waitingSteps(now);
-        while (!waiting.isEmpty()) {
-            if (started >= STARTS_PER_ROUND) {
-                return true;
-            }
+        while (!waiting.isEmpty() && started < maxStarts) {
             StepOrder.Candidate candidate = waiting.poll();
             Step step = candidate.step();
-            int starts = reachedShareInRound(candidate) ? 0 : start(candidate, now);
+            int starts =
+                    reachedShareInRound(candidate) ? 0 : start(candidate, maxStarts - started, now);
             started += starts;
             if (reachedShareInRound(candidate)) {
                 // The customer reached its share in this round; steps of other customers come
@@ -62,19 +64,20 @@
                 waitingTaskLog.logIfDue(step, now);
             }
         }
-        return false;
+        return started >= maxStarts;
     }
 
     private boolean reachedShareInRound(StepOrder.Candidate candidate) {
         return !candidate.shareReached() && shares.hasReachedShare(candidate.step().job());
     }
 
-    private int start(StepOrder.Candidate candidate, long now) {
+    private int start(StepOrder.Candidate candidate, int maxStarts, long now) {
         Step step = candidate.step();
-        return step.spec.isGang() ? startGang(step, now) : startTasks(candidate, now);
+        // A gang is started as a whole, even if that exceeds the maximum.
+        return step.spec.isGang() ? startGang(step, now) : startTasks(candidate, maxStarts, now);
     }
 
-    private int startTasks(StepOrder.Candidate candidate, long now) {
+    private int startTasks(StepOrder.Candidate candidate, int maxStarts, long now) {
         Step step = candidate.step();
         if (now < step.nextSearchAt) {
             return 0;
@@ -85,7 +88,8 @@
             if (!mayStart(task, now)) {
                 continue;
             }
-            if (reachedShareInRound(candidate) || state.limits.blocksStart(step, now)) {
+            boolean reachedMax = started >= maxStarts || reachedShareInRound(candidate);
+            if (reachedMax || state.limits.blocksStart(step, now)) {
                 return started;
             }
             ranking = ranking == null ? selector.rankWorkers(task, now) : ranking;
@@ -177,7 +181,7 @@
         if (task.job().inherited && !state.reconciliation.isComplete()) {
             return false;
         }
-        if (state.limits.blocksStart(task.step, now)) {
+        if (state.availableStarts() == 0 || state.limits.blocksStart(task.step, now)) {
             return false;
         }
         Optional<Worker> worker = selector.chooseWorker(task, now);
--- a/core/src/main/java/org/peridotcourse/dispatch/RunLifecycle.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/RunLifecycle.java
@@ -94,7 +94,7 @@
             }
             worker.unknownRuns.replaceAll(
                     (key, dueAt) -> {
-                        if (dueAt > now) {
+                        if (dueAt > now || state.availableStops() == 0) {
                             return dueAt;
                         }
                         sendStop(worker, key, StopReason.NOT_WANTED);
@@ -107,7 +107,8 @@
         worker.hasPendingStops = false;
         for (Run run : worker.runs.values()) {
             worker.hasPendingStops |= run.isStopping();
-            if (run.isStopping() && run.stopConfirmedAt == 0 && run.nextStopAt <= now) {
+            boolean due = run.stopConfirmedAt == 0 && run.nextStopAt <= now;
+            if (run.isStopping() && due && state.availableStops() > 0) {
                 run.nextStopAt = now + STOP_RETRY_MILLIS;
                 sendStop(worker, run.key(), run.stopReason);
             }
