--- a/core/src/main/java/org/peridotcourse/dispatch/OrderWindow.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/OrderWindow.java
@@ -38,6 +38,11 @@
         return size;
     }
 
+    /** Returns the number of orders without a reply. */
+    int outstanding() {
+        return sentAtByOrder.size();
+    }
+
     /** Returns how many starts may be ordered now. */
     int availableForStarts() {
         return Math.max(0, size - sentAtByOrder.size());
--- a/core/src/main/java/org/peridotcourse/dispatch/OwnerMetrics.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/OwnerMetrics.java
@@ -11,6 +11,8 @@
  * @param usableWorkers workers to which tasks may be assigned
  * @param knownWorkers all workers that receive lease calls
  * @param customersAtLimit customers with tasks that wait because of the customer's limits
+ * @param orderWindow largest number of orders that may be without a reply, except stops and paces
+ * @param outstandingOrders orders without a reply
  * @param usedShare share of the usable workers' processors that is reserved
  */
 public record OwnerMetrics(
@@ -20,9 +22,11 @@
         int usableWorkers,
         int knownWorkers,
         int customersAtLimit,
+        int orderWindow,
+        int outstandingOrders,
         double usedShare) {
     /** Values of a host that is not the owner. */
-    public static final OwnerMetrics NONE = new OwnerMetrics(0, 0, 0, 0, 0, 0, 0);
+    public static final OwnerMetrics NONE = new OwnerMetrics(0, 0, 0, 0, 0, 0, 0, 0, 0);
 
     static OwnerMetrics of(OwnerState state, WorkerSelector selector, long now) {
         int activeRuns = 0;
@@ -57,6 +61,8 @@
                 usableWorkers,
                 state.workers.size(),
                 customersAtLimit,
+                state.orderWindow.size(),
+                state.orderWindow.outstanding(),
                 usedShare);
     }
 }
--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/DispatchHost.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/DispatchHost.java
@@ -356,6 +356,8 @@
         metrics.gauge("peridot_usable_workers", () -> ownerMetrics().usableWorkers());
         metrics.gauge("peridot_known_workers", () -> ownerMetrics().knownWorkers());
         metrics.gauge("peridot_customers_at_limit", () -> ownerMetrics().customersAtLimit());
+        metrics.gauge("peridot_order_window", () -> ownerMetrics().orderWindow());
+        metrics.gauge("peridot_orders_outstanding", () -> ownerMetrics().outstandingOrders());
         metrics.gauge("peridot_used_share", () -> ownerMetrics().usedShare());
     }
 
