Release a claim also if the read that shows its outcome fails

Seen by callers: after an outage of the store, every request with a key whose first request had been refused with not-run got 409 unknown key-in-progress for good, although nothing had run under the key.

Cause: a claim whose write had no response is written again; a conflict is followed by a read of the row, and RequestKeyThread took a read that failed for a row of another writer. It forgot the write, and the claim that the first attempt had stored was never released.

Change: the write stays unsettled until the read succeeds. The rule was already in WriteRetrier for the first attempts; both use it now.

--- a/daemon/src/main/java/org/peridotcourse/daemon/entry/RequestKeyThread.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/entry/RequestKeyThread.java
@@ -316,39 +316,23 @@
     private void resolveUnsettledWrites() {
         while (!unsettledWrites.isEmpty()) {
             UnsettledWrite write = unsettledWrites.get(0);
-            WriteOutcome outcome = store.write(write.transaction());
+            WriteOutcome outcome = store.repeatWrite(write.transaction());
             if (outcome instanceof WriteOutcome.Unknown) {
                 markStoreUnavailable(write.transaction());
                 return;
             }
-            Optional<Long> commit =
-                    outcome instanceof WriteOutcome.Committed committed
-                            ? Optional.of(committed.commit())
-                            : commitOfEarlierAttempt(write.transaction());
             storeUnavailable = false;
             unsettledWrites.remove(0);
-            commit.ifPresent(
-                    number ->
-                            write.claims()
-                                    .forEach(
-                                            claim ->
-                                                    pendingReleases.put(
-                                                            claim.request(),
-                                                            new ConfirmedClaim(claim, number))));
+            if (outcome instanceof WriteOutcome.Committed committed) {
+                for (Claim claim : write.claims()) {
+                    pendingReleases.put(
+                            claim.request(), new ConfirmedClaim(claim, committed.commit()));
+                }
+            }
         }
         storeUnavailable = false;
     }
 
-    /** Returns the commit of a conflicting transaction if an earlier attempt of it took effect. */
-    private Optional<Long> commitOfEarlierAttempt(Transaction transaction) {
-        Transaction.Put first = transaction.puts().get(0);
-        return store.row(first.table(), first.key())
-                .toOptional()
-                .flatMap(row -> row)
-                .filter(row -> row.writer().equals(transaction.id()))
-                .map(Row::commit);
-    }
-
     private void writeResponses() {
         Map<String, UnstoredResponse> group = firstRows(unstoredResponses);
         if (group.isEmpty()) {
--- a/daemon/src/main/java/org/peridotcourse/daemon/platform/TableStore.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/platform/TableStore.java
@@ -51,4 +51,16 @@
     default WriteOutcome writeWithRetries(Transaction transaction, int attempts) {
         return WriteRetrier.run(this, transaction, attempts);
     }
+
+    /**
+     * Repeats a write once whose earlier attempts had no response, and determines its outcome as
+     * {@link #writeWithRetries} does.
+     *
+     * @param transaction the write
+     * @return the outcome; {@code Unknown} if this attempt had no clear response either or the read
+     *     after a conflict failed
+     */
+    default WriteOutcome repeatWrite(Transaction transaction) {
+        return WriteRetrier.repeat(this, transaction);
+    }
 }
--- a/daemon/src/main/java/org/peridotcourse/daemon/platform/WriteRetrier.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/platform/WriteRetrier.java
@@ -15,18 +15,18 @@
     private WriteRetrier() {}
 
     static WriteOutcome run(TableStore store, Transaction transaction, int attempts) {
-        boolean responseLost = false;
-        for (int i = 0; i < attempts; i++) {
-            WriteOutcome outcome = store.write(transaction);
-            if (outcome instanceof WriteOutcome.Unknown) {
-                responseLost = true;
-            } else if (outcome instanceof WriteOutcome.Conflict && responseLost) {
-                return resolveConflict(store, transaction, outcome);
-            } else {
-                return outcome;
-            }
+        WriteOutcome outcome = store.write(transaction);
+        for (int i = 1; i < attempts && outcome instanceof WriteOutcome.Unknown; i++) {
+            outcome = repeat(store, transaction);
         }
-        return new WriteOutcome.Unknown();
+        return outcome;
+    }
+
+    static WriteOutcome repeat(TableStore store, Transaction transaction) {
+        WriteOutcome outcome = store.write(transaction);
+        return outcome instanceof WriteOutcome.Conflict
+                ? resolveConflict(store, transaction, outcome)
+                : outcome;
     }
 
     private static WriteOutcome resolveConflict(
--- a/daemon/src/test/java/org/peridotcourse/daemon/entry/FakeTableStore.java
+++ b/daemon/src/test/java/org/peridotcourse/daemon/entry/FakeTableStore.java
@@ -22,6 +22,7 @@
     private long commit;
     private int writes;
     private int responsesToLose;
+    private int readsToFail;
     private boolean unavailable;
     private boolean unavailableAfterLoss;
 
@@ -40,6 +41,11 @@
         unavailableAfterLoss = true;
     }
 
+    /** Fails the next reads of rows, while writes succeed. */
+    synchronized void failReads(int count) {
+        readsToFail = count;
+    }
+
     synchronized int writes() {
         return writes;
     }
@@ -50,7 +56,9 @@
 
     @Override
     public synchronized Result<Optional<Row>> row(String table, String key) {
-        return unavailable
+        boolean fails = unavailable || readsToFail > 0;
+        readsToFail = Math.max(0, readsToFail - 1);
+        return fails
                 ? Result.failed(StoreFailure.UNAVAILABLE)
                 : Result.ok(Optional.ofNullable(rows.get(table + "/" + key)));
     }
--- a/daemon/src/test/java/org/peridotcourse/daemon/entry/RequestKeyTest.java
+++ b/daemon/src/test/java/org/peridotcourse/daemon/entry/RequestKeyTest.java
@@ -131,6 +131,22 @@
         assertEquals(200, post(second, "order", "undone").statusCode());
     }
 
+    /**
+     * A read that failed after a conflict was taken for a claim that was not written, so the claim
+     * of a refused request stayed, and no request with its key could run.
+     */
+    @Test
+    void claimIsReleasedAlthoughTheReadThatShowsItsOutcomeFails() throws Exception {
+        store.loseResponseAndBecomeUnavailable();
+        assertEquals("503 not-run store-unavailable", summary(post(first, "order", "k")));
+        assertEquals("claimed", state("k"), "the lost write took effect");
+        store.failReads(2);
+        store.setUnavailable(false);
+        EntryFixture.await("the claim is released", () -> state("k").equals("absent"));
+        assertEquals(200, post(second, "order", "k").statusCode());
+        assertEquals(1, backend.received().size());
+    }
+
     @Test
     void claimsWithinFiveMillisecondsShareTransactions() throws Exception {
         int count = 100;
