Answer a repeat whose row cannot be read with unknown

Seen by callers: a request with a key that had run, and whose answer was lost, was repeated; if the store failed the read of the key's row, the repeat got 503 not-run. A caller who trusts that takes another key, and the work runs twice.

Cause: the claim of the repeat met a conflict, so a request had claimed the key before; the read that tells which one failed, and the result was STORE_UNAVAILABLE, which means that nothing is known to exist.

Change: the result is IN_PROGRESS, "the first request with this key has no result yet", until the row can be read.

RequestKeyTest.repeatOfARunRequestIsNotSaidNotToHaveRunWhenItsRowCannotBeRead: before, 503 not-run store-unavailable; after, 409 unknown key-in-progress and then the stored response.

--- a/daemon/src/main/java/org/peridotcourse/daemon/entry/RequestKeyThread.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/entry/RequestKeyThread.java
@@ -288,11 +288,14 @@
         }
     }
 
-    /** Reads the row that another request wrote under the key, and reports the claim's result. */
+    /**
+     * Reads the row that another request wrote under the key, and reports the claim's result. If
+     * the row cannot be read, the request that wrote it may have run.
+     */
     private void reportExistingRow(Claim claim) {
         Result<Optional<Row>> read = store.row(RequestRowFormat.TABLE, claim.rowKey());
         if (!(read instanceof Result.Ok<Optional<Row>> ok)) {
-            report(claim, ClaimResult.STORE_UNAVAILABLE, Optional.empty());
+            report(claim, ClaimResult.IN_PROGRESS, Optional.empty());
             return;
         }
         Optional<JsonNode> value = ok.value().flatMap(Row::value);
--- a/daemon/src/test/java/org/peridotcourse/daemon/entry/RequestKeyTest.java
+++ b/daemon/src/test/java/org/peridotcourse/daemon/entry/RequestKeyTest.java
@@ -147,6 +147,20 @@
         assertEquals(1, backend.received().size());
     }
 
+    /**
+     * A repeat was told that it had not run when the row of its key could not be read, although the
+     * first request had run.
+     */
+    @Test
+    void repeatOfARunRequestIsNotSaidNotToHaveRunWhenItsRowCannotBeRead() throws Exception {
+        assertEquals(200, post(first, "order", "k").statusCode());
+        EntryFixture.await("the response is stored", () -> state("k").equals("done"));
+        store.failReads(1);
+        assertEquals("409 unknown key-in-progress", summary(post(second, "order", "k")));
+        assertEquals(200, post(second, "order", "k").statusCode());
+        assertEquals(1, backend.received().size(), "ran once");
+    }
+
     @Test
     void claimsWithinFiveMillisecondsShareTransactions() throws Exception {
         int count = 100;
