Answer a submission whose row cannot be read with unknown

Seen by callers: a submission was stored and its answer lost; its repeat met the row, the read of that row failed, and the caller got 503 with the outcome not-run ("nothing was written") although the job runs.

Cause: JobThread answered STORE_UNAVAILABLE for a failed read after a conflict, which proves that a job of this name exists.

Change: the answer is STORE_UNSETTLED, which asks for the same call.

JobThreadTest.repeatedSubmissionIsNotSaidToHaveWrittenNothingWhenTheJobCannotBeRead: before, store-unavailable; after, store-unsettled and then 200.

--- a/daemon/src/main/java/org/peridotcourse/daemon/entry/JobThread.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/entry/JobThread.java
@@ -160,7 +160,8 @@
         }
         Result<Optional<Row>> existing = readRow(name);
         if (!existing.isOk()) {
-            return JobFailure.STORE_UNAVAILABLE.toResponse(call.id());
+            // The conflict shows that a job has the name: perhaps this one, submitted before.
+            return JobFailure.STORE_UNSETTLED.toResponse(call.id());
         }
         Optional<JsonNode> value =
                 existing.toOptional().flatMap(found -> found).flatMap(Row::value);
--- a/daemon/src/test/java/org/peridotcourse/daemon/entry/JobThreadTest.java
+++ b/daemon/src/test/java/org/peridotcourse/daemon/entry/JobThreadTest.java
@@ -53,7 +53,20 @@
         assertEquals("503 store-unsettled", put("/jobs/shop/j2", JOB));
         assertEquals("503 store-unavailable", call("GET", "/jobs/shop/j1", ""));
         store.setUnavailable(false);
-        EntryFixture.await("the job is accepted", () -> submitSecondJob().equals("201"));
+        EntryFixture.await("the job is accepted", () -> submit("j2").equals("201"));
+    }
+
+    /**
+     * A repeated submission was told that nothing was written when the job's row could not be read,
+     * although the job exists and runs.
+     */
+    @Test
+    void repeatedSubmissionIsNotSaidToHaveWrittenNothingWhenTheJobCannotBeRead() throws Exception {
+        assertEquals("201", put("/jobs/shop/j1", JOB));
+        store.failReads(1);
+        assertEquals("503 store-unsettled", put("/jobs/shop/j1", JOB));
+        EntryFixture.await("the job is found", () -> submit("j1").equals("200"));
+        assertEquals(1, store.writes());
     }
 
     @Test
@@ -79,9 +92,9 @@
         assertEquals(0, store.writes());
     }
 
-    private String submitSecondJob() {
+    private String submit(String job) {
         try {
-            return put("/jobs/shop/j2", JOB);
+            return put("/jobs/shop/" + job, JOB);
         } catch (Exception e) {
             return e.toString();
         }
