Never take over a lease whose row is malformed

Seen by operators: a lease row with a missing or wrong column (written by hand, or damaged) was taken over after the margin of 1 s, while its holder still acted; two daemons held the lease at the same time. The epoch of the takeover was 1, which had been used before, so that workers could not tell the two apart.

Cause: LeaseKeeper.parse read each missing column as 0 and refused none.

Change: parse refuses rows whose columns are missing, of another type or out of range. Such a lease is left alone, and lease.unreadable (PC3010) tells it once for each version of the row; a row with a higher epoch frees it. The check in PlacementStore that covered a part of this goes.

LeaseKeeperTest.malformedRowIsNotTakenOver: before, both daemons held the lease; after, it passes.

--- a/daemon/src/main/java/org/peridotcourse/daemon/control/ConfigEvent.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/control/ConfigEvent.java
@@ -57,7 +57,14 @@
             3009,
             "duty.failed",
             Level.ERROR,
-            "A step of a duty threw an unexpected exception; fields thread, duty, error");
+            "A step of a duty threw an unexpected exception; fields thread, duty, error"),
+    /** A lease row is malformed. */
+    LEASE_UNREADABLE(
+            3010,
+            "lease.unreadable",
+            Level.WARNING,
+            "A lease row is malformed, nobody takes the lease until it is replaced by a row with a"
+                    + " higher epoch; fields lease, rowCommit");
 
     private final EventInfo info;
 
--- a/daemon/src/main/java/org/peridotcourse/daemon/control/LeaseKeeper.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/control/LeaseKeeper.java
@@ -41,6 +41,9 @@
     private Optional<PendingWrite> pendingWrite = Optional.empty();
     private boolean stopping;
 
+    /** Commit of the last malformed row, 0 if none was read; each one is logged once. */
+    private long malformedCommit;
+
     /**
      * Creates an instance that does not hold the lease yet.
      *
@@ -238,27 +241,54 @@
 
     private boolean observeRow() {
         Result<Optional<Row>> read = store.row(TABLE, key);
-        if (read instanceof Result.Ok<Optional<Row>> ok) {
-            observe(clock.getAsLong(), ok.value());
-            return true;
+        return read instanceof Result.Ok<Optional<Row>> ok
+                && observe(clock.getAsLong(), ok.value());
+    }
+
+    /**
+     * Passes the row to the challenger unless its columns are malformed. The lease of a malformed
+     * row is not taken over, because its holder may act and its epoch is not known.
+     *
+     * @return true if the row is absent or well-formed
+     */
+    private boolean observe(long nowMillis, Optional<Row> currentRow) {
+        Optional<JsonNode> columns = currentRow.flatMap(Row::value);
+        Optional<LeaseRow> row = columns.flatMap(LeaseKeeper::parse);
+        long commit = currentRow.map(Row::commit).orElse(0L);
+        if (columns.isPresent() && row.isEmpty()) {
+            logMalformed(commit);
+            return false;
         }
-        return false;
+        challenger.observe(nowMillis, row, commit);
+        return true;
     }
 
-    private void observe(long nowMillis, Optional<Row> currentRow) {
-        challenger.observe(
-                nowMillis,
-                currentRow.flatMap(Row::value).flatMap(LeaseKeeper::parse),
-                currentRow.map(Row::commit).orElse(0L));
+    private void logMalformed(long commit) {
+        if (commit != malformedCommit) {
+            malformedCommit = commit;
+            log.event(ConfigEvent.LEASE_UNREADABLE)
+                    .with("lease", key)
+                    .with("rowCommit", commit)
+                    .write();
+        }
     }
 
     /**
      * Converts the JSON columns of a lease row.
      *
      * @param json the columns
-     * @return the row
+     * @return the row, or empty if a column is missing, of another type or out of range
      */
     public static Optional<LeaseRow> parse(JsonNode json) {
+        boolean valid =
+                json.path("holder").isTextual()
+                        && isAtLeast(1, json.path("epoch"))
+                        && isAtLeast(1, json.path("leaseMillis"))
+                        && isAtLeast(1, json.path("holdMillis"))
+                        && isAtLeast(0, json.path("beat"));
+        if (!valid) {
+            return Optional.empty();
+        }
         return Optional.of(
                 new LeaseRow(
                         json.path("holder").asText(),
@@ -268,6 +298,10 @@
                         json.path("beat").asLong()));
     }
 
+    private static boolean isAtLeast(long min, JsonNode column) {
+        return column.canConvertToLong() && column.isIntegralNumber() && column.asLong() >= min;
+    }
+
     private static JsonNode toJson(LeaseRow row) {
         return JsonNodeFactory.instance
                 .objectNode()
--- a/daemon/src/main/java/org/peridotcourse/daemon/placement/PlacementStore.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/placement/PlacementStore.java
@@ -241,11 +241,9 @@
                         .map(RowJson::resources)
                         .orElse(Resources.ZERO);
         Optional<Row> foundLeaseRow = leaseRow.toOptional().flatMap(row -> row);
-        // A malformed row is parsed as a hold of 0, which would release tasks that still run.
         foundLeaseRow
                 .flatMap(Row::value)
                 .flatMap(LeaseKeeper::parse)
-                .filter(row -> row.epoch() > 0 && row.holdMillis() > 0)
                 .ifPresent(
                         row ->
                                 eventSink.test(
--- a/daemon/src/test/java/org/peridotcourse/daemon/control/LeaseKeeperTest.java
+++ b/daemon/src/test/java/org/peridotcourse/daemon/control/LeaseKeeperTest.java
@@ -120,4 +120,16 @@
         runSeconds(4, restarted);
         assertEquals(2, restarted.heldLease(nowMillis).map(LeaseHolder::epoch).orElseThrow());
     }
+
+    /**
+     * A row that could not be parsed counted as a lease of 0 ms of the first epoch, so that it was
+     * taken over while its holder acted, under an epoch that had been used before.
+     */
+    @Test
+    void malformedRowIsNotTakenOver() {
+        runSeconds(30, first);
+        table.put(LeaseKeeper.TABLE, "acceptor", "{'holder':'d1','epoch':'x'}");
+        runSeconds(30, second);
+        assertFalse(isHeld(second));
+    }
 }
