Expect late lease calls for an earlier life of a worker

Seen by operators: a worker starts again under its id and then falls silent; a task that runs there is started on another worker while it still runs (TWICE).

Cause: a lease call without an answer that was computed for the clock of the life before may be carried out seconds later by the next life, and then grants it the longest lease, 6 s. The owner assumed that once, at the first report of the next life; from then on it counted 5 s from its own grants.

Change: for 12 s after the first report of a life, each report renews the assumption. The wait for a worker that falls silent in that time is at most 6.3 s from its last report, 1 s more than before, and still shorter than the 7 s after which a waiting task counts as lost.

DispatchFaultTest.aLeaseCallForAnEarlierIncarnationThatIsCarriedOutLateCausesNoDuplicateRuns: before, a task "runs on w0 and w1 at 19820"; after, it passes.

--- a/core/src/main/java/org/peridotcourse/dispatch/ReportProcessor.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/ReportProcessor.java
@@ -14,6 +14,9 @@
      */
     private static final long MAX_CLOCK_DECREASE_MILLIS = 1_000;
 
+    /** Longest time after which a worker may carry out a call that had no answer. */
+    private static final long MAX_CALL_DELAY_MILLIS = 12_000;
+
     /** Progress since the first report below which a projected duration is too inaccurate. */
     private static final int MIN_GAINED_PERCENT = 5;
 
@@ -41,6 +44,9 @@
         worker.onClockReading(report.clockMillis(), now);
         worker.lastReportAt = now;
         if (!worker.hasReported) {
+            worker.incarnationSeenAt = now;
+        }
+        if (now - worker.incarnationSeenAt < MAX_CALL_DELAY_MILLIS) {
             assumeLongestLease(worker, now);
         }
         if (!worker.reachable || !worker.hasReported) {
@@ -84,8 +90,8 @@
     /**
      * Assumes that the worker has just been granted the longest lease that it accepts. A call whose
      * lease end was computed for the clock of an earlier incarnation may have had that effect on
-     * the current one. At the first report it is not known whether there was an earlier
-     * incarnation.
+     * the current one, also seconds after its first report. At the first report to this owner it is
+     * not known whether there was an earlier incarnation.
      */
     private void assumeLongestLease(Worker worker, long now) {
         LeaseTimes times = state.term.leaseTimes();
@@ -103,7 +109,7 @@
         worker.lastAppliedEnd = 0;
         worker.lastStoredEnd = 0;
         worker.awaitingJobSince = 0;
-        assumeLongestLease(worker, now);
+        worker.incarnationSeenAt = now;
         worker.health.reset();
         worker.unknownRuns.clear();
         for (Run run : new ArrayList<>(worker.runs.values())) {
--- a/core/src/main/java/org/peridotcourse/dispatch/Worker.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/Worker.java
@@ -42,6 +42,9 @@
      */
     long incarnation;
 
+    /** When the present incarnation first reported to this owner. */
+    long incarnationSeenAt;
+
     /** Sequence number of the last end of a run that was applied. */
     long lastAppliedEnd;
 
--- a/core/src/test/java/org/peridotcourse/dispatch/DispatchFaultTest.java
+++ b/core/src/test/java/org/peridotcourse/dispatch/DispatchFaultTest.java
@@ -1,6 +1,7 @@
 package org.peridotcourse.dispatch;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
@@ -118,6 +119,26 @@
         simulation.run(10_000);
     }
 
+    /**
+     * A lease call for the incarnation before, carried out seconds after the first report of the
+     * new one, gave it the longest lease, which the owner counted from that report only.
+     */
+    @Test
+    void aLeaseCallForAnEarlierIncarnationThatIsCarriedOutLateCausesNoDuplicateRuns() {
+        DispatchSimulation simulation = new DispatchSimulation(5, 2, CAPACITY);
+        simulation.submit(QUEUE, step(8, 0).lasting(true).build());
+        simulation.run(10_000);
+        FakeWorker restarted = simulation.workers.get("w0");
+        LeaseCall late = simulation.owner.leaseCall("w0", 0, simulation.now).orElseThrow();
+        restarted.restart(simulation.now);
+        simulation.run(3_000);
+        assertFalse(restarted.active.isEmpty());
+        restarted.onLeaseCall(late, simulation.now);
+        simulation.run(simulation.waitMillis + 50);
+        simulation.unreachableWorkers.add("w0");
+        simulation.run(10_000);
+    }
+
     @Test
     void aLateStartThatReachesTheNextIncarnationCausesNoDuplicateRun() {
         DispatchSimulation simulation = new DispatchSimulation(3, 2, CAPACITY);
