Reject jobs whose amounts of resources are out of range

Seen by callers: a job with a negative number of accelerators, or with an amount near the largest 64-bit number, was accepted. Workers add such amounts to their reservations: a negative one, or a sum that overflows, makes room on a worker that has none, for all jobs.

Cause: JobSpec checked processor and memory for negative values only.

Change: each of the three amounts is from 0 to 10^12, else the job is refused with job-resources (400), before it is stored.

JobSpecTest.resourcesThatAreNegativeOrOverflowAreRejected: before, accelerators=-1 was accepted; after, it passes. That a worker is overloaded was not tried.

--- a/core/src/main/java/org/peridotcourse/dispatch/JobSpec.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/JobSpec.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import org.peridotcourse.Failure;
+import org.peridotcourse.Resources;
 import org.peridotcourse.Result;
 import org.peridotcourse.base.Codes;
 
@@ -25,6 +26,12 @@
      */
     public static final long MAX_TASKS_PER_JOB = 100_000;
 
+    /**
+     * Largest amount of each resource that a task requests: far above any worker, and small enough
+     * that sums over all tasks do not overflow.
+     */
+    public static final long MAX_RESOURCE_AMOUNT = 1_000_000_000_000L;
+
     /** The reasons to reject a job. Constants are immutable and thread-safe. */
     public enum Fault implements Failure {
         /** The request body does not describe a job. */
@@ -37,8 +44,8 @@
         JOB_SIZE("a job has at most " + MAX_TASKS_PER_JOB + " tasks"),
         /** A predecessor is not an earlier step. */
         ORDER("a step comes after earlier steps only"),
-        /** A resource is negative. */
-        RESOURCES("resources are not negative");
+        /** An amount of a resource is out of range. */
+        RESOURCES("each resource is from 0 to " + MAX_RESOURCE_AMOUNT);
 
         private final String message;
 
@@ -89,7 +96,10 @@
                     .anyMatch(predecessor -> predecessor < 0 || predecessor >= number)) {
                 return Result.failed(Fault.ORDER);
             }
-            if (step.resources().milliCores() < 0 || step.resources().memoryMib() < 0) {
+            Resources resources = step.resources();
+            if (isOutOfRange(resources.milliCores())
+                    || isOutOfRange(resources.memoryMib())
+                    || isOutOfRange(resources.accelerators())) {
                 return Result.failed(Fault.RESOURCES);
             }
         }
@@ -100,6 +110,10 @@
         return Result.ok(this);
     }
 
+    private static boolean isOutOfRange(long amount) {
+        return amount < 0 || amount > MAX_RESOURCE_AMOUNT;
+    }
+
     /**
      * Returns whether some step runs until the job is cancelled.
      *
--- a/core/src/test/java/org/peridotcourse/dispatch/JobSpecTest.java
+++ b/core/src/test/java/org/peridotcourse/dispatch/JobSpecTest.java
@@ -6,6 +6,7 @@
 import java.util.Collections;
 import java.util.List;
 import org.junit.jupiter.api.Test;
+import org.peridotcourse.Failure;
 import org.peridotcourse.Resources;
 
 /** Guards against jobs with so many tasks that the owner runs out of memory. */
@@ -33,4 +34,29 @@
         assertTooLarge(job(1, 1, Integer.MAX_VALUE));
         assertTooLarge(job(1_000, JobSpec.MAX_TASKS_PER_STEP, Integer.MAX_VALUE));
     }
+
+    /**
+     * A negative amount, or one with which the sum of a worker's reservations overflows, made other
+     * tasks fit onto a worker that was full.
+     */
+    @Test
+    void resourcesThatAreNegativeOrOverflowAreRejected() {
+        Resources[] faulty = {
+            Resources.of(-1, 1, 1),
+            Resources.of(1, -1, 1),
+            Resources.of(1, 1, -1),
+            Resources.of(Long.MAX_VALUE, 1, 1),
+            Resources.of(1, Long.MAX_VALUE, 1),
+            Resources.of(1, 1, Long.MAX_VALUE)
+        };
+        for (Resources resources : faulty) {
+            StepSpec step = StepSpec.builder(1, resources).build();
+            Failure fault =
+                    new JobSpec("payload", List.of(step), Schedule.ONCE)
+                            .validate()
+                            .failure()
+                            .orElseThrow(() -> new AssertionError("accepted: " + resources));
+            assertEquals(JobSpec.Fault.RESOURCES, fault);
+        }
+    }
 }
