Take over a lease whose row was removed

Seen by operators: after the row of a lease was removed from the store, no daemon that had read it before could take the lease until its restart (its takeovers checked the commit of the removed row).

Cause: LeaseChallenger ignored a read without a row as older than the last one.

Change: the row that was read last is retained with commit 0 and the wait starts again, so that the holder has time to notice, and the epoch of the takeover is later than those before.

LeaseRulesTest.removedRowIsTakenOverAfterTheLeaseUnderALaterEpoch: before, a takeover was offered at once with the old commit; after, it passes.

--- a/core/src/main/java/org/peridotcourse/base/LeaseChallenger.java
+++ b/core/src/main/java/org/peridotcourse/base/LeaseChallenger.java
@@ -53,7 +53,7 @@
     /**
      * Returns the last observed row.
      *
-     * @return the row, or empty if it is absent or has not been read
+     * @return the row, or empty if none has been read
      */
     public Optional<LeaseRow> row() {
         return row;
@@ -62,6 +62,9 @@
     /**
      * Records the result of a read of the row. Results older than the last one are ignored.
      *
+     * <p>If the row was removed, the last one is retained, so that the epoch of a takeover is later
+     * than the epochs before, and its lease starts again.
+     *
      * @param nowMillis the current time
      * @param readRow the row, or empty if it is absent
      * @param readCommit the commit of the row, 0 if it is absent
@@ -72,6 +75,9 @@
             row = readRow;
             commit = readCommit;
             lastChangeMillis = nowMillis;
+        } else if (readRow.isEmpty() && commit > 0) {
+            commit = 0;
+            lastChangeMillis = nowMillis;
         }
     }
 
--- a/core/src/test/java/org/peridotcourse/base/LeaseRulesTest.java
+++ b/core/src/test/java/org/peridotcourse/base/LeaseRulesTest.java
@@ -60,6 +60,19 @@
         assertTrue(challenger.isHoldExpired(601_000));
     }
 
+    /**
+     * A challenger ignored that a row had been removed, so that its takeovers checked a commit that
+     * no longer existed and nobody held the lease again.
+     */
+    @Test
+    void removedRowIsTakenOverAfterTheLeaseUnderALaterEpoch() {
+        LeaseChallenger challenger = challenger(ROW);
+        challenger.observe(20_000, Optional.empty(), 0);
+        assertTrue(challenger.takeover(29_999, 9_000, 600_000).isEmpty(), "the holder may act");
+        assertEquals(2, challenger.takeover(30_000, 9_000, 600_000).orElseThrow().epoch());
+        assertEquals(0, challenger.commit());
+    }
+
     /**
      * Guards against a worker lease that outlasts the owner's bound because of a delayed message.
      */
