--- a/daemon/src/test/java/org/peridotcourse/daemon/entry/RequestKeyTest.java
+++ b/daemon/src/test/java/org/peridotcourse/daemon/entry/RequestKeyTest.java
@@ -131,6 +131,36 @@
         assertEquals(200, post(second, "order", "undone").statusCode());
     }
 
+    /**
+     * A read that failed after a conflict was taken for a claim that was not written, so the claim
+     * of a refused request stayed, and no request with its key could run.
+     */
+    @Test
+    void claimIsReleasedAlthoughTheReadThatShowsItsOutcomeFails() throws Exception {
+        store.loseResponseAndBecomeUnavailable();
+        assertEquals("503 not-run store-unavailable", summary(post(first, "order", "k")));
+        assertEquals("claimed", state("k"), "the lost write took effect");
+        store.failReads(2);
+        store.setUnavailable(false);
+        EntryFixture.await("the claim is released", () -> state("k").equals("absent"));
+        assertEquals(200, post(second, "order", "k").statusCode());
+        assertEquals(1, backend.received().size());
+    }
+
+    /**
+     * A repeat was told that it had not run when the row of its key could not be read, although the
+     * first request had run.
+     */
+    @Test
+    void repeatOfARunRequestIsNotSaidNotToHaveRunWhenItsRowCannotBeRead() throws Exception {
+        assertEquals(200, post(first, "order", "k").statusCode());
+        EntryFixture.await("the response is stored", () -> state("k").equals("done"));
+        store.failReads(1);
+        assertEquals("409 unknown key-in-progress", summary(post(second, "order", "k")));
+        assertEquals(200, post(second, "order", "k").statusCode());
+        assertEquals(1, backend.received().size(), "ran once");
+    }
+
     @Test
     void claimsWithinFiveMillisecondsShareTransactions() throws Exception {
         int count = 100;
