Order a pace again at the next report if its order failed

Cause: after a failed order the pace was set to -1. That value was compared as if it were a pace: it counted as lower than 0, so that a pause waited for another 700 ms, and as a low pace, so that a run at full speed counted as slow.

Change: whether the pace is known is a state of its own. A pace that is not known is ordered at the next report, whatever it is.

--- a/core/src/main/java/org/peridotcourse/dispatch/FillThrottle.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/FillThrottle.java
@@ -15,11 +15,6 @@
     /** The pace of a task that is not throttled, in percent. */
     static final int FULL_PACE_PERCENT = 100;
 
-    /**
-     * The pace after a failed order; differs from all valid paces, so that the order is repeated.
-     */
-    private static final int UNSET_PACE = -1;
-
     /**
      * Fraction of its latency target from which a serving task counts as over the target. It is
      * below 1 because reported latencies are rounded.
@@ -232,6 +227,7 @@
         boolean settled = now - fill.paceChangedAt >= SETTLE_MILLIS;
         if (target < MOVE_BELOW_PACE
                 && fill.pacePercent < MOVE_BELOW_PACE
+                && fill.paceKnown
                 && settled
                 && isMovable(fill, now)
                 && state.limits.allowsMove(fill)
@@ -240,6 +236,10 @@
             return;
         }
         int pace = target / PACE_STEP * PACE_STEP;
+        if (!fill.paceKnown) {
+            orderPace(fill, pace, now);
+            return;
+        }
         boolean lower = pace < fill.pacePercent;
         boolean largeChange = Math.abs(pace - fill.pacePercent) >= MIN_PACE_CHANGE;
         boolean atBound = pace == 0 || pace == FULL_PACE_PERCENT;
@@ -255,10 +255,11 @@
     }
 
     private void orderPace(Run fill, int percent, long now) {
-        if (fill.pacePercent == percent) {
+        if (fill.paceKnown && fill.pacePercent == percent) {
             return;
         }
         fill.pacePercent = percent;
+        fill.paceKnown = true;
         if (percent >= MOVE_BELOW_PACE) {
             fill.lowPaceSince = 0;
         } else if (fill.lowPaceSince == 0) {
@@ -284,7 +285,7 @@
         }
         Run run = worker.runs.get(new Run.Key(order.task(), order.attempt()));
         if (run != null) {
-            run.pacePercent = UNSET_PACE;
+            run.paceKnown = false;
         }
     }
 }
--- a/core/src/main/java/org/peridotcourse/dispatch/Run.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/Run.java
@@ -46,9 +46,12 @@
     /** Last reported tail response time in milliseconds if it serves, else processor use. */
     double measurement;
 
-    /** Pace set by the owner: the percentage of full speed at which the worker runs the task. */
+    /** Last ordered pace: the percentage of full speed at which the worker runs the task. */
     int pacePercent = FillThrottle.FULL_PACE_PERCENT;
 
+    /** False if the worker may run the task at another pace, since the last order failed. */
+    boolean paceKnown = true;
+
     /** When the pace was last changed. */
     long paceChangedAt;
 
--- a/core/src/test/java/org/peridotcourse/dispatch/DispatchSimulation.java
+++ b/core/src/test/java/org/peridotcourse/dispatch/DispatchSimulation.java
@@ -16,6 +16,7 @@
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
+import java.util.function.Predicate;
 import java.util.function.ToLongFunction;
 import org.peridotcourse.Resources;
 
@@ -53,6 +54,9 @@
     /** Share of orders that are carried out at once but get no reply. */
     double unansweredOrderShare;
 
+    /** Selects the orders that are not carried out and get no reply. */
+    Predicate<Order> isLost = order -> false;
+
     /** How long a lease call waits for the end of a run. */
     long waitMillis = 500;
 
--- a/core/src/test/java/org/peridotcourse/dispatch/SimulatedWorkerCalls.java
+++ b/core/src/test/java/org/peridotcourse/dispatch/SimulatedWorkerCalls.java
@@ -123,7 +123,7 @@
     /** Sends an order. */
     void send(DispatchOwner sender, Order order) {
         FakeWorker worker = simulation.workers.get(order.worker().id());
-        if (!isReachable(worker)) {
+        if (!isReachable(worker) || simulation.isLost.test(order)) {
             reply(sender, order, OrderReply.UNANSWERED, ORDER_TIMEOUT_MILLIS);
             return;
         }
