Treat the pace of adopted runs as unknown

A filling task that an earlier owner had paused stays paused after a change of the owner, and its job does not end.

Cause: an adopted run counted as running at full pace, which the successor therefore never ordered.

Change: the pace of an adopted run is unknown, so it is ordered. Runs that use all the processor that they request, half a second after the adoption, count as running at full pace; a takeover then needs no order for them.

Before: 4 s after a takeover and the end of its serving neighbour, a paused run still had pace 0 (aSuccessorRestoresTheFullPaceWithoutServingTasks).

--- a/core/src/main/java/org/peridotcourse/dispatch/FillThrottle.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/FillThrottle.java
@@ -39,6 +39,9 @@
     /** Time after which reports show the effect of a change of the pace. */
     private static final long SETTLE_MILLIS = 700;
 
+    /** Fraction of the requested processor from which a filling task runs at full pace. */
+    private static final double FULL_USE_SHARE = 0.95;
+
     /**
      * Smoothed fraction of a worker's processor below which the use by an image is no longer
      * tracked.
@@ -98,6 +101,7 @@
             }
         }
         updateSmoothedUse(worker, fills, now);
+        fills.forEach(fill -> recognizeFullPace(fill, now));
         if (serving.isEmpty()) {
             fills.forEach(fill -> orderPace(fill, FULL_PACE_PERCENT, now));
             return;
@@ -115,6 +119,27 @@
         }
     }
 
+    /**
+     * Recognizes adopted runs at full pace by their use of the processor, so that a successor need
+     * not order the pace of each run that it adopts.
+     */
+    private static void recognizeFullPace(Run fill, long now) {
+        boolean usesAll = fill.measurement >= FULL_USE_SHARE * fill.spec().resources().milliCores();
+        if (isPaceOfEarlierOwner(fill) && usesAll && isUseUpToDate(fill, now)) {
+            fill.pacePercent = FULL_PACE_PERCENT;
+            fill.paceKnown = true;
+        }
+    }
+
+    private static boolean isPaceOfEarlierOwner(Run fill) {
+        return !fill.paceKnown && fill.paceChangedAt == 0;
+    }
+
+    /** Returns whether the reported use was measured after the adoption of the run. */
+    private static boolean isUseUpToDate(Run fill, long now) {
+        return now - fill.orderedAt >= SAMPLE_INTERVAL_MILLIS;
+    }
+
     /**
      * Updates the moving average of the processor use of each filling image. The average lags
      * behind the use as its effect on tail latencies does.
@@ -255,7 +280,9 @@
     }
 
     private void orderPace(Run fill, int percent, long now) {
-        if (fill.paceKnown && fill.pacePercent == percent) {
+        boolean mayBeAtFullPace = isPaceOfEarlierOwner(fill) && !isUseUpToDate(fill, now);
+        if (fill.paceKnown && fill.pacePercent == percent
+                || percent == FULL_PACE_PERCENT && mayBeAtFullPace) {
             return;
         }
         fill.pacePercent = percent;
--- a/core/src/main/java/org/peridotcourse/dispatch/ReportProcessor.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/ReportProcessor.java
@@ -199,6 +199,7 @@
 
     private Run adopt(Task task, WorkerReport.ActiveRun active, Worker worker, long now) {
         Run run = new Run(task, active.attempt(), worker, now);
+        run.paceKnown = false;
         task.lastAttempt = Math.max(task.lastAttempt, active.attempt());
         task.startedOrAdopted = true;
         task.runs.add(run);
--- a/core/src/main/java/org/peridotcourse/dispatch/Run.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/Run.java
@@ -49,7 +49,10 @@
     /** Last ordered pace: the percentage of full speed at which the worker runs the task. */
     int pacePercent = FillThrottle.FULL_PACE_PERCENT;
 
-    /** False if the worker may run the task at another pace, since the last order failed. */
+    /**
+     * False if the worker may run the task at another pace, since the last order failed or an
+     * earlier owner set the pace.
+     */
     boolean paceKnown = true;
 
     /** When the pace was last changed. */
--- a/core/src/test/java/org/peridotcourse/dispatch/FillThrottleTest.java
+++ b/core/src/test/java/org/peridotcourse/dispatch/FillThrottleTest.java
@@ -70,6 +70,31 @@
         return paces;
     }
 
+    /** A successor took the pace of adopted runs for full, so it never ordered full pace. */
+    @Test
+    void aSuccessorRestoresTheFullPaceOfAPausedRun() {
+        String filling = startBoth();
+        tail = HIGH_TAIL_MILLIS;
+        simulation.run(3_000);
+        assertEquals(List.of(0), pacesOf(simulation, filling));
+        simulation.takeOver(simulation.now);
+        tail = CALM_TAIL_MILLIS;
+        simulation.run(4_000);
+        assertEquals(List.of(100), pacesOf(simulation, filling));
+    }
+
+    /** The same on a worker whose serving task has left. */
+    @Test
+    void aSuccessorRestoresTheFullPaceWithoutServingTasks() {
+        String filling = startBoth();
+        tail = HIGH_TAIL_MILLIS;
+        simulation.run(3_000);
+        simulation.takeOver(simulation.now);
+        simulation.cancel("0000000000000001");
+        simulation.run(4_000);
+        assertEquals(List.of(100), pacesOf(simulation, filling));
+    }
+
     /**
      * After a lost order, a pace of 10 percent was not ordered again, since it was compared with
      * the value that stood for an unknown pace.
