Order a lost pace again at once, not after the next report

Cause: a pace without a reply was ordered again with the next report, so each lost order cost its time-out of 600 ms and up to 500 ms more. Three lost orders in a row used up the 4 s that are allowed.

Change: a lower pace that had no reply, expired or met an unhealthy worker is ordered again with the reply, at most each 300 ms and only while the worker answers lease calls. A pace counts as changed from the reply on.

Before: with three lost orders the filling task was at full pace after 3.5 s over the target (threeLostOrdersDoNotHoldATaskOverItsTarget); after: paused.

--- a/core/src/main/java/org/peridotcourse/dispatch/DispatchOwner.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/DispatchOwner.java
@@ -397,7 +397,7 @@
     public void onOrderReply(Order order, OrderReply reply, long now) {
         state.orderWindow.onReply(order, reply, now);
         runs.onReply(order, reply, now);
-        throttle.onOrderReply(order, reply);
+        throttle.onOrderReply(order, reply, now);
     }
 
     /**
--- a/core/src/main/java/org/peridotcourse/dispatch/FillThrottle.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/FillThrottle.java
@@ -77,6 +77,9 @@
      */
     private static final long PACE_HORIZON_MILLIS = 700;
 
+    /** Shortest time between an order for a pace and its repetition without a new report. */
+    private static final long MIN_REPEAT_MILLIS = 300;
+
     private final OwnerState state;
     private final RunLifecycle runs;
     private final WorkerSelector selector;
@@ -304,15 +307,38 @@
                         percent));
     }
 
-    /** Handles the reply to an order. A pace that the worker did not accept is ordered again. */
-    void onOrderReply(Order order, OrderReply reply) {
+    /**
+     * Handles the reply to an order. A lower pace that the worker did not accept is ordered again
+     * at once, a full pace after the next report.
+     */
+    void onOrderReply(Order order, OrderReply reply, long now) {
         Worker worker = state.workers.get(order.worker().id());
-        if (!(order instanceof Order.Pace) || reply == OrderReply.ACCEPTED || worker == null) {
+        if (!(order instanceof Order.Pace pace) || worker == null) {
             return;
         }
         Run run = worker.runs.get(new Run.Key(order.task(), order.attempt()));
-        if (run != null) {
-            run.paceKnown = false;
+        if (run == null) {
+            return;
         }
+        boolean isLatest = pace.percent() == run.pacePercent;
+        if (reply == OrderReply.ACCEPTED) {
+            run.paceChangedAt = isLatest ? now : run.paceChangedAt;
+            return;
+        }
+        run.paceKnown = false;
+        boolean repeats =
+                isLatest
+                        && pace.percent() < FULL_PACE_PERCENT
+                        && worker.reachable
+                        && now - run.paceChangedAt >= MIN_REPEAT_MILLIS;
+        if (repeats && mayCarryOutRepeat(reply)) {
+            orderPace(run, pace.percent(), now);
+        }
+    }
+
+    private static boolean mayCarryOutRepeat(OrderReply reply) {
+        return reply == OrderReply.UNANSWERED
+                || reply == OrderReply.EXPIRED
+                || reply == OrderReply.UNHEALTHY;
     }
 }
--- a/core/src/test/java/org/peridotcourse/dispatch/FillThrottleTest.java
+++ b/core/src/test/java/org/peridotcourse/dispatch/FillThrottleTest.java
@@ -21,6 +21,9 @@
     private static final double CALM_TAIL_MILLIS = 6;
     private static final double HIGH_TAIL_MILLIS = 60;
 
+    /** Time over the target beside working filling tasks that the users allow. */
+    private static final long MAX_HARM_MILLIS = 4_000;
+
     /** The time-out of an order and the interval of reports. */
     private static final long MAX_REPEAT_MILLIS = 1_200;
 
@@ -157,4 +160,15 @@
             return orderedLater || !pacesOf(simulation, filling).equals(List.of(paceBefore));
         }
     }
+
+    /** The repeat of a lost order waited for another report, beyond the time that is allowed. */
+    @Test
+    void threeLostOrdersDoNotHoldATaskOverItsTarget() {
+        String filling = startBoth();
+        tail = HIGH_TAIL_MILLIS;
+        int[] paceOrders = new int[1];
+        simulation.isLost = order -> order instanceof Order.Pace && paceOrders[0]++ < 3;
+        simulation.run(MAX_HARM_MILLIS - 500);
+        assertEquals(List.of(0), pacesOf(simulation, filling));
+    }
 }
