Order a pace again if the reported use exceeds it

A filling task works on at a higher pace than the owner believes.

Cause: an order without a reply may be carried out after a newer one. The owner kept the newer pace as known and never compared it with the use of the processor that workers report.

Change: a pace counts as unknown if 700 ms after its change the run uses more than the pace allows, with 25 percentage points for the rough figure.

Before: a paused run that the worker sets to full pace was still at full pace after 2 s (aPaceThatIsExceededIsOrderedAgain); after: paused.

--- a/core/src/main/java/org/peridotcourse/dispatch/FillThrottle.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/FillThrottle.java
@@ -42,6 +42,12 @@
     /** Fraction of the requested processor from which a filling task runs at full pace. */
     private static final double FULL_USE_SHARE = 0.95;
 
+    /**
+     * Use of the processor above the pace, in percentage points of the request, that shows another
+     * pace than the ordered one. Reported uses are rough.
+     */
+    private static final int EXCESS_PERCENT = 25;
+
     /**
      * Smoothed fraction of a worker's processor below which the use by an image is no longer
      * tracked.
@@ -104,7 +110,10 @@
             }
         }
         updateSmoothedUse(worker, fills, now);
-        fills.forEach(fill -> recognizeFullPace(fill, now));
+        for (Run fill : fills) {
+            recognizeFullPace(fill, now);
+            recognizeExceededPace(fill, now);
+        }
         if (serving.isEmpty()) {
             fills.forEach(fill -> orderPace(fill, FULL_PACE_PERCENT, now));
             return;
@@ -134,6 +143,18 @@
         }
     }
 
+    /**
+     * Recognizes runs that use more of the processor than their pace allows: an order without a
+     * reply may be carried out after a newer one.
+     */
+    private static void recognizeExceededPace(Run fill, long now) {
+        double allowedShare = (fill.pacePercent + EXCESS_PERCENT) / (double) FULL_PACE_PERCENT;
+        boolean exceeds = fill.measurement > allowedShare * fill.spec().resources().milliCores();
+        if (exceeds && now - fill.paceChangedAt >= SETTLE_MILLIS) {
+            fill.paceKnown = false;
+        }
+    }
+
     private static boolean isPaceOfEarlierOwner(Run fill) {
         return !fill.paceKnown && fill.paceChangedAt == 0;
     }
--- a/core/src/test/java/org/peridotcourse/dispatch/FillThrottleTest.java
+++ b/core/src/test/java/org/peridotcourse/dispatch/FillThrottleTest.java
@@ -161,6 +161,19 @@
         }
     }
 
+    /** An order that was delivered late set a higher pace than the latest order. */
+    @Test
+    void aPaceThatIsExceededIsOrderedAgain() {
+        String filling = startBoth();
+        tail = HIGH_TAIL_MILLIS;
+        simulation.run(3_000);
+        assertEquals(List.of(0), pacesOf(simulation, filling));
+        FakeWorker worker = simulation.workers.values().iterator().next();
+        worker.active.values().forEach(run -> run.pacePercent = 100);
+        simulation.run(2_000);
+        assertEquals(List.of(0), pacesOf(simulation, filling));
+    }
+
     /** The repeat of a lost order waited for another report, beyond the time that is allowed. */
     @Test
     void threeLostOrdersDoNotHoldATaskOverItsTarget() {
