Pause filling runs whose stop has not been confirmed

A filling task whose stop is lost works on at full speed beside a serving task over its target.

Cause: a run was left out of the paces, of the losses and of the processor use from which interference is learned, as soon as its stop was requested.

Change: such a run counts until its stop is confirmed. If that takes more than 500 ms and the run may not run at full pace, it is paused.

Before: a cancelled filling task whose stops are lost was at full pace after 4 s over the target (aRunWhoseStopIsLostIsPaused); after: paused.

--- a/core/src/main/java/org/peridotcourse/dispatch/FillThrottle.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/FillThrottle.java
@@ -83,6 +83,9 @@
      */
     private static final long PACE_HORIZON_MILLIS = 700;
 
+    /** Time after which a stop without a confirmation counts as failed. */
+    private static final long STOP_GRACE_MILLIS = 500;
+
     /** Shortest time between an order for a pace and its repetition without a new report. */
     private static final long MIN_REPEAT_MILLIS = 300;
 
@@ -103,7 +106,7 @@
         List<Run> fills = new ArrayList<>();
         List<Run> serving = new ArrayList<>();
         for (Run run : worker.runs.values()) {
-            if (run.spec().isFilling() && run.confirmed && !run.isStopping()) {
+            if (run.spec().isFilling() && run.confirmed && run.stopConfirmedAt == 0) {
                 fills.add(run);
             } else if (run.isServing() && run.percent > 0) {
                 serving.add(run);
@@ -115,7 +118,11 @@
             recognizeExceededPace(fill, now);
         }
         if (serving.isEmpty()) {
-            fills.forEach(fill -> orderPace(fill, FULL_PACE_PERCENT, now));
+            for (Run fill : fills) {
+                if (!fill.isStopping()) {
+                    orderPace(fill, FULL_PACE_PERCENT, now);
+                }
+            }
             return;
         }
         for (Run run : serving) {
@@ -127,7 +134,19 @@
             for (Run run : serving) {
                 pace = Math.min(pace, maxPace(run, fill, fills, now));
             }
-            moveOrPace(fill, pace, now);
+            if (!fill.isStopping()) {
+                moveOrPace(fill, pace, now);
+            } else if (now - fill.stopRequestedAt >= STOP_GRACE_MILLIS) {
+                pauseUnlessFull(fill, pace, now);
+            }
+        }
+    }
+
+    /** Pauses a run that may not run at full pace and whose stop has not been confirmed. */
+    private void pauseUnlessFull(Run fill, int target, long now) {
+        boolean isPaused = fill.paceKnown && fill.pacePercent == 0;
+        if (target < FULL_PACE_PERCENT && !isPaused) {
+            orderPace(fill, 0, now);
         }
     }
 
--- a/core/src/main/java/org/peridotcourse/dispatch/Run.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/Run.java
@@ -26,6 +26,9 @@
 
     StopReason stopReason;
 
+    /** When the stop was requested. */
+    long stopRequestedAt;
+
     /** When the worker confirmed the stop, 0 if it has not. */
     long stopConfirmedAt;
 
@@ -115,6 +118,7 @@
     void requestStop(StopReason reason, long now) {
         if (stopReason == null) {
             stopReason = reason;
+            stopRequestedAt = now;
             nextStopAt = now;
             worker.hasPendingStops = true;
         }
--- a/core/src/test/java/org/peridotcourse/dispatch/FillThrottleTest.java
+++ b/core/src/test/java/org/peridotcourse/dispatch/FillThrottleTest.java
@@ -161,6 +161,17 @@
         }
     }
 
+    /** A run that was being stopped was not slowed down, although its stop was lost each time. */
+    @Test
+    void aRunWhoseStopIsLostIsPaused() {
+        String filling = startBoth();
+        simulation.isLost = order -> order instanceof Order.Stop;
+        simulation.cancel(filling);
+        tail = HIGH_TAIL_MILLIS;
+        simulation.run(MAX_HARM_MILLIS);
+        assertEquals(List.of(0), pacesOf(simulation, filling));
+    }
+
     /** An order that was delivered late set a higher pace than the latest order. */
     @Test
     void aPaceThatIsExceededIsOrderedAgain() {
