--- a/core/src/main/java/org/peridotcourse/dispatch/FillThrottle.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/FillThrottle.java
@@ -15,11 +15,6 @@
     /** The pace of a task that is not throttled, in percent. */
     static final int FULL_PACE_PERCENT = 100;
 
-    /**
-     * The pace after a failed order; differs from all valid paces, so that the order is repeated.
-     */
-    private static final int UNSET_PACE = -1;
-
     /**
      * Fraction of its latency target from which a serving task counts as over the target. It is
      * below 1 because reported latencies are rounded.
@@ -44,6 +39,15 @@
     /** Time after which reports show the effect of a change of the pace. */
     private static final long SETTLE_MILLIS = 700;
 
+    /** Fraction of the requested processor from which a filling task runs at full pace. */
+    private static final double FULL_USE_SHARE = 0.95;
+
+    /**
+     * Use of the processor above the pace, in percentage points of the request, that shows another
+     * pace than the ordered one. Reported uses are rough.
+     */
+    private static final int EXCESS_PERCENT = 25;
+
     /**
      * Smoothed fraction of a worker's processor below which the use by an image is no longer
      * tracked.
@@ -79,6 +83,12 @@
      */
     private static final long PACE_HORIZON_MILLIS = 700;
 
+    /** Time after which a stop without a confirmation counts as failed. */
+    private static final long STOP_GRACE_MILLIS = 500;
+
+    /** Shortest time between an order for a pace and its repetition without a new report. */
+    private static final long MIN_REPEAT_MILLIS = 300;
+
     private final OwnerState state;
     private final RunLifecycle runs;
     private final WorkerSelector selector;
@@ -96,15 +106,23 @@
         List<Run> fills = new ArrayList<>();
         List<Run> serving = new ArrayList<>();
         for (Run run : worker.runs.values()) {
-            if (run.spec().isFilling() && run.confirmed && !run.isStopping()) {
+            if (run.spec().isFilling() && run.confirmed && run.stopConfirmedAt == 0) {
                 fills.add(run);
             } else if (run.isServing() && run.percent > 0) {
                 serving.add(run);
             }
         }
         updateSmoothedUse(worker, fills, now);
+        for (Run fill : fills) {
+            recognizeFullPace(fill, now);
+            recognizeExceededPace(fill, now);
+        }
         if (serving.isEmpty()) {
-            fills.forEach(fill -> orderPace(fill, FULL_PACE_PERCENT, now));
+            for (Run fill : fills) {
+                if (!fill.isStopping()) {
+                    orderPace(fill, FULL_PACE_PERCENT, now);
+                }
+            }
             return;
         }
         for (Run run : serving) {
@@ -116,10 +134,55 @@
             for (Run run : serving) {
                 pace = Math.min(pace, maxPace(run, fill, fills, now));
             }
-            moveOrPace(fill, pace, now);
+            if (!fill.isStopping()) {
+                moveOrPace(fill, pace, now);
+            } else if (now - fill.stopRequestedAt >= STOP_GRACE_MILLIS) {
+                pauseUnlessFull(fill, pace, now);
+            }
+        }
+    }
+
+    /** Pauses a run that may not run at full pace and whose stop has not been confirmed. */
+    private void pauseUnlessFull(Run fill, int target, long now) {
+        boolean isPaused = fill.paceKnown && fill.pacePercent == 0;
+        if (target < FULL_PACE_PERCENT && !isPaused) {
+            orderPace(fill, 0, now);
+        }
+    }
+
+    /**
+     * Recognizes adopted runs at full pace by their use of the processor, so that a successor need
+     * not order the pace of each run that it adopts.
+     */
+    private static void recognizeFullPace(Run fill, long now) {
+        boolean usesAll = fill.measurement >= FULL_USE_SHARE * fill.spec().resources().milliCores();
+        if (isPaceOfEarlierOwner(fill) && usesAll && isUseUpToDate(fill, now)) {
+            fill.pacePercent = FULL_PACE_PERCENT;
+            fill.paceKnown = true;
         }
     }
 
+    /**
+     * Recognizes runs that use more of the processor than their pace allows: an order without a
+     * reply may be carried out after a newer one.
+     */
+    private static void recognizeExceededPace(Run fill, long now) {
+        double allowedShare = (fill.pacePercent + EXCESS_PERCENT) / (double) FULL_PACE_PERCENT;
+        boolean exceeds = fill.measurement > allowedShare * fill.spec().resources().milliCores();
+        if (exceeds && now - fill.paceChangedAt >= SETTLE_MILLIS) {
+            fill.paceKnown = false;
+        }
+    }
+
+    private static boolean isPaceOfEarlierOwner(Run fill) {
+        return !fill.paceKnown && fill.paceChangedAt == 0;
+    }
+
+    /** Returns whether the reported use was measured after the adoption of the run. */
+    private static boolean isUseUpToDate(Run fill, long now) {
+        return now - fill.orderedAt >= SAMPLE_INTERVAL_MILLIS;
+    }
+
     /**
      * Updates the moving average of the processor use of each filling image. The average lags
      * behind the use as its effect on tail latencies does.
@@ -232,6 +295,7 @@
         boolean settled = now - fill.paceChangedAt >= SETTLE_MILLIS;
         if (target < MOVE_BELOW_PACE
                 && fill.pacePercent < MOVE_BELOW_PACE
+                && fill.paceKnown
                 && settled
                 && isMovable(fill, now)
                 && state.limits.allowsMove(fill)
@@ -240,6 +304,10 @@
             return;
         }
         int pace = target / PACE_STEP * PACE_STEP;
+        if (!fill.paceKnown) {
+            orderPace(fill, pace, now);
+            return;
+        }
         boolean lower = pace < fill.pacePercent;
         boolean largeChange = Math.abs(pace - fill.pacePercent) >= MIN_PACE_CHANGE;
         boolean atBound = pace == 0 || pace == FULL_PACE_PERCENT;
@@ -255,10 +323,13 @@
     }
 
     private void orderPace(Run fill, int percent, long now) {
-        if (fill.pacePercent == percent) {
+        boolean mayBeAtFullPace = isPaceOfEarlierOwner(fill) && !isUseUpToDate(fill, now);
+        if (fill.paceKnown && fill.pacePercent == percent
+                || percent == FULL_PACE_PERCENT && mayBeAtFullPace) {
             return;
         }
         fill.pacePercent = percent;
+        fill.paceKnown = true;
         if (percent >= MOVE_BELOW_PACE) {
             fill.lowPaceSince = 0;
         } else if (fill.lowPaceSince == 0) {
@@ -276,15 +347,38 @@
                         percent));
     }
 
-    /** Handles the reply to an order. A pace that the worker did not accept is ordered again. */
-    void onOrderReply(Order order, OrderReply reply) {
+    /**
+     * Handles the reply to an order. A lower pace that the worker did not accept is ordered again
+     * at once, a full pace after the next report.
+     */
+    void onOrderReply(Order order, OrderReply reply, long now) {
         Worker worker = state.workers.get(order.worker().id());
-        if (!(order instanceof Order.Pace) || reply == OrderReply.ACCEPTED || worker == null) {
+        if (!(order instanceof Order.Pace pace) || worker == null) {
             return;
         }
         Run run = worker.runs.get(new Run.Key(order.task(), order.attempt()));
-        if (run != null) {
-            run.pacePercent = UNSET_PACE;
+        if (run == null) {
+            return;
         }
+        boolean isLatest = pace.percent() == run.pacePercent;
+        if (reply == OrderReply.ACCEPTED) {
+            run.paceChangedAt = isLatest ? now : run.paceChangedAt;
+            return;
+        }
+        run.paceKnown = false;
+        boolean repeats =
+                isLatest
+                        && pace.percent() < FULL_PACE_PERCENT
+                        && worker.reachable
+                        && now - run.paceChangedAt >= MIN_REPEAT_MILLIS;
+        if (repeats && mayCarryOutRepeat(reply)) {
+            orderPace(run, pace.percent(), now);
+        }
+    }
+
+    private static boolean mayCarryOutRepeat(OrderReply reply) {
+        return reply == OrderReply.UNANSWERED
+                || reply == OrderReply.EXPIRED
+                || reply == OrderReply.UNHEALTHY;
     }
 }
--- a/core/src/main/java/org/peridotcourse/dispatch/Run.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/Run.java
@@ -26,6 +26,9 @@
 
     StopReason stopReason;
 
+    /** When the stop was requested. */
+    long stopRequestedAt;
+
     /** When the worker confirmed the stop, 0 if it has not. */
     long stopConfirmedAt;
 
@@ -46,9 +49,15 @@
     /** Last reported tail response time in milliseconds if it serves, else processor use. */
     double measurement;
 
-    /** Pace set by the owner: the percentage of full speed at which the worker runs the task. */
+    /** Last ordered pace: the percentage of full speed at which the worker runs the task. */
     int pacePercent = FillThrottle.FULL_PACE_PERCENT;
 
+    /**
+     * False if the worker may run the task at another pace, since the last order failed or an
+     * earlier owner set the pace.
+     */
+    boolean paceKnown = true;
+
     /** When the pace was last changed. */
     long paceChangedAt;
 
@@ -109,6 +118,7 @@
     void requestStop(StopReason reason, long now) {
         if (stopReason == null) {
             stopReason = reason;
+            stopRequestedAt = now;
             nextStopAt = now;
             worker.hasPendingStops = true;
         }
