Parse one call of a connection at a time and bound those that wait

Cause: the servers for callers use SameThreadIOStrategy, which has no worker pool. Grizzly 4.0.2 suspends the filter chain, and with it reading, only when it passes a call to a pool; Response.suspend() alone does not. So reading went on while a call was processed. A call that arrived alone was parsed and started beside the first one. Bytes that arrived while Grizzly kept the rest of an earlier read failed with a ClassCastException, because that rest has no appender, and the chain closed the connection.

Change: CallerConnectionFilter holds bytes back while a call is processed and passes them on after the answer. The codec adds the rest that Grizzly hands to it at any read event. Reading pauses at 16 KB, so that further calls stay in the sockets, and the bytes count against the budget. Disabling all reading instead would hide callers that leave. A half-written pipelined call now counts as being received: it has the read time-out, is not closed as idle, and its second half is no longer refused as a malformed first line. After the last answer of a connection (Connection: close) later calls are not run, the output ends, and what still arrives is discarded for 500 ms; Grizzly would have run the calls without a way to answer them. Bytes that arrive after the close of a connection are no longer counted.

The stand-ins use a worker pool. The peers speak Thrift.

--- a/daemon/src/main/java/org/peridotcourse/daemon/entry/CallerCodec.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/entry/CallerCodec.java
@@ -3,8 +3,10 @@
 import java.io.IOException;
 import java.util.function.BiFunction;
 import java.util.function.LongSupplier;
+import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.filterchain.FilterChainContext;
+import org.glassfish.grizzly.filterchain.NextAction;
 import org.glassfish.grizzly.http.HttpHeader;
 import org.glassfish.grizzly.http.HttpRequestPacket;
 import org.glassfish.grizzly.http.HttpResponsePacket;
@@ -25,6 +27,7 @@
 
     private final int maxHeadBytes;
     private final BiFunction<NotRunReason, String, CallerResponse> refusalFactory;
+    private final BodyBudget budget;
     private final LongSupplier clock;
 
     /**
@@ -33,20 +36,69 @@
      * @param maxHeadBytes the maximum size of a head, in bytes
      * @param executor runs keep-alive time-outs
      * @param refusalFactory makes a refusal from a reason and a detail
+     * @param budget counts the bytes of pipelined requests
      * @param clock monotonic milliseconds
      */
     CallerCodec(
             int maxHeadBytes,
             DelayedExecutor executor,
             BiFunction<NotRunReason, String, CallerResponse> refusalFactory,
+            BodyBudget budget,
             LongSupplier clock) {
         super(true, maxHeadBytes, null, unlimited(), executor, MAX_HEADERS, MAX_HEADERS);
         this.maxHeadBytes = maxHeadBytes;
         this.refusalFactory = refusalFactory;
+        this.budget = budget;
         this.clock = clock;
         setAllowPayloadForUndefinedHttpMethods(true);
     }
 
+    /**
+     * Refuses a first line that is no request line, for which Grizzly would wait for more.
+     *
+     * <p>Grizzly also calls this with the bytes of the next pipelined request, which it keeps after
+     * each request. It does so at any read event, even if the request before is still processed,
+     * and it cannot append to the bytes that it keeps.
+     */
+    @Override
+    public NextAction handleRead(FilterChainContext context) throws IOException {
+        CallerConnection state = CallerConnectionFilter.of(context.getConnection());
+        Buffer buffer = context.getMessage();
+        if (state == null || state.isRefused() || state.holdFirst(buffer, budget)) {
+            return context.getStopAction();
+        }
+        FirstLine line = FirstLine.of(buffer);
+        if (line != FirstLine.BLANK
+                && state.onBytes(buffer.remaining(), clock.getAsLong())
+                && line == FirstLine.MALFORMED) {
+            NotRunReason reason = NotRunReason.MALFORMED;
+            state.refuse(refusalFactory.apply(reason, reason.message()), clock.getAsLong());
+            return context.getStopAction();
+        }
+        return super.handleRead(context);
+    }
+
+    /** What the first line that is not blank looks like. */
+    private enum FirstLine {
+        BLANK,
+        POSSIBLE,
+        MALFORMED;
+
+        static FirstLine of(Buffer buffer) {
+            int spaces = 0;
+            boolean hasText = false;
+            for (int i = buffer.position(); i < buffer.limit(); i++) {
+                byte next = buffer.get(i);
+                if (next == '\n' && hasText) {
+                    return spaces >= 2 ? POSSIBLE : MALFORMED;
+                }
+                spaces += next == ' ' ? 1 : 0;
+                hasText |= next != ' ' && next != '\r' && next != '\n';
+            }
+            return hasText ? POSSIBLE : BLANK;
+        }
+    }
+
     /**
      * Allows any number of requests on a connection; at its limit, Grizzly would close the
      * connection without a response. {@link CallerConnectionFilter} closes idle connections.
@@ -79,7 +131,8 @@
     /**
      * Grizzly closes a connection after each 503, but refused callers that have to reconnect make
      * an overload worse. The request was read completely, so that the next one begins right after
-     * it.
+     * it. After the last response of a connection, {@link CallerConnection} closes it, since
+     * Grizzly would close it with bytes unread and process pipelined requests after that.
      */
     @Override
     protected void onInitialLineEncoded(HttpHeader head, FilterChainContext context) {
@@ -88,6 +141,9 @@
         if (response.getStatus() == 503 && response.getRequest().getAttribute(KEEP_OPEN) != null) {
             response.getProcessingState().setKeepAlive(true);
             response.getHeaders().removeHeader("Connection");
+        } else if (!response.getProcessingState().isKeepAlive()) {
+            response.getProcessingState().setKeepAlive(true);
+            CallerConnectionFilter.of(context.getConnection()).onLastResponse(clock.getAsLong());
         }
     }
 
--- a/daemon/src/main/java/org/peridotcourse/daemon/entry/CallerConnection.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/entry/CallerConnection.java
@@ -1,14 +1,21 @@
 package org.peridotcourse.daemon.entry;
 
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.nio.channels.SocketChannel;
 import java.util.function.Supplier;
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.IOEvent;
 import org.glassfish.grizzly.memory.Buffers;
 import org.glassfish.grizzly.nio.NIOConnection;
 
 /**
  * The state of a caller's connection: whether a request is being received or processed, since when,
  * and how many bytes it occupies in memory. It is thread-safe.
+ *
+ * <p>One request at a time is parsed and processed. Bytes that arrive during its processing are
+ * held back until its response is queued, so that responses keep the order of their requests.
  */
 final class CallerConnection {
     /** Time for a caller to read a refusal before its connection is closed. */
@@ -20,7 +27,16 @@
      */
     private static final int MIN_READ_PROGRESS_BYTES = 16 * 1024;
 
+    /**
+     * Reading pauses at this number of held bytes; further pipelined requests then stay in the
+     * buffers of the sockets.
+     */
+    private static final int MAX_HELD_BYTES = 16 * 1024;
+
     private final Connection<?> connection;
+    private final ByteArrayOutputStream held = new ByteArrayOutputStream(0);
+    private boolean readingPaused;
+    private boolean outputEnded;
     private Phase phase = Phase.IDLE;
     private long phaseStartMillis;
     private int headBytes;
@@ -52,21 +68,20 @@
         RECEIVING,
         /** A complete request waits for its response. */
         PROCESSING,
-        /** A refusal was sent; the connection is closed when the caller has had time to read it. */
+        /**
+         * The last response of the connection was sent; what still arrives is discarded, and the
+         * connection is closed when the caller has had time to read the response.
+         */
         LINGERING
     }
 
-    synchronized boolean isIdle() {
-        return phase == Phase.IDLE;
-    }
-
     synchronized boolean isIdleFor(long now, long millis) {
         return phase == Phase.IDLE
                 && unwrittenBytes + unsentBytes == 0
                 && now - phaseStartMillis >= millis;
     }
 
-    /** Returns the number of bytes that arrived since the current head began. */
+    /** Returns the largest number of bytes that were parsed at once since the head began. */
     synchronized int headBytes() {
         return headBytes;
     }
@@ -76,19 +91,78 @@
         disconnectListener = listener;
     }
 
-    synchronized void onBytes(int count, long now) {
-        if (phase == Phase.IDLE) {
-            headBytes = 0;
-            enterPhase(Phase.RECEIVING, now);
+    /**
+     * Holds back bytes that arrive while a request is processed.
+     *
+     * @return false if no request is processed, so that the bytes can be parsed now
+     */
+    synchronized boolean hold(Buffer buffer, BodyBudget budget) throws IOException {
+        return hold(buffer, held.size(), budget);
+    }
+
+    /**
+     * Holds back bytes that arrived earlier than the other held bytes.
+     *
+     * @return false if no request is processed, so that the bytes can be parsed now
+     */
+    synchronized boolean holdFirst(Buffer buffer, BodyBudget budget) throws IOException {
+        return hold(buffer, 0, budget);
+    }
+
+    private boolean hold(Buffer buffer, int position, BodyBudget budget) throws IOException {
+        if (phase != Phase.PROCESSING) {
+            return false;
+        }
+        if (closed) {
+            return true;
+        }
+        byte[] bytes = new byte[buffer.remaining()];
+        buffer.get(bytes);
+        byte[] others = held.toByteArray();
+        held.reset();
+        held.write(others, 0, position);
+        held.writeBytes(bytes);
+        held.write(others, position, others.length - position);
+        budget.takeBeyondLimit(bytes.length);
+        if (held.size() >= MAX_HELD_BYTES && !readingPaused) {
+            readingPaused = true;
+            connection.disableIOEvent(IOEvent.READ);
+        }
+        return true;
+    }
+
+    /** Removes and returns the held bytes; returns none while a request is processed. */
+    synchronized byte[] takeHeld(BodyBudget budget) {
+        if (phase == Phase.PROCESSING) {
+            return new byte[0];
+        }
+        byte[] bytes = held.toByteArray();
+        held.reset();
+        budget.release(bytes.length);
+        return bytes;
+    }
+
+    /** Reads again once all bytes before a pause are parsed. */
+    synchronized void continueReading() throws IOException {
+        if (readingPaused && !closed && phase != Phase.PROCESSING && held.size() == 0) {
+            readingPaused = false;
+            connection.enableIOEvent(IOEvent.READ);
         }
-        headBytes += count;
     }
 
-    /** Records that a head was parsed; its bytes may have arrived with the previous request. */
-    synchronized void onHead(long now) {
-        if (phase != Phase.RECEIVING && phase != Phase.LINGERING) {
+    /**
+     * Records that bytes of a request are about to be parsed.
+     *
+     * @return true if a request begins with them
+     */
+    synchronized boolean onBytes(int count, long now) {
+        boolean begins = phase == Phase.IDLE;
+        if (begins) {
+            headBytes = 0;
             enterPhase(Phase.RECEIVING, now);
         }
+        headBytes = Math.max(headBytes, count);
+        return begins;
     }
 
     /** Records that a request is complete; returns false if it was already refused as overdue. */
@@ -109,13 +183,21 @@
         }
     }
 
-    /** Returns whether the current request was refused, so that the rest of it is discarded. */
+    /** Records that the response being written is the last one of the connection. */
+    synchronized void onLastResponse(long now) {
+        enterPhase(Phase.LINGERING, now);
+    }
+
+    /** Returns whether the last response was sent, so that what still arrives is discarded. */
     synchronized boolean isRefused() {
         return phase == Phase.LINGERING;
     }
 
     /** Reserves budget for the body of the current request; returns false if too little is left. */
     synchronized boolean reserve(int bytes, BodyBudget budget) {
+        if (closed) {
+            return true;
+        }
         if (bytes > reservedBytes && !budget.tryReserve(bytes - reservedBytes)) {
             return false;
         }
@@ -143,6 +225,27 @@
         unsentBytes += bytes;
         unsentBytesAtProgress = unsentBytes;
         releaseReadBytes(budget, now);
+        endOutputIfWritten();
+    }
+
+    /**
+     * Ends the output once the last response is written, for callers that read until then. The
+     * input stays open: closing it with unread bytes would reset the connection, and the caller
+     * could lose the response.
+     */
+    private void endOutputIfWritten() {
+        if (phase != Phase.LINGERING
+                || outputEnded
+                || unwrittenBytes > 0
+                || ((NIOConnection) connection).getAsyncWriteQueue().spaceInBytes() > 0) {
+            return;
+        }
+        outputEnded = true;
+        try {
+            ((SocketChannel) ((NIOConnection) connection).getChannel()).shutdownOutput();
+        } catch (IOException broken) {
+            connection.terminateSilently();
+        }
     }
 
     /**
@@ -186,7 +289,8 @@
         Runnable listener;
         synchronized (this) {
             releaseRequestBody(budget);
-            budget.release(unwrittenBytes + unsentBytes);
+            budget.release(unwrittenBytes + unsentBytes + held.size());
+            held.reset();
             unwrittenBytes = 0;
             unsentBytes = 0;
             closed = true;
@@ -226,6 +330,7 @@
                 closeIfOlder(ageMillis, idleTimeoutMillis);
                 return false;
             case LINGERING:
+                endOutputIfWritten();
                 closeIfOlder(ageMillis, LINGER_MILLIS);
                 return false;
             default:
--- a/daemon/src/main/java/org/peridotcourse/daemon/entry/CallerConnectionFilter.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/entry/CallerConnectionFilter.java
@@ -5,17 +5,21 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
-import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.Grizzly;
+import org.glassfish.grizzly.IOEvent;
+import org.glassfish.grizzly.ProcessorExecutor;
 import org.glassfish.grizzly.attributes.Attribute;
 import org.glassfish.grizzly.filterchain.BaseFilter;
+import org.glassfish.grizzly.filterchain.FilterChain;
 import org.glassfish.grizzly.filterchain.FilterChainContext;
 import org.glassfish.grizzly.filterchain.NextAction;
+import org.glassfish.grizzly.memory.Buffers;
 
 /**
  * Filter below the HTTP codec that limits the number of connections and the time in which a request
- * must arrive. {@link #sweep} must be called regularly. It is thread-safe.
+ * must arrive, and passes bytes on only while no request of their connection is processed. {@link
+ * #sweep} must be called regularly. It is thread-safe.
  */
 final class CallerConnectionFilter extends BaseFilter {
     private static final Attribute<CallerConnection> STATE =
@@ -35,14 +39,8 @@
     private final long readTimeoutMillis;
     private final BodyBudget budget;
     private final LongSupplier clock;
-    private final Supplier<CallerResponse> malformedRefusal;
-
-    CallerConnectionFilter(
-            EntryHandler.Limits limits,
-            BodyBudget budget,
-            LongSupplier clock,
-            Supplier<CallerResponse> malformedRefusal) {
-        this.malformedRefusal = malformedRefusal;
+
+    CallerConnectionFilter(EntryHandler.Limits limits, BodyBudget budget, LongSupplier clock) {
         this.budget = budget;
         this.maxConnections = limits.maxConnections();
         this.readTimeoutMillis = limits.readTimeoutMillis();
@@ -80,28 +78,33 @@
         if (state == null) {
             return context.getStopAction();
         }
-        Buffer buffer = context.getMessage();
-        boolean startsRequest = state.isIdle();
-        state.onBytes(buffer.remaining(), clock.getAsLong());
-        if (startsRequest && !mayBeginRequest(buffer)) {
-            state.refuse(malformedRefusal.get(), clock.getAsLong());
+        if (state.isRefused() || state.hold(context.getMessage(), budget)) {
+            return context.getStopAction();
         }
-        return state.isRefused() ? context.getStopAction() : context.getInvokeAction();
+        return context.getInvokeAction();
     }
 
-    /** Returns whether the first line may be a request line; for others, Grizzly waits for more. */
-    private static boolean mayBeginRequest(Buffer buffer) {
-        int spaces = 0;
-        boolean hasText = false;
-        for (int i = buffer.position(); i < buffer.limit(); i++) {
-            byte next = buffer.get(i);
-            if (next == '\n' && hasText) {
-                return spaces >= 2;
-            }
-            spaces += next == ' ' ? 1 : 0;
-            hasText |= next > ' ';
+    /**
+     * Parses the bytes that were held back while a request was processed. It is called on the
+     * selector thread of the connection.
+     */
+    static void parseHeld(Connection<?> connection, BodyBudget budget) throws IOException {
+        CallerConnection state = of(connection);
+        byte[] bytes = state.takeHeld(budget);
+        if (bytes.length > 0) {
+            parse(connection, bytes);
         }
-        return true;
+        state.continueReading();
+    }
+
+    private static void parse(Connection<?> connection, byte[] bytes) {
+        FilterChain chain = (FilterChain) connection.getProcessor();
+        int first = chain.indexOfType(CallerConnectionFilter.class);
+        FilterChainContext context =
+                chain.obtainFilterChainContext(connection, first, chain.size(), first);
+        context.setMessage(Buffers.wrap(null, bytes));
+        context.getInternalContext().setIoEvent(IOEvent.READ);
+        ProcessorExecutor.execute(context.getInternalContext());
     }
 
     @Override
--- a/daemon/src/main/java/org/peridotcourse/daemon/entry/CallerExchange.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/entry/CallerExchange.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.LongSupplier;
+import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.http.server.Request;
 import org.glassfish.grizzly.http.server.Response;
 import org.glassfish.grizzly.nio.NIOConnection;
@@ -50,7 +51,6 @@
      */
     Optional<byte[]> suspendAndReadBody() {
         response.suspend();
-        callerConnection.onHead(clock.getAsLong());
         if (!callerConnection.beginProcessing(clock.getAsLong())) {
             return Optional.empty();
         }
@@ -122,7 +122,14 @@
         } catch (IOException closed) {
             callerConnection.close();
         }
+        // Grizzly recycles the request when the response is resumed.
+        Connection<?> connection = request.getContext().getConnection();
         response.resume();
         callerConnection.onResponseQueued(callerResponse.body().length, budget, clock.getAsLong());
+        try {
+            CallerConnectionFilter.parseHeld(connection, budget);
+        } catch (IOException closed) {
+            callerConnection.close();
+        }
     }
 }
--- a/daemon/src/main/java/org/peridotcourse/daemon/entry/EntryServer.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/entry/EntryServer.java
@@ -37,12 +37,7 @@
             LongSupplier clock) {
         this.handler = handler;
         this.ids = ids;
-        this.connectionFilter =
-                new CallerConnectionFilter(
-                        limits,
-                        budget,
-                        clock,
-                        () -> Responses.notRun(ids.next(), NotRunReason.MALFORMED, 0));
+        this.connectionFilter = new CallerConnectionFilter(limits, budget, clock);
         this.listener = new NetworkListener("entry", address.getHostString(), address.getPort());
         TCPNIOTransport transport = listener.getTransport();
         transport.setIOStrategy(SameThreadIOStrategy.getInstance());
@@ -149,6 +144,7 @@
                             limits.maxHeadBytes(),
                             null,
                             (reason, detail) -> Responses.notRun(ids.next(), reason, 0),
+                            budget,
                             clock));
             builder.add(codec + 1, new BodyFilter(limits.maxBodyBytes(), budget, ids, clock));
             builder.add(codec, connectionFilter);
--- a/daemon/src/test/java/org/peridotcourse/daemon/admin/AdminServerTest.java
+++ b/daemon/src/test/java/org/peridotcourse/daemon/admin/AdminServerTest.java
@@ -5,11 +5,14 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.Socket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.peridotcourse.daemon.metrics.DaemonMetrics;
@@ -57,6 +60,29 @@
         }
     }
 
+    /** Its pages are answered at once, so that Grizzly keeps no call of a connection meanwhile. */
+    @Test
+    void pipelinedCallsAreAllAnswered() throws Exception {
+        try (AdminServer server = new AdminServer(new InetSocketAddress("127.0.0.1", 0), source());
+                Socket socket = openSocket(server)) {
+            for (int i = 1; i <= 20; i++) {
+                String close = i == 20 ? "Connection: close\r\n" : "";
+                String call = "GET /health/live HTTP/1.1\r\nHost: a\r\n" + close + "\r\n";
+                socket.getOutputStream().write(call.getBytes(StandardCharsets.US_ASCII));
+            }
+            String answers = new String(socket.getInputStream().readAllBytes());
+            assertEquals(21, answers.split("HTTP/1.1 200 OK", -1).length, answers);
+            assertEquals(21, answers.split("live\n", -1).length, answers);
+        }
+    }
+
+    private static Socket openSocket(AdminServer server) throws IOException {
+        server.start();
+        Socket socket = new Socket("127.0.0.1", server.port());
+        socket.setSoTimeout(10_000);
+        return socket;
+    }
+
     private static void assertQuantile(List<String> lines, String quantile, double expected) {
         String start = "c_seconds{kind=\"x\",quantile=\"" + quantile + "\"} ";
         String line = lines.stream().filter(l -> l.startsWith(start)).findFirst().orElseThrow();
