Count starts and stops of one round against the same window

Cause: the planner added its starts before the stops were added, and the stops did not count the starts of the same round. The first round of a new owner was 16 starts and 48 stops. With the lease calls to all workers, its process took longer for them than their time-out: stops went unanswered, lease calls failed, and the workers counted as lost for a second.

Stops are added first, and both count against the window and its reserve.

--- a/core/src/main/java/org/peridotcourse/dispatch/DispatchOwner.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/DispatchOwner.java
@@ -422,6 +422,8 @@
             monitor.check(now);
             jobs.removeStoredEndedJobs();
         }
+        // Stops come first, since they reduce the number of starts that the order window allows.
+        runs.sendStops(now);
         if (state.planDue || now - lastPlanAt >= MAX_PLAN_INTERVAL_MILLIS) {
             lastPlanAt = now;
             state.planDue = planner.startWaitingTasks(now);
--- a/core/src/main/java/org/peridotcourse/dispatch/OrderQueue.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/OrderQueue.java
@@ -33,7 +33,7 @@
 
     /** Returns how many more stops may be added for the next batch. */
     int availableForStops() {
-        return Math.max(0, window.availableForChanges() - stops.size());
+        return Math.max(0, window.availableForChanges() - starts.size() - stops.size());
     }
 
     /** Returns how many more starts may be added for the next batch. */
