Send stops for the first time before others are repeated

Cause: stops were added in the order of the workers, so that the repeated stops of the first workers took all places in the window in each round, and the stops of later workers were never sent.

Stops that have been due for longest now come first.

--- a/core/src/main/java/org/peridotcourse/dispatch/RunLifecycle.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/RunLifecycle.java
@@ -1,6 +1,7 @@
 package org.peridotcourse.dispatch;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 
@@ -82,35 +83,61 @@
         }
     }
 
-    /** Adds the stop orders that are due. */
+    /** A stop that is to be sent, and what to do once it has been. */
+    private record DueStop(
+            Worker worker, Run.Key key, StopReason reason, long dueAt, Runnable onSent) {}
+
+    /**
+     * Adds the stop orders that are due. Those that have been due for longest come first, so that
+     * repeated stops do not delay others that were never sent.
+     */
     void sendStops(long now) {
+        List<DueStop> due = new ArrayList<>();
         for (Worker worker : state.workers.values()) {
             if (!worker.reachable && !worker.runs.isEmpty()) {
                 // The stop is sent once the worker answers again.
                 continue;
             }
             if (worker.hasPendingStops) {
-                sendStops(worker, now);
+                addDueStops(worker, now, due);
             }
-            worker.unknownRuns.replaceAll(
+            worker.unknownRuns.forEach(
                     (key, dueAt) -> {
-                        if (dueAt > now || state.availableStops() == 0) {
-                            return dueAt;
+                        if (dueAt <= now) {
+                            due.add(
+                                    new DueStop(
+                                            worker,
+                                            key,
+                                            StopReason.NOT_WANTED,
+                                            dueAt,
+                                            () ->
+                                                    worker.unknownRuns.put(
+                                                            key, now + STOP_RETRY_MILLIS)));
                         }
-                        sendStop(worker, key, StopReason.NOT_WANTED);
-                        return now + STOP_RETRY_MILLIS;
                     });
         }
+        due.sort(Comparator.comparingLong(DueStop::dueAt));
+        for (DueStop stop : due) {
+            if (state.availableStops() == 0) {
+                return;
+            }
+            stop.onSent().run();
+            sendStop(stop.worker(), stop.key(), stop.reason());
+        }
     }
 
-    private void sendStops(Worker worker, long now) {
+    private static void addDueStops(Worker worker, long now, List<DueStop> due) {
         worker.hasPendingStops = false;
         for (Run run : worker.runs.values()) {
             worker.hasPendingStops |= run.isStopping();
-            boolean due = run.stopConfirmedAt == 0 && run.nextStopAt <= now;
-            if (run.isStopping() && due && state.availableStops() > 0) {
-                run.nextStopAt = now + STOP_RETRY_MILLIS;
-                sendStop(worker, run.key(), run.stopReason);
+            if (run.isStopping() && run.stopConfirmedAt == 0 && run.nextStopAt <= now) {
+                due.add(
+                        new DueStop(
+                                worker,
+                                run.key(),
+                                run.stopReason,
+                                run.nextStopAt,
+                                () -> run.nextStopAt = now + STOP_RETRY_MILLIS));
             }
         }
     }
--- a/core/src/test/java/org/peridotcourse/dispatch/StopOrderTest.java
+++ b/core/src/test/java/org/peridotcourse/dispatch/StopOrderTest.java
@@ -5,7 +5,9 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.peridotcourse.Resources;
 
@@ -32,6 +34,17 @@
         assertEquals(CANCELLED_JOBS * TASKS_PER_JOB, simulation.startCount());
     }
 
+    /** Returns the tasks of the stops that a new owner orders first, and answers none of them. */
+    private Set<TaskRef> stopsOf(List<Order> orders) {
+        Set<TaskRef> tasks = new HashSet<>();
+        for (Order order : orders) {
+            if (order instanceof Order.Stop) {
+                tasks.add(order.task());
+            }
+        }
+        return tasks;
+    }
+
     /**
      * A new owner sent the starts and the stops of its first round on top of each other. With the
      * lease calls, they took its process more than the time-out of the orders. Found by seeds 2917
@@ -53,6 +66,29 @@
         assertTrue(orders.stream().allMatch(order -> order instanceof Order.Stop));
     }
 
+    /**
+     * Stops without a reply were repeated before others were sent for the first time, always those
+     * of the same workers. Found by seed 4711 of {@link CallerRulesSearchTest}, rule UNASKED.
+     */
+    @Test
+    void stopsAreSentForTheFirstTimeBeforeOthersAreRepeated() {
+        startLastingJobs();
+        simulation.takeOver(simulation.now);
+        simulation.run(100);
+        jobs.forEach(simulation::cancel);
+        Set<TaskRef> sent = new HashSet<>();
+        long now = simulation.now;
+        for (int round = 0; sent.size() < CANCELLED_JOBS * TASKS_PER_JOB; round++) {
+            assertTrue(round < 10, "after 10 rounds " + sent.size());
+            now += 600;
+            List<Order> orders = simulation.owner.decide(now);
+            sent.addAll(stopsOf(orders));
+            for (Order order : orders) {
+                simulation.owner.onOrderReply(order, OrderReply.UNANSWERED, now + 590);
+            }
+        }
+    }
+
     /** Silent workers hold places in the window until their orders time out. */
     @Test
     void stopsReachTheOtherWorkersWhileHalfOfThemAreSilent() {
