--- a/core/src/main/java/org/peridotcourse/dispatch/OrderQueue.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/OrderQueue.java
@@ -12,6 +12,9 @@
  * a newer pace of the same run replaces one that waits. Confined to one thread.
  */
 final class OrderQueue {
+    /** Places that stops leave to waiting paces, since the stops of ended jobs may be hundreds. */
+    private static final int PACE_PLACES = 8;
+
     private final OrderWindow window;
     private final List<Order> stops = new ArrayList<>();
     private final Map<Run.Key, Order> paces = new LinkedHashMap<>();
@@ -33,7 +36,11 @@
 
     /** Returns how many more stops may be added for the next batch. */
     int availableForStops() {
-        return Math.max(0, window.availableForChanges() - starts.size() - stops.size());
+        return Math.max(0, availablePlaces() - Math.min(PACE_PLACES, paces.size()));
+    }
+
+    private int availablePlaces() {
+        return window.availableForChanges() - starts.size() - stops.size();
     }
 
     /** Returns how many more starts may be added for the next batch. */
@@ -45,7 +52,7 @@
     List<Order> take(long now) {
         List<Order> taken = new ArrayList<>(stops);
         Iterator<Order> waitingPaces = paces.values().iterator();
-        for (int i = availableForStops(); i > 0 && waitingPaces.hasNext(); i--) {
+        for (int i = availablePlaces(); i > 0 && waitingPaces.hasNext(); i--) {
             taken.add(waitingPaces.next());
             waitingPaces.remove();
         }
--- a/core/src/test/java/org/peridotcourse/dispatch/OrderWindowTest.java
+++ b/core/src/test/java/org/peridotcourse/dispatch/OrderWindowTest.java
@@ -1,6 +1,7 @@
 package org.peridotcourse.dispatch;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -126,4 +127,15 @@
         replyToAll(OrderReply.ACCEPTED, 10);
         assertEquals(List.of(pace(task, 10)), queue.take(20));
     }
+
+    /** Guards against filling tasks that are not slowed down while hundreds of stops are due. */
+    @Test
+    void stopsLeavePlacesForWaitingPaces() {
+        TaskRef task = nextTask();
+        queue.add(pace(task, 10));
+        for (int i = queue.availableForStops(); i > 0; i--) {
+            queue.add(stop());
+        }
+        assertTrue(queue.take(0).contains(pace(task, 10)));
+    }
 }
