Start no filling task beside a serving task over its target

Cause: the choice of a worker used only the learned headroom, in which pairs of images that count as harmless are left out and waiting tasks may overdraw. The state that the worker had reported was not used.

Change: a worker whose last report shows a serving task over its target gets no filling task. A job that has waited too long for its first run may still start there, if no other worker fits it. A start within the report interval, as in the incident, is not prevented.

Before: a filling task started within 1.5 s of such a report (nothingStartsBesideATaskThatIsOverItsTarget); after: it starts once the serving task is below its target.

--- a/core/src/main/java/org/peridotcourse/dispatch/FillThrottle.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/FillThrottle.java
@@ -117,6 +117,7 @@
             recognizeFullPace(fill, now);
             recognizeExceededPace(fill, now);
         }
+        worker.hasServingOverTarget = false;
         if (serving.isEmpty()) {
             for (Run fill : fills) {
                 if (!fill.isStopping()) {
@@ -127,6 +128,7 @@
         }
         for (Run run : serving) {
             updateOverTarget(run, fills, now);
+            worker.hasServingOverTarget |= run.overTargetSince > 0;
             addSample(run, now);
         }
         for (Run fill : fills) {
--- a/core/src/main/java/org/peridotcourse/dispatch/Worker.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/Worker.java
@@ -68,6 +68,9 @@
 
     long fillSharesUpdatedAt;
 
+    /** True if the last report showed a serving task over its target. */
+    boolean hasServingOverTarget;
+
     /** Cached result of the last search for the least headroom that a filling step would leave. */
     Optional<WorkerSelector.MinHeadroom> minHeadroom = Optional.empty();
 
--- a/core/src/main/java/org/peridotcourse/dispatch/WorkerSelector.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/WorkerSelector.java
@@ -50,6 +50,9 @@
     private static final double OTHER_IMAGE_COST = 0.5;
     private static final double HEADROOM_WEIGHT = 3;
 
+    /** Exceeds the other parts of the cost of a filling task that has waited too long. */
+    private static final double OVER_TARGET_COST = 10;
+
     private final OwnerState state;
     private final QuarantineOverride quarantineOverride;
     private double medianSlowdown = 1;
@@ -220,9 +223,9 @@
 
     /**
      * Returns whether a filling task may start on a worker. It needs spare processor for full speed
-     * and serving tasks with enough headroom; the longer it has waited, the more headroom it may
-     * overdraw. After {@link #MAX_WAIT_WITHOUT_RUNS_MILLIS}, the headroom is not checked for a job
-     * without runs; {@link FillThrottle} then protects the serving tasks.
+     * and serving tasks below their targets with enough headroom; the longer it has waited, the
+     * more headroom it may overdraw. After {@link #MAX_WAIT_WITHOUT_RUNS_MILLIS}, the headroom is
+     * not checked for a job without runs; {@link FillThrottle} then protects the serving tasks.
      */
     private boolean mayFill(Worker worker, WorkerSearch search, long now) {
         StepSpec spec = search.spec();
@@ -232,7 +235,7 @@
             boolean limited = state.limits.hasLimit(search.task().job());
             return !limited || demand <= worker.info.capacity().milliCores();
         }
-        if (demand > worker.spareMilliCores()) {
+        if (demand > worker.spareMilliCores() || worker.hasServingOverTarget) {
             return false;
         }
         double overdraft =
@@ -360,7 +363,10 @@
         double demand = worker.reserved().milliCores() + worker.fillDemandMilliCores;
         double load = worker.processorShare(demand + spec.resources().milliCores());
         if (spec.isFilling()) {
-            return load - HEADROOM_WEIGHT * Math.min(0.5, minHeadroom(worker, spec, now));
+            double overTargetCost = worker.hasServingOverTarget ? OVER_TARGET_COST : 0;
+            return overTargetCost
+                    + load
+                    - HEADROOM_WEIGHT * Math.min(0.5, minHeadroom(worker, spec, now));
         }
         return spec.latencyTargetMillis() > 0 ? servingCost(worker, spec) + load / 10 : load;
     }
--- a/core/src/test/java/org/peridotcourse/dispatch/FillThrottleTest.java
+++ b/core/src/test/java/org/peridotcourse/dispatch/FillThrottleTest.java
@@ -172,6 +172,21 @@
         assertEquals(List.of(0), pacesOf(simulation, filling));
     }
 
+    /** A filling task was started beside a serving task that was over its target already. */
+    @Test
+    void nothingStartsBesideATaskThatIsOverItsTarget() {
+        startBoth();
+        simulation.run(20_000);
+        tail = HIGH_TAIL_MILLIS;
+        simulation.run(600);
+        String second = submitFilling(simulation, 1_000);
+        simulation.run(1_500);
+        assertEquals(List.of(), pacesOf(simulation, second));
+        tail = CALM_TAIL_MILLIS;
+        simulation.run(3_000);
+        assertTrue(simulation.hasRuns(second), "it starts later");
+    }
+
     /** An order that was delivered late set a higher pace than the latest order. */
     @Test
     void aPaceThatIsExceededIsOrderedAgain() {
