Send stops also to workers whose lease calls fail, and keep a reserve for them

A lease call that failed because the owner was slow marked the worker unreachable, and stops were held back until its next report, which can take more than the 3.2 s within which a cancelled task has to end. A stop needs no lease: it is now sent, after those of the other workers, and leaves them half of the reserve.

The reserve of stops and paces was no real one: a gang, which is started as a whole, used it up. It is now counted apart. When the start of a member fails, the rest of the gang is stopped, since it would wait in vain until its time-out.

Orders without a reply did not change the window, also if there was no prompt reply beside them, so an owner that became slow kept a large window.

--- a/core/src/main/java/org/peridotcourse/dispatch/OrderQueue.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/OrderQueue.java
@@ -40,7 +40,7 @@
     }
 
     private int availablePlaces() {
-        return window.availableForChanges() - starts.size() - stops.size();
+        return window.availableForChanges(starts.size()) - stops.size();
     }
 
     /** Returns how many more starts may be added for the next batch. */
--- a/core/src/main/java/org/peridotcourse/dispatch/RunLifecycle.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/RunLifecycle.java
@@ -10,6 +10,11 @@
     /** Time after which a stop that has not been confirmed is sent again. */
     static final long STOP_RETRY_MILLIS = 300;
 
+    /**
+     * The same for a worker that does not answer lease calls; it exceeds the time-out of orders.
+     */
+    static final long UNREACHABLE_STOP_RETRY_MILLIS = 700;
+
     /** Time for which nothing is started on a worker that rejected a start for lack of capacity. */
     static final long NO_ROOM_PAUSE_MILLIS = 300;
 
@@ -89,18 +94,19 @@
 
     /**
      * Adds the stop orders that are due. Those that have been due for longest come first, so that
-     * repeated stops do not delay others that were never sent.
+     * repeated stops do not delay others that were never sent. Stops on workers that do not answer
+     * lease calls come last and leave a part of the reserve to the others: such a worker may be
+     * alive, and only this owner too slow for the calls.
      */
     void sendStops(long now) {
         List<DueStop> due = new ArrayList<>();
         for (Worker worker : state.workers.values()) {
-            if (!worker.reachable && !worker.runs.isEmpty()) {
-                // The stop is sent once the worker answers again.
-                continue;
-            }
             if (worker.hasPendingStops) {
                 addDueStops(worker, now, due);
             }
+            if (!worker.reachable && !worker.runs.isEmpty()) {
+                continue;
+            }
             worker.unknownRuns.forEach(
                     (key, dueAt) -> {
                         if (dueAt <= now) {
@@ -116,9 +122,12 @@
                         }
                     });
         }
-        due.sort(Comparator.comparingLong(DueStop::dueAt));
+        due.sort(
+                Comparator.comparing((DueStop stop) -> !stop.worker().reachable)
+                        .thenComparingLong(DueStop::dueAt));
         for (DueStop stop : due) {
-            if (state.availableStops() == 0) {
+            int kept = stop.worker().reachable ? 0 : OrderWindow.RESERVE / 2;
+            if (state.availableStops() <= kept) {
                 return;
             }
             stop.onSent().run();
@@ -128,6 +137,7 @@
 
     private static void addDueStops(Worker worker, long now, List<DueStop> due) {
         worker.hasPendingStops = false;
+        long retryMillis = worker.reachable ? STOP_RETRY_MILLIS : UNREACHABLE_STOP_RETRY_MILLIS;
         for (Run run : worker.runs.values()) {
             worker.hasPendingStops |= run.isStopping();
             if (run.isStopping() && run.stopConfirmedAt == 0 && run.nextStopAt <= now) {
@@ -137,7 +147,7 @@
                                 run.key(),
                                 run.stopReason,
                                 run.nextStopAt,
-                                () -> run.nextStopAt = now + STOP_RETRY_MILLIS));
+                                () -> run.nextStopAt = now + retryMillis));
             }
         }
     }
@@ -214,9 +224,24 @@
             default:
                 break;
         }
+        stopOtherMembers(run, now);
         release(run, now);
     }
 
+    /** Stops the other members of a gang, which would wait in vain for one that did not start. */
+    private void stopOtherMembers(Run failed, long now) {
+        if (!failed.spec().isGang()) {
+            return;
+        }
+        for (Task member : failed.task.step.tasks) {
+            for (Run run : new ArrayList<>(member.runs)) {
+                if (run != failed && run.attempt == failed.attempt) {
+                    stop(run, StopReason.NOT_WANTED, now);
+                }
+            }
+        }
+    }
+
     private void onStopReply(Run run, OrderReply reply, long now) {
         switch (reply) {
             case ACCEPTED:
--- a/core/src/test/java/org/peridotcourse/dispatch/OrderWindowTest.java
+++ b/core/src/test/java/org/peridotcourse/dispatch/OrderWindowTest.java
@@ -96,6 +96,22 @@
         assertEquals(OrderWindow.MIN_SIZE, queue.availableForStarts());
     }
 
+    /** Guards against an owner that became slow after its window had grown. */
+    @Test
+    void ordersWithoutAnyPromptReplyHalveTheWindow() {
+        quickRepliesEnlargeTheWindowUpToItsMaximum();
+        sendStarts(OrderWindow.MAX_SIZE, 10_000);
+        replyToAll(OrderReply.UNANSWERED, 10_600);
+        assertEquals(OrderWindow.MAX_SIZE / 2, window.size());
+    }
+
+    /** Guards against a gang, which is started as a whole, that delays stops. */
+    @Test
+    void theReserveForStopsRemainsWhenStartsExceedTheWindow() {
+        sendStarts(10 * OrderWindow.MAX_SIZE, 0);
+        assertEquals(OrderWindow.RESERVE, queue.availableForStops());
+    }
+
     @Test
     void ordersWhoseReplyIsLostAreNotCountedForEver() {
         sendStarts(OrderWindow.MIN_SIZE, 0);
--- a/core/src/test/java/org/peridotcourse/dispatch/SlowOwnerTest.java
+++ b/core/src/test/java/org/peridotcourse/dispatch/SlowOwnerTest.java
@@ -117,4 +117,49 @@
                         .build();
         simulation.submit(urgent ? URGENT : NORMAL, step);
     }
+
+    /**
+     * Guards against stops that are held back from a worker that is alive and whose lease call
+     * failed because this owner was slow.
+     */
+    @Test
+    void aStopIsSentToAWorkerWhoseLeaseCallFailed() {
+        DispatchSimulation simulation =
+                new DispatchSimulation(1, 1, Resources.of(16_000, 62_500, 0));
+        StepSpec step = StepSpec.builder(2, Resources.of(1_000, 256, 0)).lasting(true).build();
+        String job = simulation.submit(LASTING, step);
+        simulation.run(1_000);
+        simulation.owner.onLeaseCallFailed("w0", OrderReply.EXPIRED, simulation.now);
+        simulation.cancel(job);
+        long stops =
+                simulation.owner.decide(simulation.now).stream()
+                        .filter(order -> order instanceof Order.Stop)
+                        .count();
+        assertEquals(2, stops);
+    }
+
+    /**
+     * Guards against the rest of a gang that waits until its time-out for a member whose start
+     * failed.
+     */
+    @Test
+    void theRestOfAGangIsStoppedWhenTheStartOfAMemberFails() {
+        DispatchSimulation simulation =
+                new DispatchSimulation(1, 1, Resources.of(16_000, 62_500, 0));
+        StepSpec step =
+                StepSpec.builder(3, Resources.of(1_000, 256, 0))
+                        .estimateMillis(5_000)
+                        .gang(true)
+                        .build();
+        simulation.run(100);
+        simulation.submit(NORMAL, step);
+        List<Order> starts = simulation.owner.decide(simulation.now);
+        assertEquals(3, starts.size());
+        simulation.owner.onOrderReply(starts.get(0), OrderReply.EXPIRED, simulation.now);
+        long stops =
+                simulation.owner.decide(simulation.now).stream()
+                        .filter(order -> order instanceof Order.Stop)
+                        .count();
+        assertEquals(2, stops);
+    }
 }
