Count the hold of an owner from the renewal that was stored

Seen by operators: while the store loses answers, an owner may send orders for longer than its successor waits, so that for a moment both start tasks on a worker that the successor has not reached.

Cause: after a renewal without an answer the next one conflicts with the owner's own row. The owner counted its hold of 8 s from that refused renewal, although a successor that saw the stored one may have sent its takeover, and started its wait, before.

Change: in this case the hold counts from the first renewal without an answer.

--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/OwnerElection.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/OwnerElection.java
@@ -105,6 +105,9 @@
     /** Orders may be sent only after a renewal that was sent at or after this time is confirmed. */
     private long renewalRequiredSince = Long.MIN_VALUE;
 
+    /** When the first renewal without an answer since the last confirmed one was sent. */
+    private Optional<Long> unansweredRenewalSentAt = Optional.empty();
+
     private boolean writing;
     private boolean stopping;
     private long lastPollAnsweredAt;
@@ -415,6 +418,7 @@
     private void onTaken(Takeover takeover, long version) {
         LeaseRow row = takeover.row();
         unsettledTakeover = Optional.empty();
+        unansweredRenewalSentAt = Optional.empty();
         holder = Optional.of(new LeaseHolder(row, version, takeover.sentAt()));
         log.event(DispatchEvent.OWNER_TAKEN)
                 .with("epoch", row.epoch())
@@ -461,7 +465,10 @@
             return;
         }
         if (outcome instanceof RowOutcome.Written written) {
+            unansweredRenewalSentAt = Optional.empty();
             current.onRenewalConfirmed(row, written.version(), sentAt);
+        } else if (outcome instanceof RowOutcome.Unknown) {
+            unansweredRenewalSentAt = unansweredRenewalSentAt.or(() -> Optional.of(sentAt));
         } else if (outcome instanceof RowOutcome.Conflict conflict) {
             Optional<StoredRow> found = conflict.row(RowNames.DUTIES, RowNames.OWNER_KEY);
             Optional<LeaseRow> storedLease = found.flatMap(this::parseLease);
@@ -470,8 +477,12 @@
                             && storedLease.get().holder().equals(row.holder())
                             && storedLease.get().epoch() == row.epoch();
             if (isOwnRow) {
-                // An earlier renewal without an answer took effect.
-                current.onRenewalConfirmed(storedLease.get(), found.get().version(), sentAt);
+                // An earlier renewal without an answer took effect. A successor may have observed
+                // it
+                // since, so the hold does not count from the present one.
+                long storedSentAt = unansweredRenewalSentAt.orElse(current.confirmedSentMillis());
+                unansweredRenewalSentAt = Optional.empty();
+                current.onRenewalConfirmed(storedLease.get(), found.get().version(), storedSentAt);
             } else {
                 onDeposed("the lease row has another holder");
             }
--- a/daemon/src/test/java/org/peridotcourse/daemon/dispatch/FakeRowStore.java
+++ b/daemon/src/test/java/org/peridotcourse/daemon/dispatch/FakeRowStore.java
@@ -32,6 +32,12 @@
     /** True while the store is unreachable. */
     boolean unavailable;
 
+    /** The number of next writes that are applied and whose answers are lost. */
+    int answersToLose;
+
+    /** Monotonic time at which the last write was applied. */
+    long lastAppliedAt;
+
     /** The number of writes that were rejected as invalid. */
     int rejectedWrites;
 
@@ -96,7 +102,14 @@
                     new StoredRow(key.table(), key.key(), put.value(), written, false));
         }
         write.deletes().forEach(key -> rows.remove(key.table() + "/" + key.key()));
-        loop.schedule(LATENCY_MILLIS, () -> handler.accept(new RowOutcome.Written(written)));
+        lastAppliedAt = loop.nowMillis();
+        boolean answerLost = answersToLose > 0;
+        answersToLose = Math.max(0, answersToLose - 1);
+        RowOutcome outcome =
+                answerLost
+                        ? new RowOutcome.Unknown(RowStoreFailure.UNREACHABLE)
+                        : new RowOutcome.Written(written);
+        loop.schedule(LATENCY_MILLIS, () -> handler.accept(outcome));
     }
 
     private static Result<RowSet> unreachable() {
--- a/daemon/src/test/java/org/peridotcourse/daemon/dispatch/OwnerElectionTest.java
+++ b/daemon/src/test/java/org/peridotcourse/daemon/dispatch/OwnerElectionTest.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BooleanSupplier;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -150,6 +151,32 @@
         awaitOnLoop(() -> election.maySendOrders(loop.nowMillis()));
     }
 
+    /**
+     * After a renewal without an answer, the hold counted from the next renewal, which the store
+     * had refused. The owner might then send orders for longer than a successor waits.
+     */
+    @Test
+    void aRenewalWithoutAnAnswerCountsFromWhenItWasSent() throws Exception {
+        loop.post(election::start);
+        assertTrue(firstTakeover.await(TIMEOUT_SECONDS, TimeUnit.SECONDS));
+        AtomicLong longestHoldMillis = new AtomicLong();
+        loop.post(
+                () -> {
+                    store.answersToLose = 1;
+                    loop.onRound(
+                            () ->
+                                    longestHoldMillis.accumulateAndGet(
+                                            election.ordersAllowedUntil() - store.lastAppliedAt,
+                                            Math::max));
+                });
+        pause(2 * OwnerElection.LEASE_MILLIS);
+        assertTrue(onLoop(election::isOwner));
+        assertEquals(1, takeovers.get());
+        assertTrue(
+                longestHoldMillis.get() <= OwnerElection.HOLD_MILLIS,
+                "longest hold " + longestHoldMillis.get());
+    }
+
     /**
      * On rutas-flipper-large, a host reported one waiting job while eight had waited for 5 s,
      * because the counts were written only when no progress was waiting to be stored.
