Treat a peer with a malformed address as unreachable

Seen by operators: a daemon whose row in the list has an address without a port, or with one that is no number, ended the round of exchanges of each other daemon with an exception (duty.failed), in which the daemons after it are left out.

Cause: PeerClient cut the address at a colon that it did not check for.

Change: PeerClient parses with HostPort, without a name look-up, and returns PeerFailure.UNREACHABLE, as for a daemon that is down.

PeerServerTest.malformedAddressIsUnreachable: before, StringIndexOutOfBoundsException; after, it passes.

--- a/daemon/src/main/java/org/peridotcourse/daemon/http/HostPort.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/http/HostPort.java
@@ -13,19 +13,31 @@
     private HostPort() {}
 
     /**
-     * Parses an address.
+     * Parses an address and resolves the name of its host.
      *
      * @param text the host, a colon and the port
      * @return the address, or empty if the text does not have this form or the port is too large
      */
     public static Optional<InetSocketAddress> parse(String text) {
+        return parseUnresolved(text)
+                .map(found -> new InetSocketAddress(found.getHostString(), found.getPort()));
+    }
+
+    /**
+     * Parses an address without resolving the name of its host.
+     *
+     * @param text the host, a colon and the port
+     * @return the unresolved address, or empty if the text does not have this form or the port is
+     *     too large
+     */
+    public static Optional<InetSocketAddress> parseUnresolved(String text) {
         Matcher matcher = HOST_AND_PORT.matcher(text);
         if (!matcher.matches()) {
             return Optional.empty();
         }
         int port = Integer.parseInt(matcher.group(2));
         return port <= MAX_PORT
-                ? Optional.of(new InetSocketAddress(matcher.group(1), port))
+                ? Optional.of(InetSocketAddress.createUnresolved(matcher.group(1), port))
                 : Optional.empty();
     }
 }
--- a/daemon/src/main/java/org/peridotcourse/daemon/peer/PeerClient.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/peer/PeerClient.java
@@ -1,5 +1,6 @@
 package org.peridotcourse.daemon.peer;
 
+import java.net.InetSocketAddress;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.Map;
@@ -11,6 +12,7 @@
 import org.apache.thrift.transport.TTransportException;
 import org.apache.thrift.transport.layered.TFramedTransport;
 import org.peridotcourse.Result;
+import org.peridotcourse.daemon.http.HostPort;
 import org.peridotcourse.wire.ExchangeReply;
 import org.peridotcourse.wire.ExchangeRequest;
 import org.peridotcourse.wire.Peer;
@@ -100,7 +102,13 @@
     }
 
     private TTransport open(String address) throws TTransportException {
-        int colon = address.lastIndexOf(':');
+        InetSocketAddress target =
+                HostPort.parseUnresolved(address)
+                        .orElseThrow(
+                                () ->
+                                        new TTransportException(
+                                                TTransportException.NOT_OPEN,
+                                                "not an address: " + address));
         TConfiguration limits =
                 new TConfiguration(
                         PeerServer.MAX_FRAME_BYTES,
@@ -109,8 +117,8 @@
         TSocket socket =
                 new TSocket(
                         limits,
-                        address.substring(0, colon),
-                        Integer.parseInt(address.substring(colon + 1)),
+                        target.getHostString(),
+                        target.getPort(),
                         replyTimeoutMillis,
                         connectTimeoutMillis);
         TTransport framed = new TFramedTransport(socket, PeerServer.MAX_FRAME_BYTES);
--- a/daemon/src/test/java/org/peridotcourse/daemon/peer/PeerServerTest.java
+++ b/daemon/src/test/java/org/peridotcourse/daemon/peer/PeerServerTest.java
@@ -55,6 +55,20 @@
         }
     }
 
+    /**
+     * An address without a port ended the round of exchanges with an exception, so that the daemons
+     * after it got no message.
+     */
+    @Test
+    void malformedAddressIsUnreachable() {
+        for (String address : new String[] {"10.1.0.13", "10.1.0.13:", "10.1.0.13:x", ":7", ""}) {
+            assertEquals(Result.failed(PeerFailure.UNREACHABLE), client.exchange(address, request));
+        }
+        assertEquals(
+                Result.failed(PeerFailure.UNREACHABLE),
+                client.exchange("127.0.0.1:70000", request));
+    }
+
     /** Guards against a duty that is blocked by a daemon that does not respond. */
     @Test
     void unresponsiveServerTimesOut() throws Exception {
