Find the own write of an operator wherever it is

Seen by operators: a row was written, its response lost, and peridotctl reported a conflict with another writer, if the write had commit 1 or rows with the same prefix filled the page that was read.

Change: RowStore reads all pages after the expected commit.

RowStoreTest: before, two of three tests failed (empty for commits 1 and 7); after, all pass, and so do all tests of the module (one run).

--- a/ctl/src/main/java/org/peridotcourse/ctl/RowStore.java
+++ b/ctl/src/main/java/org/peridotcourse/ctl/RowStore.java
@@ -74,7 +74,9 @@
             try {
                 JsonHttp.Response response = http.post("/v1/transactions", transaction);
                 if (response.status() == 409) {
-                    return lastFailure == null ? Optional.empty() : ownCommit(id, table, key);
+                    return lastFailure == null
+                            ? Optional.empty()
+                            : ownCommit(id, table, key, expected);
                 }
                 JsonNode body = response.requireStatus(http.address(), 200);
                 return Optional.of(body.path("commit").asLong());
@@ -85,19 +87,21 @@
         throw lastFailure;
     }
 
-    private Optional<Long> ownCommit(String id, String table, String key) throws CtlException {
-        JsonNode body =
-                http.get(
-                                "/v1/rows/"
-                                        + JsonHttp.encode(table)
-                                        + "?prefix="
-                                        + JsonHttp.encode(key)
-                                        + "&since=1")
-                        .requireStatus(http.address(), 200);
-        for (JsonNode row : body.path("rows")) {
-            if (row.path("key").asText().equals(key) && row.path("writer").asText().equals(id)) {
-                return Optional.of(row.path("commit").asLong());
+    /** Finds the commit after the expected one with which a transaction wrote the row. */
+    private Optional<Long> ownCommit(String id, String table, String key, long expected)
+            throws CtlException {
+        long since = expected;
+        boolean more = true;
+        while (more) {
+            JsonNode page = page(table, key, since);
+            for (JsonNode row : page.path("rows")) {
+                since = row.path("commit").asLong();
+                if (row.path("key").asText().equals(key)
+                        && row.path("writer").asText().equals(id)) {
+                    return Optional.of(since);
+                }
             }
+            more = page.path("more").asBoolean() && !page.path("rows").isEmpty();
         }
         return Optional.empty();
     }
