--- a/core/src/test/java/org/peridotcourse/dispatch/TakeoverFaultTest.java
+++ b/core/src/test/java/org/peridotcourse/dispatch/TakeoverFaultTest.java
@@ -86,6 +86,33 @@
                 .orElseThrow();
     }
 
+    /**
+     * Orders that left a queue of the earlier owner, or the network, after the takeover would start
+     * tasks twice if their epoch and the absolute end of their lease did not bind them. One worker
+     * is cut off from the successor for a while, so that it has not seen the new epoch.
+     */
+    @Test
+    void ordersOfAnEarlierOwnerThatAreCarriedOutAfterTheTakeoverCauseNoDuplicateRuns() {
+        for (long seed = 1; seed <= 60; seed++) {
+            DispatchSimulation simulation = new DispatchSimulation(seed, 4, CAPACITY);
+            simulation.submit(QUEUE, step(4, 0).lasting(true).build());
+            simulation.lateOrderShare = 0.4;
+            String[] jobs = new String[5];
+            for (int i = 0; i < jobs.length; i++) {
+                jobs[i] = simulation.submit(QUEUE, step(3, 600).build(), step(2, 900).build());
+                simulation.run(100);
+            }
+            simulation.unreachableWorkers.add("w" + seed % 4);
+            simulation.takeOver(simulation.now + 600);
+            simulation.lateOrderShare = 0;
+            simulation.run(3_000);
+            simulation.unreachableWorkers.clear();
+            simulation.runUntilEnded(40_000, jobs);
+            simulation.assertCompleted(jobs);
+            simulation.run(15_000);
+        }
+    }
+
     @Test
     void aLostStartIsRepeatedWithinThreeSeconds() {
         for (int offset = 0; offset < 1_000; offset += 200) {
