--- a/core/src/main/java/org/peridotcourse/dispatch/OrderWindow.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/OrderWindow.java
@@ -17,7 +17,7 @@
 
     static final int MAX_SIZE = 128;
 
-/** Stops and paces that may be outstanding however many starts are. */
+    /** Stops and paces that may be outstanding however many starts are. */
     static final int RESERVE = 16;
 
     /** A reply after more than this time is late. Orders time out after 600 ms. */
