Name the exception of a load request without a response

The result of plannedStop said no-response without a cause. The load client now counts the name of the exception as the reason.

--- a/standins/src/main/java/org/peridotcourse/standins/LoadMain.java
+++ b/standins/src/main/java/org/peridotcourse/standins/LoadMain.java
@@ -7,6 +7,7 @@
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.time.Duration;
+import java.util.concurrent.CompletionException;
 import java.util.concurrent.Phaser;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
@@ -142,7 +143,8 @@
         client.sendAsync(request.build(), HttpResponse.BodyHandlers.ofString())
                 .whenComplete(
                         (response, failure) -> {
-                            recordEnd(arrival, nonce, response, scheduledNanos, statistics);
+                            recordEnd(
+                                    arrival, nonce, response, failure, scheduledNanos, statistics);
                             inFlight.arriveAndDeregister();
                         });
     }
@@ -151,11 +153,12 @@
             ArrivalGenerator.Arrival arrival,
             String nonce,
             HttpResponse<String> response,
+            Throwable failure,
             long scheduledNanos,
             LoadStatistics statistics) {
         long micros = TimeUnit.NANOSECONDS.toMicros(System.nanoTime() - scheduledNanos);
         if (response == null) {
-            statistics.ended(arrival, "no-response", "", micros, false);
+            statistics.ended(arrival, "no-response", reason(failure), micros, false);
             return;
         }
         String outcome = response.headers().firstValue("Peridot-Outcome").orElse("no-outcome");
@@ -172,6 +175,15 @@
         statistics.ended(arrival, outcome, body.path("reason").asText(""), micros, good);
     }
 
+    /** Returns the exception's name, which tells a refused connection from one that ended early. */
+    private static String reason(Throwable failure) {
+        Throwable cause =
+                failure instanceof CompletionException && failure.getCause() != null
+                        ? failure.getCause()
+                        : failure;
+        return cause.getClass().getSimpleName();
+    }
+
     private static JsonNode body(HttpResponse<String> response) {
         try {
             return Json.MAPPER.readTree(response.body());
