--- a/core/src/test/java/org/peridotcourse/dispatch/CallerRulesSearchTest.java
+++ b/core/src/test/java/org/peridotcourse/dispatch/CallerRulesSearchTest.java
@@ -21,6 +21,9 @@
     /** Seeds of earlier violations, all of the rule UNASKED. */
     private static final long[] REGRESSION_SEEDS = {2917, 4711, 5926};
 
+    /** Seeds on which a task of an inherited lasting job waits for too long. */
+    private static final long[] LATE_INHERITED_TASK_SEEDS = {1302, 3883, 6366};
+
     private static List<String> violations(LongStream seeds) {
         return seeds.boxed()
                 .flatMap(
@@ -41,6 +44,12 @@
         assertEquals(List.of(), violations(LongStream.of(REGRESSION_SEEDS)));
     }
 
+    /** Guards against lasting tasks that wait for a new owner beyond the time that is allowed. */
+    @Test
+    void lastingTasksDoNotWaitForANewOwner() {
+        assertEquals(List.of(), violations(LongStream.of(LATE_INHERITED_TASK_SEEDS)));
+    }
+
     /** Runs the seeds that system properties select, in parallel; there are none in CI. */
     @Test
     void seedsFromSystemProperties() {
