Attribute crashes of workers to the tasks that had just started

Callers saw: a task that crashes each worker that starts it was started again on the next one, without a limit.

Cause: a run that ends with its worker is LAPSED, which counted against nobody, and nothing about a start was stored, so a successor could not know of it either. Copies of speculative tasks on lost workers crashed two workers at a time.

Change: CrashAttribution records the runs that had started within about a second before their worker was lost. They count as crashes once another life answers at the address of the worker, and are withdrawn if the worker reports again. Lost runs are part of the stored progress. A task with a lost run is kept apart from other suspects, with two it is started alone (CrashTrials), and its start is stored before it is sent (RecordedStarts), so that it outlives the owner. The job fails after three crashes, in one of which no other task was a suspect, or after four. A worker whose address answers as another life has ended: its tasks are placed again at once instead of after their leases. There is no second copy of a task with lost runs.

--- a/core/src/main/java/org/peridotcourse/dispatch/Decision.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/Decision.java
@@ -21,6 +21,11 @@
          * A task has waited long; the detail counts workers by the reason why they cannot run it.
          */
         TASK_WAITS,
+        /**
+         * The start of a run is to be recorded before it is ordered, since its task may have
+         * crashed a worker.
+         */
+        START_RECORDED,
         /** The start of a run was ordered. */
         RUN_ORDERED,
         /** A run that was not tracked was found on a worker and adopted. */
@@ -39,6 +44,11 @@
         WORKER_USABLE,
         /** A worker cannot be reached. */
         WORKER_LOST,
+        /**
+         * A worker has crashed; the detail names the tasks that had just started on it and may have
+         * caused the crash.
+         */
+        WORKER_CRASHED,
         /** A worker was restarted and has a new incarnation. */
         WORKER_REBORN,
         /** The lease of an unreachable worker has expired, which ends its runs. */
--- a/core/src/main/java/org/peridotcourse/dispatch/DispatchOwner.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/DispatchOwner.java
@@ -26,11 +26,17 @@
     /** Longest interval between two planning passes, even if nothing has changed. */
     private static final long MAX_PLAN_INTERVAL_MILLIS = 100;
 
+    /** How long a worker that is kept free for a trial waits before it reports. */
+    private static final long TRIAL_REPORT_WAIT_MILLIS = 250;
+
     private final OwnerState state;
     private final JobRegistry jobs;
     private final RunLifecycle runs;
+    private final WorkerRegistry workers;
     private final ReportProcessor reportProcessor;
     private final WorkerSelector selector;
+    private final CrashTrials trials;
+    private final RecordedStarts recordedStarts;
     private final Planner planner;
     private final RunMonitor monitor;
     private final FillThrottle throttle;
@@ -47,9 +53,12 @@
         this.state = new OwnerState(term, sink);
         this.jobs = new JobRegistry(state);
         this.runs = new RunLifecycle(state, jobs);
+        this.workers = new WorkerRegistry(state, runs);
         this.reportProcessor = new ReportProcessor(state, jobs, runs);
         this.selector = new WorkerSelector(state);
-        this.planner = new Planner(state, selector, runs);
+        this.trials = new CrashTrials(state, selector);
+        this.recordedStarts = new RecordedStarts(state, selector, runs);
+        this.planner = new Planner(state, selector, runs, trials, recordedStarts);
         this.monitor = new RunMonitor(state, runs, selector, planner);
         this.throttle = new FillThrottle(state, runs, selector);
     }
@@ -206,15 +215,7 @@
      * @param now the current time
      */
     public void onWorkerListed(WorkerInfo info, long now) {
-        Worker worker = state.workers.get(info.id());
-        if (worker == null) {
-            boolean reconciled = state.reconciliation.isComplete();
-            long leaseExpiresAt = reconciled ? now : state.term.earlierRunsMayLastUntil();
-            state.workers.put(info.id(), new Worker(info, leaseExpiresAt, state.usage));
-            return;
-        }
-        worker.info = info;
-        worker.listed = true;
+        workers.onListed(info, now);
     }
 
     /**
@@ -225,8 +226,7 @@
      * @param now the current time
      */
     public void onRecordedWorker(WorkerInfo info, long now) {
-        onWorkerListed(info, now);
-        onWorkerUnlisted(info.id(), now - WorkerSelector.UNLISTED_GRACE_MILLIS);
+        workers.onRecorded(info, now);
     }
 
     /**
@@ -236,11 +236,7 @@
      * @param now the current time
      */
     public void onWorkerUnlisted(String id, long now) {
-        Worker worker = state.workers.get(id);
-        if (worker != null && worker.listed) {
-            worker.listed = false;
-            worker.unlistedAt = now;
-        }
+        workers.onUnlisted(id, now);
     }
 
     /**
@@ -297,7 +293,12 @@
         if (worker == null) {
             return Optional.empty();
         }
+        worker.calledAddress = worker.info.address();
         boolean urgent = worker.hasUnstoredEnds() || worker.hasUnansweredStart();
+        long maxWaitMillis =
+                worker.trialTask.isPresent()
+                        ? Math.min(waitMillis, TRIAL_REPORT_WAIT_MILLIS)
+                        : waitMillis;
         boolean renewsLease = worker.hasClockReading() && worker.reachable;
         OptionalLong lease =
                 renewsLease
@@ -311,7 +312,7 @@
                         state.term.epoch(),
                         lease,
                         worker.lastStoredEnd,
-                        urgent || !renewsLease ? 0 : waitMillis));
+                        urgent || !renewsLease ? 0 : maxWaitMillis));
     }
 
     /**
@@ -363,27 +364,8 @@
      */
     public void onLeaseCallFailed(String id, OrderReply reply, long now) {
         Worker worker = state.workers.get(id);
-        if (worker == null) {
-            return;
-        }
-        if (reply == OrderReply.STALE_EPOCH) {
-            runs.depose(worker);
-            return;
-        }
-        if (worker.reachable) {
-            worker.reachable = false;
-            state.log(
-                    Decision.Kind.WORKER_LOST,
-                    id,
-                    worker,
-                    "reply="
-                            + reply
-                            + " silent="
-                            + (now - worker.lastReportAt)
-                            + " runs="
-                            + worker.runs.size()
-                            + " leasesOverIn="
-                            + (worker.leaseExpiresAt - now));
+        if (worker != null) {
+            workers.onLeaseCallFailed(worker, reply, now);
         }
     }
 
@@ -412,8 +394,9 @@
         }
         state.orderWindow.removeOld(now);
         jobs.openDueOccurrences(now);
+        handleCrashes(now);
         runs.endRunsOfExpiredLeases(now);
-        removeUnlistedWorkers(now);
+        workers.removeUnlisted(now);
         state.reconciliation.update(now);
         state.limits.refresh(now);
         if (now - lastCheckAt >= CHECK_INTERVAL_MILLIS) {
@@ -424,6 +407,7 @@
         }
         // Stops come first, since they reduce the number of starts that the order window allows.
         runs.sendStops(now);
+        recordedStarts.send(now);
         if (state.planDue || now - lastPlanAt >= MAX_PLAN_INTERVAL_MILLIS) {
             lastPlanAt = now;
             state.planDue = planner.startWaitingTasks(now);
@@ -432,6 +416,13 @@
         return state.takeOrders(now);
     }
 
+    private void handleCrashes(long now) {
+        state.crashes.recordLosses(now);
+        state.crashes.expireLosses(now);
+        trials.update(now);
+        state.crashes.takeProvenTasks().forEach(task -> jobs.failForCrashes(task, now));
+    }
+
     /**
      * Returns the changed records of jobs, which must be stored.
      *
@@ -467,17 +458,4 @@
     OwnerState state() {
         return state;
     }
-
-    private void removeUnlistedWorkers(long now) {
-        List<Worker> removable = new ArrayList<>();
-        for (Worker worker : state.workers.values()) {
-            boolean unlistedTooLong =
-                    !worker.listed
-                            && now - worker.unlistedAt >= WorkerSelector.UNLISTED_GRACE_MILLIS;
-            if (unlistedTooLong && worker.runs.isEmpty() && now >= worker.leaseExpiresAt) {
-                removable.add(worker);
-            }
-        }
-        removable.forEach(worker -> state.workers.remove(worker.id));
-    }
 }
--- a/core/src/main/java/org/peridotcourse/dispatch/Job.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/Job.java
@@ -42,6 +42,12 @@
      */
     final Set<String> workersOfUnstoredEnds = new HashSet<>();
 
+    /** Number of records that went into a batch to be stored. */
+    int recordsTaken;
+
+    /** Number of the latest of these records that is stored. */
+    int recordsStored;
+
     /** Monotonic time at which the job ended. */
     long endedAt;
 
@@ -62,6 +68,12 @@
         this.started = state != JobState.QUEUED;
     }
 
+    /** Requests that the record is stored, and returns the number that it will have. */
+    int requestRecord() {
+        hasUnstoredChanges = true;
+        return recordsTaken + 1;
+    }
+
     /** Opens the occurrences that are due. */
     void openDue(long now, long firstDueAt) {
         Schedule schedule = spec.schedule();
--- a/core/src/main/java/org/peridotcourse/dispatch/JobRecord.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/JobRecord.java
@@ -31,20 +31,15 @@
      * Returns this record without checkpoints, so that tasks that are not done start from the
      * beginning.
      *
-     * @return the record of done tasks and failed attempts
+     * @return the record of done tasks, failed attempts and lost runs
      */
     public JobRecord withoutCheckpoints() {
         List<TaskRecord> remaining = new ArrayList<>();
         for (TaskRecord task : tasks) {
-            if (task.done() || !task.failedAttempts().isEmpty()) {
-                remaining.add(
-                        new TaskRecord(
-                                task.occurrence(),
-                                task.step(),
-                                task.index(),
-                                task.done(),
-                                task.failedAttempts(),
-                                ""));
+            boolean hasOtherProgress =
+                    task.done() || !task.failedAttempts().isEmpty() || !task.lostRuns().isEmpty();
+            if (hasOtherProgress) {
+                remaining.add(task.withoutCheckpoint());
             }
         }
         return new JobRecord(state, endedAtMillis, remaining);
@@ -59,6 +54,7 @@
      * @param done true if it is done
      * @param failedAttempts numbers of the attempts that failed, each listed once
      * @param checkpoint checkpoint from which to resume, empty to start from the beginning
+     * @param lostRuns runs that may have crashed their workers
      */
     public record TaskRecord(
             int occurrence,
@@ -66,9 +62,10 @@
             int index,
             boolean done,
             List<Integer> failedAttempts,
-            String checkpoint) {
+            String checkpoint,
+            List<LostRun> lostRuns) {
         /**
-         * Copies the list.
+         * Copies the lists.
          *
          * @param occurrence the occurrence
          * @param step the number of the step
@@ -76,9 +73,35 @@
          * @param done true if it is done
          * @param failedAttempts numbers of the attempts that failed
          * @param checkpoint checkpoint from which to resume
+         * @param lostRuns runs that may have crashed their workers
          */
         public TaskRecord {
             failedAttempts = List.copyOf(failedAttempts);
+            lostRuns = List.copyOf(lostRuns);
+        }
+
+        /**
+         * Creates the progress of a task without lost runs.
+         *
+         * @param occurrence the occurrence
+         * @param step the number of the step
+         * @param index the number of the task within its step
+         * @param done true if it is done
+         * @param failedAttempts numbers of the attempts that failed
+         * @param checkpoint checkpoint from which to resume
+         */
+        public TaskRecord(
+                int occurrence,
+                int step,
+                int index,
+                boolean done,
+                List<Integer> failedAttempts,
+                String checkpoint) {
+            this(occurrence, step, index, done, failedAttempts, checkpoint, List.of());
+        }
+
+        private TaskRecord withoutCheckpoint() {
+            return new TaskRecord(occurrence, step, index, done, failedAttempts, "", lostRuns);
         }
     }
 }
--- a/core/src/main/java/org/peridotcourse/dispatch/JobRegistry.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/JobRegistry.java
@@ -73,13 +73,14 @@
         completeIfDone(job, now);
     }
 
-    private static void restore(Job job, JobRecord.TaskRecord record, long firstDue, long now) {
+    private void restore(Job job, JobRecord.TaskRecord record, long firstDue, long now) {
         TaskRef ref = new TaskRef(job.id, record.occurrence(), record.step(), record.index());
         job.openOccurrenceOf(ref, now, firstDue)
                 .ifPresent(
                         task -> {
                             task.failedAttempts.addAll(record.failedAttempts());
                             task.checkpoint = record.checkpoint();
+                            state.crashes.restore(task, record.lostRuns(), now);
                             if (record.done()) {
                                 task.step.markDone(task);
                             }
@@ -139,6 +140,15 @@
         }
     }
 
+    /** Fails the job of a task that crashes the workers that start it. */
+    void failForCrashes(Task task, long now) {
+        Job job = task.job();
+        if (job.isActive()) {
+            int crashes = state.crashes.lossCount(task);
+            end(job, JobState.FAILED, now, " task=" + task.ref + " crashes=" + crashes);
+        }
+    }
+
     /**
      * Returns the number of failed attempts of a task. The members of a gang fail together, so an
      * attempt counts once for all of them.
@@ -207,6 +217,7 @@
         RecordBatch.Change change =
                 new RecordBatch.Change(
                         job.id,
+                        ++job.recordsTaken,
                         new JobRecord(job.state, endedAt, tasks),
                         job.workersOfUnstoredEnds);
         job.hasUnstoredChanges = false;
@@ -227,6 +238,9 @@
                         });
         for (RecordBatch.Change change : batch.changes()) {
             Job job = state.jobs.get(change.job());
+            if (job != null) {
+                job.recordsStored = Math.max(job.recordsStored, change.number());
+            }
             if (change.record().state().isFinal() && job != null && !job.hasUnstoredChanges) {
                 endedJobs.add(job.id);
                 removeIfIdle(job);
--- a/core/src/main/java/org/peridotcourse/dispatch/OwnerState.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/OwnerState.java
@@ -16,6 +16,7 @@
     final CustomerUsage usage = new CustomerUsage();
     final CustomerLimits limits = new CustomerLimits(this);
     final CustomerRates rates = new CustomerRates(this);
+    final CrashAttribution crashes = new CrashAttribution(this);
     final OrderWindow orderWindow = new OrderWindow();
     private final Decision.Sink sink;
     private final OrderQueue orders = new OrderQueue(orderWindow);
--- a/core/src/main/java/org/peridotcourse/dispatch/PlacementBlocker.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/PlacementBlocker.java
@@ -25,6 +25,8 @@
     ON_PROBATION,
     /** The worker rejected a start a short time ago. */
     PAUSED,
+    /** The worker is kept free for a task that may have crashed workers. */
+    CRASH_TRIAL,
     /** The data centre of the worker is being evacuated. */
     EVACUATED,
     /** The worker lacks the label that the step requires. */
--- a/core/src/main/java/org/peridotcourse/dispatch/Planner.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/Planner.java
@@ -24,15 +24,24 @@
     private final StepOrder stepOrder;
     private final WorkerSelector selector;
     private final RunLifecycle runs;
+    private final CrashTrials trials;
+    private final RecordedStarts recordedStarts;
     private final Preemption preemption;
     private final WaitingTaskLog waitingTaskLog;
 
-    Planner(OwnerState state, WorkerSelector selector, RunLifecycle runs) {
+    Planner(
+            OwnerState state,
+            WorkerSelector selector,
+            RunLifecycle runs,
+            CrashTrials trials,
+            RecordedStarts recordedStarts) {
         this.state = state;
         this.shares = new CustomerShares(state, selector);
         this.stepOrder = new StepOrder(state, shares);
         this.selector = selector;
         this.runs = runs;
+        this.trials = trials;
+        this.recordedStarts = recordedStarts;
         this.preemption = new Preemption(state, selector, runs);
         this.waitingTaskLog = new WaitingTaskLog(state, selector);
     }
@@ -92,6 +101,10 @@
             if (reachedMax || state.limits.blocksStart(step, now)) {
                 return started;
             }
+            if (state.crashes.isSuspect(task)) {
+                started += startSuspect(task, now) ? 1 : 0;
+                continue;
+            }
             ranking = ranking == null ? selector.rankWorkers(task, now) : ranking;
             Optional<Worker> worker = ranking.bestWorker(task);
             if (worker.isEmpty()) {
@@ -99,12 +112,40 @@
                 step.nextSearchAt = step.spec.isFilling() ? now + FILL_SEARCH_DELAY_MILLIS : 0;
                 return started;
             }
-            runs.start(task, worker.get(), now, "start");
+            start(task, worker.get(), task.lastAttempt + 1, now, "start");
             started++;
         }
         return started;
     }
 
+    /** Starts a task that may have crashed a worker, if a suitable worker is free for it. */
+    private boolean startSuspect(Task task, long now) {
+        if (state.crashes.mustWait(task)) {
+            return false;
+        }
+        boolean alone = trials.needsTrial(task, now);
+        Optional<Worker> worker =
+                alone ? trials.chooseWorker(task, now) : selector.chooseWorker(task, now);
+        if (worker.isEmpty()) {
+            return false;
+        }
+        Run run = runs.assign(task, worker.get(), task.lastAttempt + 1, now);
+        run.alone = alone;
+        recordedStarts.add(run, "start", now);
+        return true;
+    }
+
+    private void start(Task task, Worker worker, int attempt, long now, String cause) {
+        boolean mayCrash =
+                state.crashes.isSuspect(task) || state.reconciliation.mayHaveCrashedWorker(task);
+        Run run = runs.assign(task, worker, attempt, now);
+        if (mayCrash) {
+            recordedStarts.add(run, cause, now);
+        } else {
+            runs.sendStart(run, now, cause);
+        }
+    }
+
     private boolean mayStart(Task task, long now) {
         return task.mayStart(now) && state.reconciliation.isSafeToStart(task);
     }
@@ -113,7 +154,7 @@
     private int startGang(Step step, long now) {
         int attempt = 0;
         for (Task task : step.tasks) {
-            if (!mayStart(task, now)) {
+            if (!mayStart(task, now) || state.crashes.mustWait(task)) {
                 return 0;
             }
             attempt = Math.max(attempt, task.lastAttempt + 1);
@@ -137,7 +178,7 @@
             return 0;
         }
         for (int i = 0; i < step.tasks.length; i++) {
-            runs.start(step.tasks[i], targets.get(i), attempt, Optional.empty(), now, "gang");
+            start(step.tasks[i], targets.get(i), attempt, now, "gang");
         }
         return step.tasks.length;
     }
@@ -178,6 +219,10 @@
         if (!task.step.spec.isSpeculative() || task.runs.size() > 1 || !needed) {
             return false;
         }
+        if (state.crashes.lossCount(task) > 1) {
+            // It may crash its workers, so that copies would crash several at a time.
+            return false;
+        }
         if (task.job().inherited && !state.reconciliation.isComplete()) {
             return false;
         }
@@ -185,7 +230,7 @@
             return false;
         }
         Optional<Worker> worker = selector.chooseWorker(task, now);
-        worker.ifPresent(target -> runs.start(task, target, now, reason));
+        worker.ifPresent(target -> start(task, target, task.lastAttempt + 1, now, reason));
         return worker.isPresent();
     }
 }
--- a/core/src/main/java/org/peridotcourse/dispatch/RecordBatch.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/RecordBatch.java
@@ -33,15 +33,17 @@
      * The new record of a job.
      *
      * @param job the id of the job
+     * @param number the number of the record, counted from 1 for each job and owner
      * @param record the new record
      * @param workersOfEnds ids of the workers with ends that are part of it and were not stored
      *     before
      */
-    public record Change(String job, JobRecord record, Set<String> workersOfEnds) {
+    public record Change(String job, int number, JobRecord record, Set<String> workersOfEnds) {
         /**
          * Copies the set.
          *
          * @param job the id of the job
+         * @param number the number of the record
          * @param record the new record
          * @param workersOfEnds ids of the workers with ends that are part of it
          */
--- a/core/src/main/java/org/peridotcourse/dispatch/ReportProcessor.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/ReportProcessor.java
@@ -41,6 +41,11 @@
             onNewIncarnation(worker, report, now);
         }
         worker.incarnation = Math.max(worker.incarnation, report.startedAtMillis());
+        state.crashes.onReport(worker);
+        worker.reportedAddress = worker.calledAddress;
+        if (!worker.hasReported) {
+            endEarlierWorkersAtAddressOf(worker, now);
+        }
         worker.onClockReading(report.clockMillis(), now);
         worker.lastReportAt = now;
         if (!worker.hasReported) {
@@ -75,6 +80,16 @@
         }
     }
 
+    /** Ends the workers that had the address before; a restarted worker may get another id. */
+    private void endEarlierWorkersAtAddressOf(Worker worker, long now) {
+        for (Worker other : state.workers.values()) {
+            boolean hadAddress = other.reportedAddress.equals(worker.reportedAddress);
+            if (other != worker && other.hasReported && !other.reachable && hadAddress) {
+                runs.onAddressTaken(other, worker.reportedAddress, now);
+            }
+        }
+    }
+
     private static boolean isFromEarlierIncarnation(Worker worker, WorkerReport report) {
         return report.startedAtMillis() != 0 && report.startedAtMillis() < worker.incarnation;
     }
@@ -105,6 +120,10 @@
                 worker.id,
                 worker,
                 "born=" + report.startedAtMillis() + " runs=" + worker.runs.size());
+        state.crashes.onCrashed(worker, now);
+        if (!worker.hasReported) {
+            state.reconciliation.onWorkerMissing();
+        }
         worker.incarnation = report.startedAtMillis();
         worker.lastAppliedEnd = 0;
         worker.lastStoredEnd = 0;
--- a/core/src/main/java/org/peridotcourse/dispatch/Run.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/Run.java
@@ -12,6 +12,15 @@
     /** When the start was ordered, or when the run was adopted from an earlier owner. */
     final long orderedAt;
 
+    /** False while the start waits for its record to be stored and has not been sent. */
+    boolean sent = true;
+
+    /** True if the start was recorded in the store before it was sent. */
+    boolean recordedAhead;
+
+    /** True if nothing else was started on the worker from before the start until it is proven. */
+    boolean alone;
+
     /** True once the worker has confirmed the start or reported the run. */
     boolean confirmed;
 
@@ -115,6 +124,16 @@
         }
     }
 
+    /** Returns whether the worker has been seen to outlive the start of the run. */
+    boolean isProven() {
+        return confirmed && worker.lastReportAt - confirmedAt >= CrashAttribution.YOUNG_MILLIS;
+    }
+
+    /** Returns whether the run may have been started but is not proven yet. */
+    boolean isYoung() {
+        return sent && !isProven();
+    }
+
     void requestStop(StopReason reason, long now) {
         if (stopReason == null) {
             stopReason = reason;
--- a/core/src/main/java/org/peridotcourse/dispatch/RunLifecycle.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/RunLifecycle.java
@@ -35,25 +35,21 @@
         this.jobs = jobs;
     }
 
-    /** Orders the start of a task under its next attempt number. */
-    Run start(Task task, Worker worker, long now, String cause) {
-        return start(task, worker, task.lastAttempt + 1, Optional.empty(), now, cause);
-    }
-
-    Run start(
-            Task task,
-            Worker worker,
-            int attempt,
-            Optional<String> ticket,
-            long now,
-            String cause) {
+    /** Assigns a task to a worker as a run that is then started with {@link #sendStart}. */
+    Run assign(Task task, Worker worker, int attempt, long now) {
         Run run = new Run(task, attempt, worker, now);
-        long waitedMillis = task.waitedMillis(now);
         task.lastAttempt = Math.max(task.lastAttempt, attempt);
         task.startedOrAdopted = true;
         task.runs.add(run);
         worker.add(run);
-        StepSpec spec = task.step.spec;
+        return run;
+    }
+
+    /** Orders the start of a run. */
+    void sendStart(Run run, long now, String cause) {
+        Task task = run.task;
+        Worker worker = run.worker;
+        StepSpec spec = run.spec();
         if (spec.isFilling()) {
             for (Run serving : worker.servingRunPerLoad()) {
                 state.tailModel.onFillingStart(serving.image(), run.image(), now);
@@ -64,17 +60,22 @@
                 new Order.Start(
                         worker.info,
                         task.ref,
-                        attempt,
+                        run.attempt,
                         state.term.epoch(),
                         task.job().spec.payload(),
                         worker.grantLease(now, state.term.leaseTimes(), state.mayOrderUntil),
                         checkpoint,
-                        ticket));
+                        Optional.empty()));
         state.log(
                 Decision.Kind.RUN_ORDERED,
                 run,
-                cause + " waited=" + waitedMillis + " resumed=" + !checkpoint.isEmpty());
-        return run;
+                cause + " waited=" + task.waitedMillis(now) + " resumed=" + !checkpoint.isEmpty());
+    }
+
+    /** Withdraws a run whose start was not sent. */
+    void withdraw(Run run, long now) {
+        stopOtherMembers(run, now);
+        release(run, now);
     }
 
     /** Requests the stop of a run, unless that was done before. */
@@ -175,9 +176,15 @@
                     "order=" + kindOf(order) + " reply=" + reply);
         }
         Run run = worker.runs.get(new Run.Key(order.task(), order.attempt()));
-        if (run == null) {
-            return;
+        if (run != null) {
+            onReplyFor(run, order, reply, now);
         }
+        if (reply == OrderReply.OTHER_LIFE) {
+            onAddressTaken(worker, order.worker().address(), now);
+        }
+    }
+
+    private void onReplyFor(Run run, Order order, OrderReply reply, long now) {
         if (order instanceof Order.Start) {
             onStartReply(run, reply, now);
         } else if (order instanceof Order.Stop) {
@@ -387,6 +394,24 @@
         }
     }
 
+    /**
+     * Handles the proof that another worker, or another incarnation that does not know the id, has
+     * an address. If the worker has reported from there, it has ended with all its runs. Otherwise
+     * the address may be that of a faulty list entry, and its leases have to run out.
+     */
+    void onAddressTaken(Worker worker, String address, long now) {
+        if (worker.hasReported && !address.equals(worker.reportedAddress)) {
+            return;
+        }
+        state.crashes.onCrashed(worker, now);
+        if (worker.hasReported) {
+            worker.reachable = false;
+            worker.discardClockReading();
+            worker.leaseExpiresAt = Math.min(worker.leaseExpiresAt, now);
+            endAllRuns(worker, now);
+        }
+    }
+
     /** Ends all runs of a worker as lapsed. */
     void endAllRuns(Worker worker, long now) {
         List<Run> runs = new ArrayList<>(worker.runs.values());
--- a/core/src/main/java/org/peridotcourse/dispatch/TakeoverReconciliation.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/TakeoverReconciliation.java
@@ -24,6 +24,7 @@
 final class TakeoverReconciliation {
     private final OwnerState state;
     private boolean complete;
+    private boolean workersMissing;
 
     TakeoverReconciliation(OwnerState state) {
         this.state = state;
@@ -48,6 +49,7 @@
             return;
         }
         complete = true;
+        workersMissing |= state.workers.values().stream().anyMatch(worker -> !worker.hasReported);
         state.planDue = true;
         state.log(
                 Decision.Kind.CENSUS_COMPLETE,
@@ -61,6 +63,22 @@
                         + (now - state.term.takenOverAt()));
     }
 
+    /** Records that a worker of an earlier owner has ended or is not found. */
+    void onWorkerMissing() {
+        workersMissing = true;
+    }
+
+    /**
+     * Returns whether a task may have crashed a worker under an earlier owner that was lost before
+     * it could record this.
+     */
+    boolean mayHaveCrashedWorker(Task task) {
+        return workersMissing
+                && task.job().inherited
+                && !task.startedOrAdopted
+                && !hasOpenedUnderThisOwner(task.step);
+    }
+
     /** Returns whether no run of an earlier owner can still be active for a task. */
     boolean isSafeToStart(Task task) {
         return complete
--- a/core/src/main/java/org/peridotcourse/dispatch/Task.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/Task.java
@@ -19,6 +19,9 @@
     /** Ids of the workers on which a run failed under this owner. */
     final Set<String> failedOnWorkers = new HashSet<>(2);
 
+    /** Runs that may have crashed their workers; see {@link CrashAttribution}. */
+    final List<LostRun> lostRuns = new ArrayList<>(0);
+
     boolean done;
 
     /** True once this owner has started or adopted a run. */
@@ -74,10 +77,46 @@
 
     JobRecord.TaskRecord toRecord() {
         return new JobRecord.TaskRecord(
-                ref.occurrence(), ref.step(), ref.index(), done, failedAttempts, checkpoint);
+                ref.occurrence(),
+                ref.step(),
+                ref.index(),
+                done,
+                failedAttempts,
+                checkpoint,
+                lostRunsToStore());
+    }
+
+    /**
+     * Returns the lost runs together with the present runs whose starts have to be known to a
+     * successor before they are sent.
+     */
+    private List<LostRun> lostRunsToStore() {
+        if (done) {
+            return List.of();
+        }
+        List<LostRun> all = new ArrayList<>(lostRuns);
+        for (Run run : runs) {
+            if (run.recordedAhead && !run.isProven() && !hasLost(run.attempt)) {
+                all.add(LostRun.of(run));
+            }
+        }
+        return all;
+    }
+
+    /** Returns whether a run is listed among the lost ones. */
+    boolean hasLost(int attempt) {
+        for (LostRun lost : lostRuns) {
+            if (lost.attempt() == attempt) {
+                return true;
+            }
+        }
+        return false;
     }
 
     boolean hasProgress() {
-        return done || !failedAttempts.isEmpty() || !checkpoint.isEmpty();
+        return done
+                || !failedAttempts.isEmpty()
+                || !checkpoint.isEmpty()
+                || !lostRunsToStore().isEmpty();
     }
 }
--- a/core/src/main/java/org/peridotcourse/dispatch/Worker.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/Worker.java
@@ -1,8 +1,10 @@
 package org.peridotcourse.dispatch;
 
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import org.peridotcourse.Resources;
@@ -37,6 +39,18 @@
 
     long lastReportAt;
 
+    /** Address to which the last lease call went. */
+    String calledAddress = "";
+
+    /** Address from which the worker has reported, empty if it has not. */
+    String reportedAddress = "";
+
+    /** True if the young runs were recorded as lost since the worker became unreachable. */
+    boolean lossRecorded;
+
+    /** The task for which the worker is kept free of other starts; see {@link CrashTrials}. */
+    Optional<Task> trialTask = Optional.empty();
+
     /**
      * Identifies the process of the worker by its wall-clock start in milliseconds, 0 if unknown.
      */
@@ -169,6 +183,17 @@
         }
     }
 
+    /** Returns the runs that have not shown yet that they do not crash the worker. */
+    List<Run> youngRuns() {
+        List<Run> young = new ArrayList<>();
+        for (Run run : runs.values()) {
+            if (run.isYoung()) {
+                young.add(run);
+            }
+        }
+        return young;
+    }
+
     /** Returns how many runs were added and removed so far; caches use it to detect changes. */
     long runChangeCount() {
         return runChangeCount;
--- a/core/src/main/java/org/peridotcourse/dispatch/WorkerSelector.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/WorkerSelector.java
@@ -43,6 +43,10 @@
     private static final double SUSPECT_COST = 4;
     private static final double SLOW_COST = 6;
     private static final double RETRY_SAME_WORKER_COST = 8;
+
+    /** Keeps tasks that may have crashed a worker apart, so that the next crash has one suspect. */
+    private static final double OTHER_CRASH_SUSPECT_COST = 5;
+
     private static final double OTHER_THAN_PREFERRED_RACK_COST = 3;
     private static final double OTHER_RACK_COST = 2;
     private static final double SAME_JOB_COST = 0.02;
@@ -143,6 +147,9 @@
         if (workerBlocker != PlacementBlocker.NONE) {
             return workerBlocker;
         }
+        if (worker.trialTask.isPresent() && worker.trialTask.get() != search.task()) {
+            return PlacementBlocker.CRASH_TRIAL;
+        }
         PlacementBlocker taskBlocker = taskBlocker(worker, search);
         if (taskBlocker != PlacementBlocker.NONE) {
             return taskBlocker;
@@ -153,6 +160,11 @@
         return healthBlocker(worker, search, now);
     }
 
+    /** Returns whether starts may be sent to a worker. */
+    boolean acceptsStarts(Worker worker, long now) {
+        return workerBlocker(worker, now) == PlacementBlocker.NONE;
+    }
+
     /** Returns why a worker is not eligible for any task. */
     private PlacementBlocker workerBlocker(Worker worker, long now) {
         if (!worker.reachable) {
@@ -352,6 +364,9 @@
         if (spec.isRackLocal() && isOtherRack(worker, task.step)) {
             cost += OTHER_RACK_COST;
         }
+        if (state.crashes.isSuspect(task)) {
+            cost += OTHER_CRASH_SUSPECT_COST * state.crashes.youngSuspectsOn(worker, task);
+        }
         return cost + SAME_JOB_COST * task.step.activeRunsOn(worker);
     }
 
--- a/core/src/test/java/org/peridotcourse/dispatch/DispatchSimulation.java
+++ b/core/src/test/java/org/peridotcourse/dispatch/DispatchSimulation.java
@@ -35,6 +35,12 @@
     /** Difference between the wall clock and the simulated time. */
     static final long WALL_CLOCK_OFFSET_MILLIS = 1_700_000_000_000L;
 
+    /** Time from the start of a crashing task to the crash. */
+    private static final long CRASH_DELAY_MILLIS = 10;
+
+    /** Time from the crash of a worker to the start of its successor. */
+    private static final long RESTART_MILLIS = 3_200;
+
     static final LeaseTimes LEASE_TIMES = new LeaseTimes(5_000, 6_000);
 
     final Map<String, FakeWorker> workers = new LinkedHashMap<>();
@@ -58,6 +64,12 @@
     /** Selects the orders that are not carried out and get no reply. */
     Predicate<Order> isLost = order -> false;
 
+    /** Selects the tasks that crash each worker that starts them. */
+    Predicate<TaskRef> crashingTasks = task -> false;
+
+    /** By task, the number of workers that it has crashed. */
+    final Map<TaskRef, Integer> crashes = new HashMap<>();
+
     /** How long a lease call waits for the end of a run. */
     long waitMillis = 500;
 
@@ -180,7 +192,13 @@
                         this::recordDecision);
         next.onConfig(config);
         owner = next;
-        workers.values().forEach(worker -> next.onWorkerListed(worker.info(), now));
+        for (FakeWorker worker : workers.values()) {
+            if (successorOf(worker).isPresent()) {
+                next.onRecordedWorker(worker.info(), now);
+            } else {
+                next.onWorkerListed(worker.info(), now);
+            }
+        }
         for (StoredJob storedJob : jobs.values()) {
             JobRecord record = stored.getOrDefault(storedJob.id(), JobRecord.NEW);
             next.onJob(
@@ -198,6 +216,42 @@
         cancelled.forEach(job -> next.onCancel(job, now));
     }
 
+    /** Handles a start that a worker has accepted: some tasks crash the worker a little later. */
+    void onStarted(FakeWorker worker, Order.Start order, boolean late) {
+        if (crashingTasks.test(order.task())) {
+            schedule(CRASH_DELAY_MILLIS, () -> crash(worker, order.task()));
+        }
+        startListener.onStart(worker, order, late);
+    }
+
+    private void crash(FakeWorker worker, TaskRef cause) {
+        if (!worker.up) {
+            return;
+        }
+        crashes.merge(cause, 1, Integer::sum);
+        worker.crash();
+        if (spec(cause).isGang()) {
+            workers.values().forEach(other -> other.endStep(cause, RunOutcome.BROKEN));
+        }
+        schedule(RESTART_MILLIS, () -> replace(worker));
+    }
+
+    /** Starts a worker with another id at the address of one that has crashed. */
+    private void replace(FakeWorker crashed) {
+        String id = crashed.id + "'";
+        workers.put(id, new FakeWorker(id, crashed.address, crashed.capacity, now));
+        owner.onWorkerListed(workers.get(id).info(), now);
+        owner.onWorkerUnlisted(crashed.id, now);
+    }
+
+    /** Returns the worker that has the address of one that has crashed. */
+    Optional<FakeWorker> successorOf(FakeWorker crashed) {
+        return workers.values().stream()
+                .filter(worker -> worker != crashed && worker.address.equals(crashed.address))
+                .filter(worker -> worker.up && !crashed.up)
+                .findFirst();
+    }
+
     /** Kills the process of the owner, which leaves the workers without one until a takeover. */
     void killOwner() {
         killedAt.putIfAbsent(owner, now);
--- a/core/src/test/java/org/peridotcourse/dispatch/FakeWorker.java
+++ b/core/src/test/java/org/peridotcourse/dispatch/FakeWorker.java
@@ -21,7 +21,11 @@
     private static final long FAILING_TASK_MILLIS = 100;
 
     final String id;
-    final Resources capacity;
+    final String address;
+
+    /** May shrink and grow again while the worker runs. */
+    Resources capacity;
+
     final Map<Run.Key, Active> active = new LinkedHashMap<>();
     final List<String> startLog = new ArrayList<>();
 
@@ -77,7 +81,12 @@
     }
 
     FakeWorker(String id, Resources capacity, long now) {
+        this(id, id + ":80", capacity, now);
+    }
+
+    FakeWorker(String id, String address, Resources capacity, long now) {
         this.id = id;
+        this.address = address;
         this.capacity = capacity;
         this.startedAtWallMillis = 1_000_000 + now;
         this.startedAt = now;
@@ -91,7 +100,7 @@
         return new WorkerInfo(
                 id,
                 "service",
-                id + ":80",
+                address,
                 "xela",
                 labels,
                 capacity,
@@ -283,6 +292,15 @@
         return false;
     }
 
+    /** Ends all runs of the step of a task. */
+    void endStep(TaskRef task, RunOutcome outcome) {
+        for (Run.Key key : new ArrayList<>(active.keySet())) {
+            if (key.task().job().equals(task.job()) && key.task().step() == task.step()) {
+                end(key, outcome);
+            }
+        }
+    }
+
     private void end(Run.Key key, RunOutcome outcome) {
         Active run = active.remove(key);
         if (run == null) {
--- a/core/src/test/java/org/peridotcourse/dispatch/SimulatedWorkerCalls.java
+++ b/core/src/test/java/org/peridotcourse/dispatch/SimulatedWorkerCalls.java
@@ -54,6 +54,11 @@
         if (call.isEmpty()) {
             return;
         }
+        if (!worker.up && simulation.successorOf(worker).isPresent()) {
+            simulation.schedule(
+                    NETWORK_DELAY_MILLIS, () -> fail(sender, worker, OrderReply.OTHER_LIFE));
+            return;
+        }
         if (!isReachable(worker)) {
             failUnreachable(sender, worker);
             return;
@@ -73,7 +78,9 @@
     }
 
     private void failUnreachable(DispatchOwner sender, FakeWorker worker) {
-        simulation.schedule(1_200, () -> fail(sender, worker, OrderReply.UNANSWERED));
+        // The connections of a crashed worker are reset.
+        long millis = worker.up ? 1_200 : NETWORK_DELAY_MILLIS;
+        simulation.schedule(millis, () -> fail(sender, worker, OrderReply.UNANSWERED));
     }
 
     private void fail(DispatchOwner sender, FakeWorker worker, OrderReply reply) {
@@ -132,6 +139,10 @@
     /** Sends an order. */
     void send(DispatchOwner sender, Order order) {
         FakeWorker worker = simulation.workers.get(order.worker().id());
+        if (!worker.up && simulation.successorOf(worker).isPresent()) {
+            reply(sender, order, OrderReply.OTHER_LIFE, NETWORK_DELAY_MILLIS);
+            return;
+        }
         if (!isReachable(worker) || simulation.isLost.test(order)) {
             reply(sender, order, OrderReply.UNANSWERED, ORDER_TIMEOUT_MILLIS);
             return;
@@ -189,7 +200,7 @@
                 assertTrue(
                         !simulation.isStoredAsDone(order.task()),
                         () -> "started although it is done: " + order);
-                simulation.startListener.onStart(worker, start, late);
+                simulation.onStarted(worker, start, late);
             }
             return reply;
         }
--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/RecordCodec.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/RecordCodec.java
@@ -16,6 +16,7 @@
 import org.peridotcourse.Result;
 import org.peridotcourse.dispatch.JobRecord;
 import org.peridotcourse.dispatch.JobState;
+import org.peridotcourse.dispatch.LostRun;
 
 /**
  * Encodes and decodes the stored progress of jobs. Long records are compressed, since the store
@@ -49,7 +50,7 @@
         ArrayNode done = JSON.createArrayNode();
         ArrayNode unfinished = JSON.createArrayNode();
         for (JobRecord.TaskRecord task : record.tasks()) {
-            if (task.done() && task.failedAttempts().isEmpty()) {
+            if (task.done() && task.failedAttempts().isEmpty() && task.lostRuns().isEmpty()) {
                 done.add(task.occurrence()).add(task.step()).add(task.index());
             } else {
                 ObjectNode entry = unfinished.addObject();
@@ -59,6 +60,9 @@
                 entry.put("done", task.done());
                 task.failedAttempts().forEach(entry.putArray("failedAttempts")::add);
                 entry.put("checkpoint", task.checkpoint());
+                if (!task.lostRuns().isEmpty()) {
+                    encodeLostRuns(task.lostRuns(), entry.putArray("lostRuns"));
+                }
             }
         }
         if (!done.isEmpty()) {
@@ -99,7 +103,8 @@
                                 entry.path("index").asInt(),
                                 entry.path("done").asBoolean(),
                                 failed,
-                                entry.path("checkpoint").asText("")));
+                                entry.path("checkpoint").asText(""),
+                                decodeLostRuns(entry.path("lostRuns"))));
             }
             return Result.ok(
                     new JobRecord(state.get(), node.path("endedAtMillis").asLong(), tasks));
@@ -108,6 +113,31 @@
         }
     }
 
+    private static void encodeLostRuns(List<LostRun> lostRuns, ArrayNode array) {
+        for (LostRun lost : lostRuns) {
+            array.addObject()
+                    .put("attempt", lost.attempt())
+                    .put("worker", lost.worker())
+                    .put("incarnation", lost.incarnation())
+                    .put("alone", lost.alone())
+                    .put("crashed", lost.crashed());
+        }
+    }
+
+    private static List<LostRun> decodeLostRuns(JsonNode array) {
+        List<LostRun> lostRuns = new ArrayList<>();
+        for (JsonNode entry : array) {
+            lostRuns.add(
+                    new LostRun(
+                            entry.path("attempt").asInt(),
+                            entry.path("worker").asText(),
+                            entry.path("incarnation").asLong(),
+                            entry.path("alone").asBoolean(),
+                            entry.path("crashed").asBoolean()));
+        }
+        return lostRuns;
+    }
+
     private static byte[] compress(byte[] uncompressed) {
         if (uncompressed.length <= MAX_UNCOMPRESSED_BYTES) {
             return uncompressed;
--- a/daemon/src/test/java/org/peridotcourse/daemon/dispatch/RecordCodecTest.java
+++ b/daemon/src/test/java/org/peridotcourse/daemon/dispatch/RecordCodecTest.java
@@ -12,6 +12,7 @@
 import org.junit.jupiter.api.Test;
 import org.peridotcourse.dispatch.JobRecord;
 import org.peridotcourse.dispatch.JobState;
+import org.peridotcourse.dispatch.LostRun;
 
 /**
  * Guards against records that exceed the row limit, and against damaged records that are decoded as
@@ -51,6 +52,25 @@
         assertEquals(large, roundTrip(large));
     }
 
+    /** A successor forgot the crashes that its predecessor had stored, and counted anew. */
+    @Test
+    void lostRunsAreReadAsWrittenAlsoInAShortenedRecord() {
+        List<LostRun> lostRuns =
+                List.of(
+                        new LostRun(1001, "w1", 1_772_000_000_123L, true, false),
+                        new LostRun(1, "w2", 0, false, true));
+        JobRecord record =
+                new JobRecord(
+                        JobState.RUNNING,
+                        0,
+                        List.of(
+                                new JobRecord.TaskRecord(
+                                        0, 1, 2, false, List.of(), "c", lostRuns)));
+        assertEquals(record, roundTrip(record));
+        JobRecord shortened = roundTrip(record.withoutCheckpoints());
+        assertEquals(lostRuns, shortened.tasks().get(0).lostRuns());
+    }
+
     @Test
     void theRecordOfALargeJobFitsARow() {
         assertTrue(RecordCodec.encode(running(true, List.of(), null)).length <= ROW_BYTES);
--- a/daemon/src/test/java/org/peridotcourse/daemon/dispatch/RowFuzzTest.java
+++ b/daemon/src/test/java/org/peridotcourse/daemon/dispatch/RowFuzzTest.java
@@ -15,6 +15,7 @@
 import org.peridotcourse.base.LeaseRow;
 import org.peridotcourse.dispatch.JobRecord;
 import org.peridotcourse.dispatch.JobState;
+import org.peridotcourse.dispatch.LostRun;
 import org.peridotcourse.dispatch.ModelSnapshot;
 
 /**
@@ -58,7 +59,14 @@
                             0,
                             List.of(
                                     new JobRecord.TaskRecord(0, 0, 1, true, List.of(), ""),
-                                    new JobRecord.TaskRecord(0, 1, 2, false, List.of(3), "c"))));
+                                    new JobRecord.TaskRecord(
+                                            0,
+                                            1,
+                                            2,
+                                            false,
+                                            List.of(3),
+                                            "c",
+                                            List.of(new LostRun(4, "w", 5, true, false))))));
     private static final byte[] LEARNED =
             ModelSnapshotCodec.encode(
                     new ModelSnapshot(
