Withdraw recorded starts whose worker has changed meanwhile

Cause: a start that is stored before it is sent waits up to a second. If its worker shrinks in this time, the start brings it over its capacity, unless the worker itself refuses it (LIMIT). The same holds for a queue that moved to another service (ROUTE).

Change: capacity and service are checked again before the start is sent. Workers whose capacity shrinks and grows are covered by ChangingCapacityTest, which plays workers that accept every start: with priorities, a gang, lasting tasks and a takeover. Nothing else was found there; with a stale capacity in Worker.fits, six of its seven cases fail, and without the new check the seventh.

--- a/core/src/main/java/org/peridotcourse/dispatch/RecordedStarts.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/RecordedStarts.java
@@ -68,16 +68,20 @@
     }
 
     private void withdrawIfUnwanted(Run run, long now) {
-        boolean wanted =
-                !run.isStopping()
-                        && !run.task.done
-                        && run.task.job().isActive()
-                        && selector.acceptsStarts(run.worker, now);
-        if (!wanted && isTracked(run)) {
+        boolean wanted = !run.isStopping() && !run.task.done && run.task.job().isActive();
+        if (isTracked(run) && !(wanted && workerIsStillSuitable(run, now))) {
             runs.withdraw(run, now);
         }
     }
 
+    /** The worker was suitable when the run was assigned to it, but may have changed meanwhile. */
+    private boolean workerIsStillSuitable(Run run, long now) {
+        Worker worker = run.worker;
+        return selector.acceptsStarts(worker, now)
+                && worker.reserved().isWithin(worker.info.capacity())
+                && worker.info.service().equals(state.queueRules(run.task.job()).service());
+    }
+
     private static boolean isTracked(Run run) {
         return run.worker.runs.get(run.key()) == run;
     }
--- a/core/src/test/java/org/peridotcourse/dispatch/DispatchSimulation.java
+++ b/core/src/test/java/org/peridotcourse/dispatch/DispatchSimulation.java
@@ -244,8 +244,10 @@
     /** Starts a worker with another id at the address of one that has crashed. */
     private void replace(FakeWorker crashed) {
         String id = crashed.id + "'";
-        workers.put(id, new FakeWorker(id, crashed.address, crashed.capacity, now));
-        owner.onWorkerListed(workers.get(id).info(), now);
+        FakeWorker successor = new FakeWorker(id, crashed.address, crashed.capacity, now);
+        successor.guardsCapacity = crashed.guardsCapacity;
+        workers.put(id, successor);
+        owner.onWorkerListed(successor.info(), now);
         owner.onWorkerUnlisted(crashed.id, now);
     }
 
--- a/core/src/test/java/org/peridotcourse/dispatch/FakeWorker.java
+++ b/core/src/test/java/org/peridotcourse/dispatch/FakeWorker.java
@@ -29,6 +29,9 @@
     final Map<Run.Key, Active> active = new LinkedHashMap<>();
     final List<String> startLog = new ArrayList<>();
 
+    /** False for a worker that accepts starts beyond its capacity. */
+    boolean guardsCapacity = true;
+
     /** Factor by which runs are slower than usual. */
     double slowdown = 1;
 
@@ -144,7 +147,8 @@
         if (order.attempt() <= rejectedUpTo.getOrDefault(order.task(), 0)) {
             return OrderReply.OLD_ATTEMPT;
         }
-        if (!reserved().plus(spec.reservedResources()).isWithin(capacity)) {
+        boolean fits = reserved().plus(spec.reservedResources()).isWithin(capacity);
+        if (guardsCapacity && !fits) {
             return OrderReply.NO_ROOM;
         }
         active.put(key, new Active(order, spec, runMillis));
