Count the proof of a run from the sending of calls

Cause: a run was proven 0.5 s after its start by the time at which replies were handled. A busy owner handles them late, so a run that had crashed its worker could seem to be proven, and the crash was attributed to nobody.

Change: a reply shows that the worker was alive when the call was sent. The end of a connection counts from 0.5 s before it is handled.

--- a/core/src/main/java/org/peridotcourse/dispatch/ReportProcessor.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/ReportProcessor.java
@@ -48,7 +48,7 @@
         }
         worker.onClockReading(report.clockMillis(), now);
         worker.lastReportAt = now;
-        worker.lastAliveAt = now;
+        worker.wasAliveAt(sentAt);
         if (!worker.hasReported) {
             worker.incarnationSeenAt = now;
         }
--- a/core/src/main/java/org/peridotcourse/dispatch/RunLifecycle.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/RunLifecycle.java
@@ -168,9 +168,7 @@
         if (worker == null) {
             return;
         }
-        if (reply == OrderReply.ACCEPTED) {
-            worker.lastAliveAt = now;
-        } else {
+        if (reply != OrderReply.ACCEPTED) {
             state.log(
                     Decision.Kind.ORDER_FAILED,
                     order.task() + "#" + order.attempt(),
@@ -204,6 +202,7 @@
         switch (reply) {
             case ACCEPTED:
                 run.confirm(now);
+                worker.wasAliveAt(run.orderedAt);
                 markStarted(task.job());
                 return;
             case UNANSWERED:
--- a/core/src/main/java/org/peridotcourse/dispatch/Task.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/Task.java
@@ -91,7 +91,7 @@
      * successor before they are sent.
      */
     private List<LostRun> lostRunsToStore() {
-        if (done) {
+        if (done || lostRuns.isEmpty() && runs.isEmpty()) {
             return List.of();
         }
         List<LostRun> all = new ArrayList<>(lostRuns);
--- a/core/src/main/java/org/peridotcourse/dispatch/Worker.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/Worker.java
@@ -39,7 +39,10 @@
 
     long lastReportAt;
 
-    /** When the worker was last known to be alive, by any reply or by the end of a connection. */
+    /**
+     * A time at which the worker was alive. A reply shows that it was when the call was sent; the
+     * reply itself may be handled late.
+     */
     long lastAliveAt;
 
     /** When the last lease call was sent. */
@@ -192,6 +195,10 @@
         }
     }
 
+    void wasAliveAt(long time) {
+        lastAliveAt = Math.max(lastAliveAt, time);
+    }
+
     /** Returns the runs that have not shown yet that they do not crash the worker. */
     List<Run> youngRuns() {
         List<Run> young = new ArrayList<>();
--- a/core/src/main/java/org/peridotcourse/dispatch/WorkerRegistry.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/WorkerRegistry.java
@@ -5,6 +5,9 @@
 
 /** Adds, updates and removes the workers of the owner. Confined to one thread. */
 final class WorkerRegistry {
+    /** Time after which a busy process may handle the end of a connection. */
+    private static final long MAX_HANDLING_DELAY_MILLIS = 500;
+
     private final OwnerState state;
     private final RunLifecycle runs;
 
@@ -66,7 +69,7 @@
     private static void noteConnectionEnd(Worker worker, OrderReply reply, long now) {
         boolean endedEarly = now - worker.calledAt < worker.calledWaitMillis;
         if (reply == OrderReply.UNANSWERED && endedEarly) {
-            worker.lastAliveAt = now;
+            worker.wasAliveAt(now - MAX_HANDLING_DELAY_MILLIS);
         }
     }
 
--- a/core/src/test/java/org/peridotcourse/dispatch/CrashingTaskTest.java
+++ b/core/src/test/java/org/peridotcourse/dispatch/CrashingTaskTest.java
@@ -129,6 +129,17 @@
         scenario.simulation.assertCompleted(scenario.sound.toArray(String[]::new));
     }
 
+    /** A slow owner handled the replies so late that a young run seemed to be proven. */
+    @ParameterizedTest
+    @ValueSource(longs = {41, 42, 43, 44, 45, 46})
+    void aSlowOwnerFindsTheCrashingTask(long seed) {
+        Scenario scenario = new Scenario(seed, step(3, 800).build());
+        double callMillis = 2 + seed % 3 * 2;
+        scenario.simulation.process = new OwnerProcessModel(callMillis);
+        scenario.runToEnd();
+        assertCrashingJobFails(scenario);
+    }
+
     /** Each owner is lost right after the crashing task was started, before it can act on it. */
     @Test
     void crashesAreCountedThoughEachOwnerIsLostWithThem() {
