--- a/core/src/test/java/org/peridotcourse/routing/RequestRouterTest.java
+++ b/core/src/test/java/org/peridotcourse/routing/RequestRouterTest.java
@@ -83,6 +83,25 @@
                 "suspected connection is reused");
     }
 
+    /** Guards against a request that crashes server after server, since it is retried on each. */
+    @Test
+    void requestThatCrashesItsServersReachesAtMostTwo() {
+        for (RequestKind kind : List.of(RequestKind.IDEMPOTENT, RequestKind.NON_IDEMPOTENT)) {
+            RouterHarness harness = harness(6);
+            warmUp(harness, 60);
+            RouterHarness.TrackedRequest request = send(harness, kind);
+            int crashes = 0;
+            while (request.outcome == null && crashes < 6) {
+                harness.failAttempt(connectionOf(harness, request), true);
+                crashes++;
+                harness.tick(10);
+                harness.connectAll();
+            }
+            assertEquals(kind == RequestKind.IDEMPOTENT ? 2 : 1, crashes);
+            assertInstanceOf(Outcome.Unknown.class, request.outcome);
+        }
+    }
+
     @Test
     void failingServerIsEjectedProbedAndUsedAgain() {
         RouterHarness harness = harness(2);
