Hold jobs that crash the workers that start them

An attempt whose worker restarts is recorded as stopped and queued again; only attempts that a worker reports as failed counted towards the three workers after which a job is held, so a job that crashes its workers had no limit.

Change: if a worker has restarted and a single job had an attempt there that was not proven for half a second, the crash counts as a failure of this job on that worker. If several jobs had, each is held only after six such crashes. As before, the count is lost with the owner, and an operator can release a held job.

Test: PlacementOwnerTest.holdsJobThatCrashesItsWorkers and holdsNoSoundJobBesideOneThatCrashesItsWorkers fail before.

--- a/core/src/main/java/org/peridotcourse/placement/AttemptEndHandler.java
+++ b/core/src/main/java/org/peridotcourse/placement/AttemptEndHandler.java
@@ -1,6 +1,8 @@
 package org.peridotcourse.placement;
 
+import java.util.LinkedHashSet;
 import java.util.Optional;
+import java.util.Set;
 
 /**
  * Decides what happens to a task whose attempt has ended: it is queued again, held, handed over to
@@ -12,6 +14,18 @@
     /** Number of different workers on which a job must fail before it is held. */
     private static final int HOLD_AFTER_WORKERS = 3;
 
+    /**
+     * Crashes after which a job is held although other jobs had just started on each of these
+     * workers too.
+     */
+    private static final int HOLD_AFTER_SHARED_CRASHES = 6;
+
+    /**
+     * Time for which an attempt must have been seen active to show that it does not crash its
+     * worker.
+     */
+    private static final long PROOF_MILLIS = 500;
+
     private final OwnerState state;
     private final WriteBuffer writes;
 
@@ -30,6 +44,9 @@
             change = RowChange.removal(task, 0, 0);
         } else if (task.handoverTarget != null && !state.config.isIn(state.dataCentre())) {
             change = RowChange.handover(task, task.handoverTarget);
+        } else if (task.crashedAttempt == task.attempt && mustHold(task.job)) {
+            TaskState failed = TaskChart.next(task.state, TaskEvent.FAILED);
+            change = hold(task, failed, "crashed the workers that started it");
         } else {
             change = RowChange.of(task, next);
         }
@@ -77,17 +94,8 @@
             change = RowChange.removal(task, 0, 1);
         } else if (job.replicaGroup) {
             change = RowChange.removal(task, 0, 0);
-        } else if (job.failedOn.size() >= HOLD_AFTER_WORKERS) {
-            String reason = "failed on " + HOLD_AFTER_WORKERS + " workers";
-            change =
-                    job.state() == JobState.HELD
-                            ? RowChange.of(task, TaskChart.next(failed, TaskEvent.HELD))
-                            : RowChange.of(
-                                    task,
-                                    TaskChart.next(failed, TaskEvent.HELD),
-                                    JobState.HELD,
-                                    reason);
-            state.recordDecision(job.key, "job-held", worker, reason);
+        } else if (mustHold(job)) {
+            change = hold(task, failed, "failed on " + HOLD_AFTER_WORKERS + " workers");
         } else {
             change = RowChange.of(task, TaskChart.next(failed, TaskEvent.RETRIED));
         }
@@ -96,6 +104,52 @@
         state.recordDecision(task.id().value(), "task-failed", worker, "attempt " + task.attempt);
     }
 
+    private static boolean mustHold(Job job) {
+        return job.failedOn.size() >= HOLD_AFTER_WORKERS
+                || job.sharedCrashes >= HOLD_AFTER_SHARED_CRASHES;
+    }
+
+    private RowChange hold(Task task, TaskState failed, String reason) {
+        Job job = task.job;
+        TaskState held = TaskChart.next(failed, TaskEvent.HELD);
+        state.recordDecision(job.key, "job-held", task.worker, reason);
+        return job.state() == JobState.HELD
+                ? RowChange.of(task, held)
+                : RowChange.of(task, held, JobState.HELD, reason);
+    }
+
+    /**
+     * Records the crash of a worker. It counts as a failure of the job that had just started there;
+     * if several jobs had, any of them may be the cause, and more crashes are needed.
+     *
+     * @param lastClockMillis the last reading of the worker's clock before the crash
+     */
+    void recordCrash(Worker worker, long lastClockMillis) {
+        Set<Job> suspects = new LinkedHashSet<>();
+        for (Task task : worker.tasks) {
+            if (!task.job.replicaGroup && isUnproven(task, lastClockMillis)) {
+                task.crashedAttempt = task.attempt;
+                suspects.add(task.job);
+            }
+        }
+        for (Job job : suspects) {
+            if (suspects.size() == 1) {
+                job.failedOn.add(worker.id);
+            } else {
+                job.sharedCrashes++;
+            }
+            state.recordDecision(
+                    job.key, "worker-crashed", worker, suspects.size() + " jobs had just started");
+        }
+    }
+
+    private static boolean isUnproven(Task task, long lastClockMillis) {
+        boolean active = task.state == TaskState.STARTING || task.state == TaskState.RUNNING;
+        return active
+                && (task.startClockMillis == Task.NOT_ACKNOWLEDGED
+                        || lastClockMillis - task.startClockMillis < PROOF_MILLIS);
+    }
+
     /**
      * Records the stop of a task with its newest checkpoint; the stop command follows once the
      * write is committed.
--- a/core/src/main/java/org/peridotcourse/placement/Job.java
+++ b/core/src/main/java/org/peridotcourse/placement/Job.java
@@ -31,6 +31,9 @@
     final ArrayDeque<Task> queued = new ArrayDeque<>();
     final Set<WorkerId> failedOn = new HashSet<>();
 
+    /** Number of crashes of workers just after a start of this job and of others. */
+    int sharedCrashes;
+
     /** Number of the last scheduling pass in which no worker was found for its tasks. */
     long blockedPass;
 
--- a/core/src/main/java/org/peridotcourse/placement/JobAdmission.java
+++ b/core/src/main/java/org/peridotcourse/placement/JobAdmission.java
@@ -252,6 +252,7 @@
         for (Task task : job.tasks.values()) {
             if (task.state == TaskState.HELD && !task.rowChangePending) {
                 job.failedOn.clear();
+                job.sharedCrashes = 0;
                 writes.add(RowChange.of(task, TaskChart.next(task.state, TaskEvent.RELEASED)));
             }
         }
--- a/core/src/main/java/org/peridotcourse/placement/OwnerState.java
+++ b/core/src/main/java/org/peridotcourse/placement/OwnerState.java
@@ -341,6 +341,7 @@
                             job.row,
                             job.firstSeenMillis);
             copy.failedOn.addAll(job.failedOn);
+            copy.sharedCrashes = job.sharedCrashes;
             jobs.put(job.key, copy);
         }
         orphanedTaskRows.clear();
--- a/core/src/main/java/org/peridotcourse/placement/Reconciler.java
+++ b/core/src/main/java/org/peridotcourse/placement/Reconciler.java
@@ -46,6 +46,7 @@
             return;
         }
         worker.reportRequest = 0;
+        Optional<RemoteClock> earlierClock = Optional.ofNullable(worker.clock);
         worker.clock = new RemoteClock(report.clockMillis(), nowMillis);
         worker.lastContactMillis = nowMillis;
         worker.renewFailed = false;
@@ -55,6 +56,10 @@
         if (report.epoch() < state.lease.epoch()) {
             // The worker has restarted, or has received no command of this owner yet. Clock
             // readings from before a restart cannot be compared with later reports.
+            if (worker.fenced) {
+                earlierClock.ifPresent(
+                        clock -> attemptEnds.recordCrash(worker, clock.remoteMillis()));
+            }
             worker.tasks.forEach(task -> task.startClockMillis = Task.NOT_ACKNOWLEDGED);
             worker.fenced = false;
             worker.reconciled = false;
--- a/core/src/main/java/org/peridotcourse/placement/Task.java
+++ b/core/src/main/java/org/peridotcourse/placement/Task.java
@@ -34,6 +34,9 @@
     /** Reading of the worker's clock when it acknowledged the start. */
     long startClockMillis = NOT_ACKNOWLEDGED;
 
+    /** Number of the attempt whose worker crashed just after the start, 0 for none. */
+    int crashedAttempt;
+
     /** Number of the last handled report that listed it. */
     long lastReportNumber;
 
--- a/core/src/test/java/org/peridotcourse/placement/FakeWorker.java
+++ b/core/src/test/java/org/peridotcourse/placement/FakeWorker.java
@@ -112,6 +112,11 @@
         clockOrigin = newOrigin;
     }
 
+    /** Returns whether it runs a task that crashes it. */
+    boolean runsCrashingTask(long now) {
+        return running(now).stream().anyMatch(run -> run.start.payload().endsWith(",crashes"));
+    }
+
     /** Ends attempts whose lease has expired or whose work is done. */
     void endAttempts(long now) {
         for (Attempt attempt : attempts.values()) {
--- a/core/src/test/java/org/peridotcourse/placement/OwnerHarness.java
+++ b/core/src/test/java/org/peridotcourse/placement/OwnerHarness.java
@@ -5,6 +5,7 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.EnumSet;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -24,6 +25,14 @@
     static final DataCentreId OTHER = DataCentreId.of("b");
     private static final long TICK_MILLIS = 50;
 
+    /** Time from the crash of a worker to its restart. */
+    private static final long RESTART_MILLIS = 3_000;
+
+    /** Number of crashes of workers by their tasks. */
+    int crashes;
+
+    private final Map<FakeWorker, Long> restartAt = new HashMap<>();
+
     /**
      * Measures processor time; elapsed time would include that of other processes on the machine.
      */
@@ -156,7 +165,23 @@
         }
     }
 
+    /** Crashes the workers with a task that does this; they restart some seconds later. */
+    private void crashAndRestartWorkers() {
+        for (FakeWorker worker : workers.values()) {
+            if (worker.alive && worker.runsCrashingTask(now)) {
+                worker.kill();
+                crashes++;
+                restartAt.put(worker, now + RESTART_MILLIS);
+            }
+            if (restartAt.getOrDefault(worker, Long.MAX_VALUE) <= now) {
+                restartAt.remove(worker);
+                worker.restart(now, 0);
+            }
+        }
+    }
+
     private void step() {
+        crashAndRestartWorkers();
         if (now % 1_000 == 0) {
             poll();
         }
@@ -244,11 +269,18 @@
                             true,
                             table.commit()));
         } else if (action instanceof PlacementAction.SendCommands send) {
-            workers.get(send.worker()).execute(now, send).ifPresent(events::add);
+            FakeWorker worker = workers.get(send.worker());
+            if (worker.alive) {
+                worker.execute(now, send).ifPresent(events::add);
+            } else {
+                events.add(new PlacementEvent.CommandsFailed(send.worker(), send.number(), false));
+            }
         } else if (action instanceof PlacementAction.FetchReport fetch) {
+            FakeWorker worker = workers.get(fetch.worker());
             events.add(
-                    new PlacementEvent.ReportReceived(
-                            fetch.number(), workers.get(fetch.worker()).report(now)));
+                    worker.alive
+                            ? new PlacementEvent.ReportReceived(fetch.number(), worker.report(now))
+                            : new PlacementEvent.ReportFailed(fetch.worker(), fetch.number()));
         }
     }
 
--- a/core/src/test/java/org/peridotcourse/placement/PlacementOwnerTest.java
+++ b/core/src/test/java/org/peridotcourse/placement/PlacementOwnerTest.java
@@ -36,6 +36,36 @@
         assertEquals(7, starts, "three starts of the bad job, four of the good one");
     }
 
+    /** Guards against a job that crashes worker after worker, since no attempt of it fails. */
+    @Test
+    void holdsJobThatCrashesItsWorkers() {
+        start(6);
+        harness.submit("c/good", batch, 12, SMALL, "8000");
+        harness.run(2_000);
+        harness.submit("c/bad", batch, 1, SMALL, "60000,crashes");
+        harness.run(90_000);
+        assertEquals(JobState.HELD, harness.job("c/bad").progress().state());
+        assertEquals(3, harness.crashes);
+        assertEquals(JobState.FINISHED, harness.job("c/good").progress().state());
+    }
+
+    /** Guards against a job that is held because it started beside one that crashes its workers. */
+    @Test
+    void holdsNoSoundJobBesideOneThatCrashesItsWorkers() {
+        start(6);
+        harness.submit("c/bad", batch, 2, SMALL, "60000,crashes");
+        for (int i = 0; i < 12; i++) {
+            harness.submit("c/good" + i, batch, 6, SMALL, "3000");
+            harness.run(2_000);
+        }
+        harness.run(120_000);
+        assertEquals(JobState.HELD, harness.job("c/bad").progress().state());
+        assertTrue(harness.crashes <= 8, () -> harness.crashes + " crashes");
+        for (int i = 0; i < 12; i++) {
+            assertEquals(JobState.FINISHED, harness.job("c/good" + i).progress().state());
+        }
+    }
+
     /**
      * Guards against a worker that fails every task, is therefore always free and receives all
      * jobs.
