Start lasting tasks that have waited too long before others

Cause: the order of steps is by priority first.

Change: a step with a lasting task that has waited for 1.5 s comes before all others.

--- a/core/src/main/java/org/peridotcourse/dispatch/StepOrder.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/StepOrder.java
@@ -11,6 +11,8 @@
  * Orders the steps that have waiting tasks. The criteria are, most important first:
  *
  * <ol>
+ *   <li>steps with a lasting task that has waited for {@link #MAX_LASTING_WAIT_MILLIS}, which would
+ *       otherwise starve behind new work of a higher priority if the owner has no time for all;
  *   <li>the priority of the queue;
  *   <li>jobs within the rate of their customer before jobs above it;
  *   <li>customers below their fair share before customers that have reached it;
@@ -36,8 +38,12 @@
      */
     private static final double WORK_PENALTY = 0.05;
 
+    /** Wait after which a lasting task is started before tasks of a higher priority. */
+    static final long MAX_LASTING_WAIT_MILLIS = 1_500;
+
     private static final Comparator<Candidate> ORDER =
-            Comparator.comparingInt(Candidate::priority)
+            Comparator.comparing((Candidate candidate) -> !candidate.overdue())
+                    .thenComparingInt(Candidate::priority)
                     .thenComparing(Candidate::overRate)
                     .thenComparing(Candidate::shareReached)
                     .thenComparingInt(Candidate::latenessClass)
@@ -57,6 +63,7 @@
      *
      * @param step the step
      * @param tieBreaker the position in the list of candidates, which breaks ties
+     * @param overdue true if a lasting task has waited too long
      * @param priority the priority of its queue, 0 first
      * @param overRate true if the job exceeds the rate of its customer
      * @param shareReached true if its customer uses its fair share or more
@@ -68,6 +75,7 @@
     record Candidate(
             Step step,
             int tieBreaker,
+            boolean overdue,
             int priority,
             boolean overRate,
             boolean shareReached,
@@ -78,6 +86,7 @@
             return new Candidate(
                     step,
                     tieBreaker,
+                    overdue,
                     priority,
                     overRate,
                     true,
@@ -137,6 +146,7 @@
         return new Candidate(
                 step,
                 tieBreaker,
+                isOverdue(step, now),
                 rules.priority(),
                 job.overRate,
                 false,
@@ -144,6 +154,18 @@
                 slackMillis + workPenalty);
     }
 
+    private static boolean isOverdue(Step step, long now) {
+        if (!step.spec.isLasting()) {
+            return false;
+        }
+        for (Task task : step.tasks) {
+            if (task.mayStart(now) && task.waitedMillis(now) >= MAX_LASTING_WAIT_MILLIS) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     private static int latenessClass(Step step, long completionMillis, long objective) {
         if (step.spec.isLasting() || completionMillis <= objective) {
             return 0;
