Bound the wait for a trial to two seconds, and preempt nothing for it

Cause, found by reading: a task that waits to be started alone may wait for 3 s, which is the time for which a task may wait while there is capacity; and while it waited, runs of a lower priority were stopped for it, although it waits for a quiet worker and not for capacity.

Change: the wait is 2 s, and preemption passes over tasks that are to be started alone. CrashingTaskTest passes.

--- a/core/src/main/java/org/peridotcourse/dispatch/CrashTrials.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/CrashTrials.java
@@ -14,10 +14,10 @@
  */
 final class CrashTrials {
     /** Lost runs after which a task is started alone. */
-    private static final int LOSSES_FOR_TRIAL = 2;
+    static final int LOSSES_FOR_TRIAL = 2;
 
     /** Wait after which a task is started beside others, since trials take too long. */
-    static final long MAX_WAIT_MILLIS = 3_000;
+    static final long MAX_WAIT_MILLIS = 2_000;
 
     /** Time for which a worker is kept free for a task that is not started. */
     private static final long MAX_RESERVED_MILLIS = 4_000;
--- a/core/src/main/java/org/peridotcourse/dispatch/Preemption.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/Preemption.java
@@ -67,7 +67,11 @@
     private Task longestWaiting(Step step, long now) {
         Task longest = null;
         for (Task task : step.tasks) {
-            boolean waits = task.mayStart(now) && state.reconciliation.isSafeToStart(task);
+            // A task that is to be started alone waits for a quiet worker, not for capacity.
+            boolean waits =
+                    task.mayStart(now)
+                            && state.reconciliation.isSafeToStart(task)
+                            && state.crashes.lossCount(task) < CrashTrials.LOSSES_FOR_TRIAL;
             if (waits && (longest == null || task.waitingSince < longest.waitingSince)) {
                 longest = task;
             }
