--- a/core/src/main/java/org/peridotcourse/dispatch/CrashAttribution.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/CrashAttribution.java
@@ -14,7 +14,7 @@
  * Attributes the crashes of workers to tasks, and finds the tasks that crash their workers.
  *
  * <p>A crash alone does not tell which of a worker's tasks caused it. The suspects are the young
- * runs: those that the worker has not yet been seen to outlive by {@link #YOUNG_MILLIS}. When a
+ * runs: those that the worker has not yet been seen to outlive by {@link #PROOF_MILLIS}. When a
  * worker is lost, its young runs are recorded as lost. They count as crashed once another
  * incarnation or another worker answers at the address of the lost one; if the worker reports again
  * as the same incarnation, they are removed. Lost runs are part of the stored progress, so a
@@ -32,7 +32,7 @@
     /**
      * Time for which a run must have been seen active to show that it does not crash its worker.
      */
-    static final long YOUNG_MILLIS = 500;
+    static final long PROOF_MILLIS = 500;
 
     /** Crashes after which the job fails if one of them shows that the task is the cause. */
     static final int CRASHES_TO_FAIL = 3;
@@ -70,7 +70,7 @@
     private final Map<String, List<Loss>> unresolvedLosses = new LinkedHashMap<>();
 
     /** Tasks that are known to crash their workers and whose jobs are still active. */
-    private List<Task> provenTasks = new ArrayList<>();
+    private List<Task> crashingTasks = new ArrayList<>();
 
     /** Times of the latest losses of workers, oldest first. */
     private final Deque<Long> lossTimes = new ArrayDeque<>();
@@ -209,8 +209,8 @@
             task.job().hasUnstoredChanges |= task.job().isActive();
         }
         for (Loss loss : losses) {
-            if (isProven(loss.task())) {
-                provenTasks.add(loss.task());
+            if (causesCrashes(loss.task())) {
+                crashingTasks.add(loss.task());
             }
         }
     }
@@ -226,7 +226,8 @@
                 && losses * WORKERS_PER_COMMON_LOSS > state.workers.size();
     }
 
-    private static boolean isProven(Task task) {
+    /** Returns whether the lost runs of a task show that it crashes its workers. */
+    private static boolean causesCrashes(Task task) {
         if (task.done || !task.job().isActive()) {
             return false;
         }
@@ -248,12 +249,12 @@
     }
 
     /** Returns, once each, the tasks that have been found to crash their workers. */
-    List<Task> takeProvenTasks() {
-        List<Task> proven = provenTasks;
-        if (!proven.isEmpty()) {
-            provenTasks = new ArrayList<>();
+    List<Task> takeCrashingTasks() {
+        List<Task> found = crashingTasks;
+        if (!found.isEmpty()) {
+            crashingTasks = new ArrayList<>();
         }
-        return proven;
+        return found;
     }
 
     /** Stops counting lost runs of workers that were lost long ago and that nobody heard of. */
--- a/core/src/main/java/org/peridotcourse/dispatch/DispatchOwner.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/DispatchOwner.java
@@ -422,7 +422,7 @@
         state.crashes.recordLosses(now);
         state.crashes.expireLosses(now);
         trials.update(now);
-        state.crashes.takeProvenTasks().forEach(task -> jobs.failForCrashes(task, now));
+        state.crashes.takeCrashingTasks().forEach(task -> jobs.failForCrashes(task, now));
     }
 
     /**
--- a/core/src/main/java/org/peridotcourse/dispatch/Run.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/Run.java
@@ -126,7 +126,7 @@
 
     /** Returns whether the worker has been seen to outlive the start of the run. */
     boolean isProven() {
-        return confirmed && worker.lastAliveAt - confirmedAt >= CrashAttribution.YOUNG_MILLIS;
+        return confirmed && worker.lastAliveAt - confirmedAt >= CrashAttribution.PROOF_MILLIS;
     }
 
     /** Returns whether the run may have been started but is not proven yet. */
--- a/core/src/main/java/org/peridotcourse/dispatch/RunLifecycle.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/RunLifecycle.java
@@ -177,14 +177,14 @@
         }
         Run run = worker.runs.get(new Run.Key(order.task(), order.attempt()));
         if (run != null) {
-            onReplyFor(run, order, reply, now);
+            onRunReply(run, order, reply, now);
         }
         if (reply == OrderReply.OTHER_LIFE) {
             onAddressTaken(worker, order.worker().address(), now);
         }
     }
 
-    private void onReplyFor(Run run, Order order, OrderReply reply, long now) {
+    private void onRunReply(Run run, Order order, OrderReply reply, long now) {
         if (order instanceof Order.Start) {
             onStartReply(run, reply, now);
         } else if (order instanceof Order.Stop) {
