--- a/review/src/Runner.java
+++ b/review/src/Runner.java
@@ -9,6 +9,8 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
@@ -38,8 +40,8 @@
 
     final String id;
     final String zone;
-    final long born = System.currentTimeMillis();
-    private final long startNanos = System.nanoTime();
+    private volatile long born = System.currentTimeMillis();
+    private volatile long startNanos = System.nanoTime();
     private final Store store;
     private final Listener listener;
     private final Map<String, Active> active = new LinkedHashMap<>();
@@ -51,6 +53,17 @@
     private int used;
     private volatile boolean dead;
 
+    /** The number of the boot; calls that an earlier boot received get no answer. */
+    private volatile int boot;
+
+    /** True while the runner is without power. */
+    private volatile boolean dark;
+
+    /** The channels that the present boot knows, and those of earlier boots. */
+    private final Set<String> channels = ConcurrentHashMap.newKeySet();
+
+    private final Set<String> oldChannels = ConcurrentHashMap.newKeySet();
+
     /** Calls with a token below this one meet a cut: they are not carried out nor answered. */
     volatile long cutBelow = Long.MIN_VALUE;
 
@@ -76,6 +89,30 @@
         shut();
     }
 
+    /**
+     * The runner loses power and starts again under its id, at its address. It holds and knows
+     * nothing of before. Channels of before are silent until something is sent on them; then they
+     * are reset.
+     */
+    void reboot(long downMillis) throws InterruptedException {
+        dark = true;
+        synchronized (this) {
+            boot++;
+            active.clear();
+            ends.clear();
+            highestEnded.clear();
+            highestToken = 0;
+            leaseEnd = 0;
+            lastEnd = 0;
+            used = 0;
+        }
+        Thread.sleep(downMillis);
+        oldChannels.addAll(channels);
+        startNanos = System.nanoTime();
+        born = System.currentTimeMillis();
+        dark = false;
+    }
+
     synchronized long highestToken() {
         return highestToken;
     }
@@ -96,8 +133,14 @@
     private void pulse() {
         long nextBeat = 0;
         int sequence = 0;
+        int lastBoot = 0;
         while (!dead) {
-            if (clock() >= nextBeat) {
+            if (boot != lastBoot) {
+                lastBoot = boot;
+                nextBeat = 0;
+                sequence = 0;
+            }
+            if (clock() >= nextBeat && !dark) {
                 nextBeat = clock() + 1_500;
                 store.put("servers", id, entry(++sequence));
             }
@@ -125,6 +168,21 @@
 
     @Override
     Answer answer(Call call) throws Exception {
+        int bootOfCall = boot;
+        channels.add(call.channel());
+        if (oldChannels.contains(call.channel())) {
+            return new Answer(0, "");
+        }
+        Answer answer = dark ? null : carryOut(call);
+        if (answer == null || boot != bootOfCall) {
+            // Nothing of this boot can be sent any more; the caller's time-out ends the call.
+            Thread.sleep(20_000);
+            return new Answer(0, "");
+        }
+        return answer;
+    }
+
+    private Answer carryOut(Call call) throws Exception {
         JsonNode body = JSON.readTree(call.body());
         long token = body.path("fencing_token").asLong();
         if (token < cutBelow || token > cutAbove) {
@@ -239,7 +297,8 @@
                     return true;
                 });
         long deadline = clock() + body.path("wait_ms").asLong();
-        while (ends.isEmpty() && clock() < deadline && !dead) {
+        int bootOfCall = boot;
+        while (ends.isEmpty() && clock() < deadline && !dead && boot == bootOfCall) {
             wait(Math.max(1, deadline - clock()));
         }
         ObjectNode answer = clockBody();
--- a/review/src/Trial.java
+++ b/review/src/Trial.java
@@ -320,6 +320,11 @@
         record.line("CRASH of runner " + runner.id);
         runner.crash();
         runners.remove(runner.id);
+        lost(runner);
+    }
+
+    /** What runs on a runner is gone without an end. */
+    final void lost(Runner runner) {
         synchronized (runs) {
             for (Run run : runs) {
                 if (run.runner == runner && run.isActive()) {
