--- a/review/src/Runner.java
+++ b/review/src/Runner.java
@@ -64,7 +64,10 @@
 
     private final Set<String> oldChannels = ConcurrentHashMap.newKeySet();
 
-    /** Calls with a token below this one meet a cut: they are not carried out nor answered. */
+    /** True while the network between the runner and the store is cut. */
+    volatile boolean storeCut;
+
+    /** Calls with a token below this one meet a cut: their channels are reset. */
     volatile long cutBelow = Long.MIN_VALUE;
 
     /** Calls with a token above this one meet a cut. */
@@ -140,7 +143,7 @@
                 nextBeat = 0;
                 sequence = 0;
             }
-            if (clock() >= nextBeat && !dark) {
+            if (clock() >= nextBeat && !dark && !storeCut) {
                 nextBeat = clock() + 1_500;
                 store.put("servers", id, entry(++sequence));
             }
@@ -185,17 +188,17 @@
     private Answer carryOut(Call call) throws Exception {
         JsonNode body = JSON.readTree(call.body());
         long token = body.path("fencing_token").asLong();
-        if (token < cutBelow || token > cutAbove) {
-            while (!dead && (token < cutBelow || token > cutAbove)) {
-                Thread.sleep(20);
-            }
+        if (isCut(token)) {
             return new Answer(0, "");
         }
         if (!id.equals(call.instance())) {
             return new Answer(421, "{}");
         }
         return switch (call.path()) {
-            case "/-/hold" -> hold(body);
+            case "/-/hold" -> {
+                Answer answer = hold(body);
+                yield isCut(token) ? new Answer(0, "") : answer;
+            }
             case "/-/run-start" -> start(body);
             case "/-/run-stop" -> stop(body);
             case "/-/pace" -> pace(body);
@@ -203,6 +206,10 @@
         };
     }
 
+    private boolean isCut(long token) {
+        return token < cutBelow || token > cutAbove;
+    }
+
     private boolean isOld(JsonNode body) {
         long token = body.path("fencing_token").asLong();
         if (token < highestToken) {
@@ -299,7 +306,10 @@
         long deadline = clock() + body.path("wait_ms").asLong();
         int bootOfCall = boot;
         while (ends.isEmpty() && clock() < deadline && !dead && boot == bootOfCall) {
-            wait(Math.max(1, deadline - clock()));
+            wait(Math.max(1, Math.min(20, deadline - clock())));
+            if (isCut(body.path("fencing_token").asLong())) {
+                break;
+            }
         }
         ObjectNode answer = clockBody();
         ArrayNode running = answer.putArray("running");
--- a/review/src/Store.java
+++ b/review/src/Store.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
 
 /**
  * The platform's store, by PROTOCOL.md "The platform's metadata store". Each host has an endpoint
@@ -56,7 +57,10 @@
     final class Endpoint extends Server {
         private final int host;
 
-        /** True while the network between this host and the store is cut. */
+        /** By address in the rows of hosts, the address of the proxy in front of it. */
+        final Map<String, String> proxies = new ConcurrentHashMap<>();
+
+        /** True while the network between this host and the store is cut; channels are reset. */
         volatile boolean cut;
 
         Endpoint(int host, InetSocketAddress address) throws IOException {
@@ -66,7 +70,7 @@
 
         @Override
         Answer answer(Call call) throws Exception {
-            if (awaitCut()) {
+            if (cut) {
                 return new Answer(0, "");
             }
             if (down) {
@@ -79,16 +83,25 @@
                         case "/-/rows-feed" -> feed(parse(call.query()));
                         default -> new Answer(404, "{}");
                     };
-            return awaitCut() ? new Answer(0, "") : answer;
+            return cut ? new Answer(0, "") : throughProxies(answer, call);
         }
 
-        /** A call that meets the cut gets no answer; its channel is lost. */
-        private boolean awaitCut() throws InterruptedException {
-            boolean met = cut;
-            while (cut) {
-                Thread.sleep(20);
+        /** Lets this host reach the control ports of the others through proxies only. */
+        private Answer throughProxies(Answer answer, Call call) throws IOException {
+            if (proxies.isEmpty() || !call.query().contains("table=hosts")) {
+                return answer;
+            }
+            JsonNode node = JSON.readTree(answer.body());
+            for (JsonNode row : node.path("rows")) {
+                byte[] bytes = Base64.getDecoder().decode(row.path("value").asText());
+                String value = new String(bytes, StandardCharsets.UTF_8);
+                for (Map.Entry<String, String> entry : proxies.entrySet()) {
+                    value = value.replace(entry.getKey(), entry.getValue());
+                }
+                byte[] replaced = value.getBytes(StandardCharsets.UTF_8);
+                ((ObjectNode) row).put("value", Base64.getEncoder().encodeToString(replaced));
             }
-            return met;
+            return new Answer(answer.status(), node.toString());
         }
     }
 
--- a/review/src/Trial.java
+++ b/review/src/Trial.java
@@ -69,6 +69,7 @@
     /** All starts in their order; guarded by itself. */
     final List<Run> runs = new ArrayList<>();
 
+    private final Map<String, Proxy> proxies = new HashMap<>();
     private final HttpClient client = HttpClient.newHttpClient();
     private final Path folder;
     private final String net;
@@ -156,6 +157,13 @@
                             folder,
                             Path.of("deploy/system.toml")));
         }
+        for (Host from : hosts) {
+            for (Host to : hosts) {
+                if (from != to) {
+                    addProxy(from, to);
+                }
+            }
+        }
         for (Host host : hosts) {
             host.start();
         }
@@ -165,6 +173,26 @@
         record.line("hosts ready: " + hosts.size());
     }
 
+    /** One host reaches the control port of another one through a proxy. */
+    private void addProxy(Host from, Host to) throws IOException {
+        Proxy proxy = new Proxy(free(net + (60 + 10 * from.number + to.number)), to.control());
+        String address = to.ip + ":" + to.control().getPort();
+        endpoints.get(from.number).proxies.put(address, proxy.address());
+        proxies.put(from.number + "-" + to.number, proxy);
+    }
+
+    /** The proxies between a host and the others, in both directions. */
+    final List<Proxy> proxiesOf(Host host) {
+        List<Proxy> found = new ArrayList<>();
+        for (Host other : hosts) {
+            if (other != host) {
+                found.add(proxies.get(host.number + "-" + other.number));
+                found.add(proxies.get(other.number + "-" + host.number));
+            }
+        }
+        return found;
+    }
+
     static InetSocketAddress free(String ip) throws IOException {
         try (ServerSocket socket = new ServerSocket()) {
             socket.bind(new InetSocketAddress(ip, 0));
