--- a/review/src/ManyEnds.java
+++ b/review/src/ManyEnds.java
@@ -1,7 +1,7 @@
 /** The store is down for a few seconds while short tasks end. */
 final class ManyEnds extends Trial {
     private static final String ID = "00000000000000c1";
-    private static final int TASKS = 9_000;
+    private static final int TASKS = 6_000;
     private static final double OUTAGE = 4.5;
 
     ManyEnds(Record record, boolean trouble) throws java.io.IOException {
@@ -17,10 +17,10 @@
         submit(
                 ID,
                 job(
-                        "cpu=250 ms=150",
+                        "cpu=100 ms=250",
                         "{\"count\":"
                                 + TASKS
-                                + ",\"cpu\":250,\"mem_mb\":16,\"estimate_ms\":150}"));
+                                + ",\"cpu\":100,\"mem_mb\":16,\"estimate_ms\":250}"));
         await("tasks run", 20, () -> starts() > 300);
         double from = record.seconds();
         int before = starts();
