--- a/review/src/Reborn.java
+++ b/review/src/Reborn.java
@@ -1,6 +1,6 @@
 /** A runner loses power for a moment and starts again under its id while tasks are at work. */
 final class Reborn extends Trial {
-    private static final int JOBS = 40;
+    private static final int JOBS = 70;
     private static final long DOWN_MILLIS = 500;
 
     Reborn(Record record, boolean trouble) throws java.io.IOException {
@@ -20,10 +20,10 @@
                                 submit(
                                         String.format("%016x", 0xd000 + i),
                                         job(
-                                                "cpu=1000 ms=300",
-                                                "{\"count\":24,\"cpu\":1000,\"mem_mb\":64,"
-                                                        + "\"estimate_ms\":300}"));
-                                sleep(0.15);
+                                                "cpu=500 ms=200",
+                                                "{\"count\":24,\"cpu\":500,\"mem_mb\":32,"
+                                                        + "\"estimate_ms\":200}"));
+                                sleep(0.1);
                             }
                         });
         requester.start();
