--- a/review/src/Runner.java
+++ b/review/src/Runner.java
@@ -36,7 +36,7 @@
 
     private record Active(String task, int attempt, int cpu, long startedAt, long millis) {}
 
-    private record End(long number, String task, int attempt, String how) {}
+    private record End(long number, String task, int attempt, String how, int lapses) {}
 
     final String id;
     final String zone;
@@ -51,6 +51,11 @@
     private long leaseEnd;
     private long lastEnd;
     private int used;
+
+    /** How often the lease has lapsed; an end from before a lapse is not taken note of. */
+    private int lapses;
+
+    private long lapsedLeaseEnd;
     private volatile boolean dead;
 
     /** The number of the boot; calls that an earlier boot received get no answer. */
@@ -300,7 +305,9 @@
                     if (end.number() > cursor) {
                         return false;
                     }
-                    listener.noted(this, end.task(), end.attempt(), end.how());
+                    if (end.lapses() == lapses) {
+                        listener.noted(this, end.task(), end.attempt(), end.how());
+                    }
                     return true;
                 });
         long deadline = clock() + body.path("wait_ms").asLong();
@@ -341,6 +348,10 @@
 
     private void endRuns() {
         boolean lapsed = clock() > leaseEnd;
+        if (lapsed && leaseEnd != lapsedLeaseEnd) {
+            lapsedLeaseEnd = leaseEnd;
+            lapses++;
+        }
         for (Active run : new ArrayList<>(active.values())) {
             if (lapsed) {
                 end(run, "lapsed");
@@ -354,7 +365,7 @@
         active.remove(run.task() + "#" + run.attempt());
         used -= run.cpu();
         highestEnded.merge(run.task(), run.attempt(), Math::max);
-        ends.add(new End(++lastEnd, run.task(), run.attempt(), how));
+        ends.add(new End(++lastEnd, run.task(), run.attempt(), how, lapses));
         if (!dead) {
             listener.ended(this, run.task(), run.attempt(), how);
         }
