--- a/review/src/Runner.java
+++ b/review/src/Runner.java
@@ -9,8 +9,6 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
@@ -40,8 +38,8 @@
 
     final String id;
     final String zone;
-    private volatile long born = System.currentTimeMillis();
-    private volatile long startNanos = System.nanoTime();
+    private final long born = System.currentTimeMillis();
+    private final long startNanos = System.nanoTime();
     private final Store store;
     private final Listener listener;
     private final Map<String, Active> active = new LinkedHashMap<>();
@@ -58,17 +56,6 @@
     private long lapsedLeaseEnd;
     private volatile boolean dead;
 
-    /** The number of the boot; calls that an earlier boot received get no answer. */
-    private volatile int boot;
-
-    /** True while the runner is without power. */
-    private volatile boolean dark;
-
-    /** The channels that the present boot knows, and those of earlier boots. */
-    private final Set<String> channels = ConcurrentHashMap.newKeySet();
-
-    private final Set<String> oldChannels = ConcurrentHashMap.newKeySet();
-
     /** True while the network between the runner and the store is cut. */
     volatile boolean storeCut;
 
@@ -97,30 +84,6 @@
         shut();
     }
 
-    /**
-     * The runner loses power and starts again under its id, at its address. It holds and knows
-     * nothing of before. Channels of before are silent until something is sent on them; then they
-     * are reset.
-     */
-    void reboot(long downMillis) throws InterruptedException {
-        dark = true;
-        synchronized (this) {
-            boot++;
-            active.clear();
-            ends.clear();
-            highestEnded.clear();
-            highestToken = 0;
-            leaseEnd = 0;
-            lastEnd = 0;
-            used = 0;
-        }
-        Thread.sleep(downMillis);
-        oldChannels.addAll(channels);
-        startNanos = System.nanoTime();
-        born = System.currentTimeMillis();
-        dark = false;
-    }
-
     synchronized long highestToken() {
         return highestToken;
     }
@@ -129,10 +92,6 @@
         return active.size();
     }
 
-    synchronized boolean runs(String task) {
-        return active.values().stream().anyMatch(run -> run.task().equals(task));
-    }
-
     private long clock() {
         return (System.nanoTime() - startNanos) / 1_000_000;
     }
@@ -141,14 +100,8 @@
     private void pulse() {
         long nextBeat = 0;
         int sequence = 0;
-        int lastBoot = 0;
         while (!dead) {
-            if (boot != lastBoot) {
-                lastBoot = boot;
-                nextBeat = 0;
-                sequence = 0;
-            }
-            if (clock() >= nextBeat && !dark && !storeCut) {
+            if (clock() >= nextBeat && !storeCut) {
                 nextBeat = clock() + 1_500;
                 store.put("servers", id, entry(++sequence));
             }
@@ -176,21 +129,6 @@
 
     @Override
     Answer answer(Call call) throws Exception {
-        int bootOfCall = boot;
-        channels.add(call.channel());
-        if (oldChannels.contains(call.channel())) {
-            return new Answer(0, "");
-        }
-        Answer answer = dark ? null : carryOut(call);
-        if (answer == null || boot != bootOfCall) {
-            // Nothing of this boot can be sent any more; the caller's time-out ends the call.
-            Thread.sleep(20_000);
-            return new Answer(0, "");
-        }
-        return answer;
-    }
-
-    private Answer carryOut(Call call) throws Exception {
         JsonNode body = JSON.readTree(call.body());
         long token = body.path("fencing_token").asLong();
         if (isCut(token)) {
@@ -311,8 +249,7 @@
                     return true;
                 });
         long deadline = clock() + body.path("wait_ms").asLong();
-        int bootOfCall = boot;
-        while (ends.isEmpty() && clock() < deadline && !dead && boot == bootOfCall) {
+        while (ends.isEmpty() && clock() < deadline && !dead) {
             wait(Math.max(1, Math.min(20, deadline - clock())));
             if (isCut(body.path("fencing_token").asLong())) {
                 break;
--- a/review/src/Server.java
+++ b/review/src/Server.java
@@ -9,13 +9,7 @@
 /** An HTTP server on a loopback address; base of the stand-ins of the review. */
 abstract class Server {
     /** A call to a stand-in. */
-    record Call(
-            String method,
-            String path,
-            String query,
-            String instance,
-            String channel,
-            byte[] body) {}
+    record Call(String method, String path, String query, String instance, byte[] body) {}
 
     /** An answer; status 0 closes the connection without an answer. */
     record Answer(int status, String body) {}
@@ -58,7 +52,6 @@
                                     exchange.getRequestURI().getPath(),
                                     query == null ? "" : query,
                                     exchange.getRequestHeaders().getFirst("X-Expect-Instance"),
-                                    exchange.getRemoteAddress().toString(),
                                     body));
             if (answer.status() == 0) {
                 return;
--- a/review/src/Trial.java
+++ b/review/src/Trial.java
@@ -9,14 +9,11 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
-import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.BooleanSupplier;
@@ -348,11 +345,6 @@
         record.line("CRASH of runner " + runner.id);
         runner.crash();
         runners.remove(runner.id);
-        lost(runner);
-    }
-
-    /** What runs on a runner is gone without an end. */
-    final void lost(Runner runner) {
         synchronized (runs) {
             for (Run run : runs) {
                 if (run.runner == runner && run.isActive()) {
@@ -410,8 +402,4 @@
     static String job(String spec, String... steps) {
         return "{\"spec\":\"" + spec + "\",\"steps\":[" + String.join(",", steps) + "]}";
     }
-
-    static Set<String> setOf(String... texts) {
-        return new HashSet<>(Arrays.asList(texts));
-    }
 }
