--- a/review/src/LastingJob.java
+++ b/review/src/LastingJob.java
@@ -9,6 +9,7 @@
     private static final int MOST_CRASHES = 6;
     private static final double AFTER_START = 0.7;
     private static final double DOWN = 0.6;
+    private static final double ENTRY_EXPIRY = 4.5;
 
     private final Map<String, InetSocketAddress> addresses = new HashMap<>();
     private int nextId;
@@ -38,8 +39,8 @@
                 Run newest = newest();
                 InetSocketAddress address = addresses.get(newest.runner.id);
                 crash(newest.runner);
+                expireEntry(newest.runner.id);
                 sleep(DOWN);
-                store.delete("servers", newest.runner.id);
                 addLife(address);
             }
         }
@@ -73,6 +74,18 @@
         return starts() >= number;
     }
 
+    /** The store drops the entry of a silent runner after three ping intervals. */
+    private void expireEntry(String id) {
+        Thread expiry =
+                new Thread(
+                        () -> {
+                            sleep(ENTRY_EXPIRY);
+                            store.delete("servers", id);
+                        });
+        expiry.setDaemon(true);
+        expiry.start();
+    }
+
     private int starts() {
         synchronized (runs) {
             return runs.size();
