--- a/review/src/LastingJob.java
+++ b/review/src/LastingJob.java
@@ -65,7 +65,7 @@
         addRunner(id, "xela", address);
     }
 
-    /** Waits for a further start of the task; without a disruption there is only one. */
+    /** Waits for the next start of the task; without a disruption there is only one. */
     private boolean awaitStart(int number) {
         double end = record.seconds() + 8;
         while (starts() < number && record.seconds() < end) {
