--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/OwnerElection.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/OwnerElection.java
@@ -37,12 +37,6 @@
      */
     private static final long STORE_OUTAGE_GAP_MILLIS = 1_200;
 
-    /**
-     * Counts are published with each renewal, so older ones mean that the owner or the store is
-     * failing.
-     */
-    private static final long MAX_COUNTS_AGE_MILLIS = 2_500;
-
     private static final long TIMEOUT_MILLIS = 1_200;
 
     /**
@@ -92,12 +86,10 @@
     private final HostDirectory directory;
     private final EventLog log;
     private final Listener listener;
+    private final PublishedCounts published;
 
     private LeaseChallenger challenger;
     private Optional<LeaseHolder> holder = Optional.empty();
-    private Optional<PendingCounts> publishedCounts = Optional.empty();
-    private long publishedVersion;
-    private long publishedAt;
 
     /** A takeover write without an answer, which may have taken effect or may still do so. */
     private Optional<Takeover> unsettledTakeover = Optional.empty();
@@ -135,6 +127,7 @@
         this.directory = directory;
         this.log = log;
         this.listener = listener;
+        this.published = new PublishedCounts(log);
         this.challenger = new LeaseChallenger(directory.holderName(), CLOCK_MARGIN_MILLIS);
     }
 
@@ -185,10 +178,7 @@
      * are too old or were published by an earlier owner.
      */
     Optional<PendingCounts> recentCounts(long now) {
-        long epoch = challenger.row().map(LeaseRow::epoch).orElse(0L);
-        return now - publishedAt > MAX_COUNTS_AGE_MILLIS
-                ? Optional.empty()
-                : publishedCounts.filter(counts -> counts.epoch() >= epoch);
+        return published.recent(challenger.row().map(LeaseRow::epoch).orElse(0L), now);
     }
 
     /** Releases the ownership so that another host can take it at once. */
@@ -269,7 +259,7 @@
                 lease = parseLease(row);
                 version = row.version();
             } else if (row.key().equals(RowNames.PENDING_KEY)) {
-                readCounts(row, sentAt);
+                published.onRow(row, sentAt);
             }
         }
         if (version > 0 && lease.isEmpty()) {
@@ -289,22 +279,6 @@
         }
     }
 
-    /**
-     * Each renewal rewrites the row, so the counts are as old as the first poll that returned their
-     * version.
-     */
-    private void readCounts(StoredRow row, long sentAt) {
-        if (row.version() <= publishedVersion) {
-            return;
-        }
-        boolean ageKnown = publishedVersion > 0;
-        publishedVersion = row.version();
-        publishedAt = sentAt;
-        Result<PendingCounts> counts = RowCodec.pending(row.value());
-        counts.failure().ifPresent(failure -> RowLog.logUnreadable(log, row, failure));
-        publishedCounts = ageKnown ? counts.toOptional() : Optional.empty();
-    }
-
     private Optional<LeaseRow> parseLease(StoredRow row) {
         Result<LeaseRow> lease = RowCodec.lease(row.value());
         lease.failure().ifPresent(failure -> RowLog.logUnreadable(log, row, failure));
