End no run by a lease that a later owner may have renewed

Cause: an owner without a confirmed renewal sends orders for 8 s, but another host takes over after 1.5 s, reaches the workers outside and renews their leases. The owner inside took these leases for over 5 s after its own last call.

Change: an owner calls a lease over only if it expired before another host could have taken over (the end of its own lease, by the last confirmed renewal), or once a renewal shows that nobody did. The same holds for workers that have not reported after a takeover, and jobs that are read later wait for a renewal, since they may be new to a later owner too. All else goes on: a cut-off owner renews leases, starts what waits and repeats what has ended on the workers that it reaches.

Cost while the store is down for all: the tasks of a worker that falls silent wait until the store is back or another life answers at its address; today's outages last 4.5 to 6 s, and a lease 5 s. Weighed and left: no orders without a renewal (all work would lapse in each outage), and asking the other hosts (a host that is not known, or starts, cannot be asked).

--- a/core/src/main/java/org/peridotcourse/dispatch/DispatchOwner.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/DispatchOwner.java
@@ -179,13 +179,18 @@
     }
 
     /**
-     * Updates the time until which this owner may send orders. The leases that it grants end soon
-     * after that time.
+     * Updates the times that follow from the last confirmed renewal of the ownership.
      *
-     * @param until monotonic time
-     */
-    public void onOwnershipExtended(long until) {
-        state.mayOrderUntil = until;
+     * @param mayOrderUntil monotonic time until which this owner may send orders; the leases that
+     *     it grants end soon after
+     * @param soleOwnerUntil monotonic time before which no later owner can exist; a lease of a
+     *     worker that expires later may have been renewed by a later owner, and a job that is read
+     *     later may have been started by one
+     */
+    public void onOwnershipExtended(long mayOrderUntil, long soleOwnerUntil) {
+        state.mayOrderUntil = mayOrderUntil;
+        state.planDue |= soleOwnerUntil > state.soleOwnerUntil;
+        state.soleOwnerUntil = soleOwnerUntil;
     }
 
     /**
--- a/core/src/main/java/org/peridotcourse/dispatch/Job.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/Job.java
@@ -20,6 +20,9 @@
     /** Monotonic time of the acceptance, by the clock of this process. */
     final long acceptedAt;
 
+    /** Monotonic time at which this owner read it from the store. */
+    final long readAt;
+
     /** True if an earlier owner may have started tasks of this job. */
     final boolean inherited;
 
@@ -56,12 +59,18 @@
     /** Number of occurrences that have been opened. */
     private int openedCount;
 
-    Job(StoredJob storedJob, long acceptedAt, boolean inherited, int lastEarlierAttempt) {
+    Job(
+            StoredJob storedJob,
+            long acceptedAt,
+            long readAt,
+            boolean inherited,
+            int lastEarlierAttempt) {
         this.id = storedJob.id();
         this.spec = storedJob.spec();
         this.rulesAtAcceptance = storedJob.queueRules();
         this.customer = storedJob.customer();
         this.acceptedAt = acceptedAt;
+        this.readAt = readAt;
         this.inherited = inherited;
         this.lastEarlierAttempt = lastEarlierAttempt;
         this.state = storedJob.record().state();
--- a/core/src/main/java/org/peridotcourse/dispatch/JobRegistry.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/JobRegistry.java
@@ -46,7 +46,7 @@
         }
         long age = Math.max(0, wallNow - storedJob.acceptedAtMillis());
         long acceptedAt = now - age;
-        Job job = new Job(storedJob, acceptedAt, inherited, state.term.lastEarlierAttempt());
+        Job job = new Job(storedJob, acceptedAt, now, inherited, state.term.lastEarlierAttempt());
         Schedule schedule = storedJob.spec().schedule();
         long firstDue = schedule.isTimed() ? now + schedule.startAtMillis() - wallNow : acceptedAt;
         firstDueAt.put(job.id, firstDue);
--- a/core/src/main/java/org/peridotcourse/dispatch/OwnerState.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/OwnerState.java
@@ -37,6 +37,13 @@
      */
     long mayOrderUntil = Long.MAX_VALUE / 2;
 
+    /**
+     * Monotonic time before which no later owner can exist, by the last confirmed renewal. From
+     * then on, another host may have taken over and renewed the leases of workers that do not
+     * answer this owner.
+     */
+    long soleOwnerUntil = Long.MAX_VALUE / 2;
+
     /** True if a change may allow a waiting task to start, so that a planning pass is due. */
     boolean planDue = true;
 
@@ -58,6 +65,20 @@
         return job.customer.flatMap(config::customer).orElse(CustomerRules.UNLIMITED);
     }
 
+    /**
+     * Returns whether the lease of a worker has certainly expired, so that no run is active there.
+     * A lease that expires after {@link #soleOwnerUntil} is not known to: a later owner may have
+     * renewed it.
+     */
+    boolean isLeaseOver(Worker worker, long now) {
+        return hasPassed(worker.leaseExpiresAt, now);
+    }
+
+    /** Returns whether a time has passed and no later owner can have existed until then. */
+    boolean hasPassed(long time, long now) {
+        return now >= time && time <= soleOwnerUntil;
+    }
+
     Optional<Task> task(TaskRef ref) {
         Job job = jobs.get(ref.job());
         return job == null ? Optional.empty() : job.task(ref);
--- a/core/src/main/java/org/peridotcourse/dispatch/RunLifecycle.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/RunLifecycle.java
@@ -383,7 +383,7 @@
     /** Ends all runs of unreachable workers whose leases have expired. */
     void endRunsOfExpiredLeases(long now) {
         for (Worker worker : state.workers.values()) {
-            if (worker.reachable || worker.runs.isEmpty() || now < worker.leaseExpiresAt) {
+            if (worker.reachable || worker.runs.isEmpty() || !state.isLeaseOver(worker, now)) {
                 continue;
             }
             state.log(
--- a/core/src/main/java/org/peridotcourse/dispatch/TakeoverReconciliation.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/TakeoverReconciliation.java
@@ -41,11 +41,12 @@
             return;
         }
         for (Worker worker : state.workers.values()) {
-            if (!worker.hasReported && now < worker.leaseExpiresAt) {
+            if (!worker.hasReported && !state.isLeaseOver(worker, now)) {
                 return;
             }
         }
-        if (state.workers.isEmpty() && now < state.term.earlierRunsMayLastUntil()) {
+        if (state.workers.isEmpty()
+                && !state.hasPassed(state.term.earlierRunsMayLastUntil(), now)) {
             return;
         }
         complete = true;
@@ -79,8 +80,11 @@
                 && !hasOpenedUnderThisOwner(task.step);
     }
 
-    /** Returns whether no run of an earlier owner can still be active for a task. */
+    /** Returns whether no run of another owner can be active for a task. */
     boolean isSafeToStart(Task task) {
+        if (mayBelongToLaterOwner(task.job())) {
+            return false;
+        }
         return complete
                 || !task.job().inherited
                 || hasNoOtherRun(task)
@@ -89,6 +93,9 @@
 
     /** Returns whether a step has a waiting task that is safe to start. */
     boolean hasTaskSafeToStart(Step step) {
+        if (mayBelongToLaterOwner(step.job())) {
+            return false;
+        }
         if (complete || !step.job().inherited) {
             return true;
         }
@@ -101,6 +108,14 @@
         return false;
     }
 
+    /**
+     * Returns whether a job may have been accepted under a later owner, to whom it is new as well.
+     * It is not started until a renewal shows that there was no later owner when it was read.
+     */
+    private boolean mayBelongToLaterOwner(Job job) {
+        return job.readAt > state.soleOwnerUntil;
+    }
+
     private static boolean hasNoOtherRun(Task task) {
         return wasStartedOrAdopted(task)
                 && (task.step.spec.isLasting() || !task.failedUnderThisOwner);
--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/OwnerElection.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/OwnerElection.java
@@ -154,6 +154,14 @@
         return holder.map(LeaseHolder::holdEndMillis).orElse(Long.MIN_VALUE / 2);
     }
 
+    /**
+     * Returns the time before which no later owner can exist, or a time in the distant past if this
+     * host is not the owner. Another host takes over no earlier than this.
+     */
+    long soleOwnerUntil() {
+        return holder.map(LeaseHolder::leaseEndMillis).orElse(Long.MIN_VALUE / 2);
+    }
+
     /**
      * Called when this process was paused. Another host may be the owner by now, so no order is
      * sent until a renewal that is sent from now on is confirmed.
--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/OwnerSession.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/OwnerSession.java
@@ -159,7 +159,7 @@
         if (!election.maySendOrders(now)) {
             return;
         }
-        owner.onOwnershipExtended(election.ordersAllowedUntil());
+        owner.onOwnershipExtended(election.ordersAllowedUntil(), election.soleOwnerUntil());
         for (Order order : owner.decide(now)) {
             components
                     .workers()
