Count the lease of a takeover from the first attempt that may have taken effect

What callers saw: nothing yet; found while soleOwnerUntil was written, which relies on the start of the lease.

Cause: a takeover without an answer may be performed after the next read of the row. The second attempt then conflicts with the row of the first, and the lease counted from the sending of the second, although other hosts may have observed the first one before. The owner could take itself for the only one for longer than others wait.

Change: the lease counts from the first attempt, and the time for which earlier owners may send orders from the last.

Result: OwnerElectionTest#aTakeoverThatTakesEffectLateCountsFromWhenItWasFirstSent failed before ("longest lease 1576" of 1500 ms) and passes.

--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/OwnerElection.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/OwnerElection.java
@@ -376,7 +376,7 @@
                     } else if (outcome instanceof RowOutcome.Conflict conflict) {
                         onConflict(conflict, takeover);
                     } else if (outcome instanceof RowOutcome.Unknown) {
-                        unsettledTakeover = Optional.of(takeover);
+                        unsettledTakeover = Optional.of(mergeWithUnsettled(takeover));
                     }
                 });
     }
@@ -386,12 +386,31 @@
         Optional<StoredRow> found = conflict.row(RowNames.DUTIES, RowNames.OWNER_KEY);
         Optional<LeaseRow> storedLease = found.flatMap(this::parseLease);
         if (storedLease.isPresent() && storedLease.get().equals(takeover.row()) && !stopping) {
-            onTaken(takeover, found.get().version());
+            onTaken(mergeWithUnsettled(takeover), found.get().version());
         } else if (storedLease.isPresent()) {
             challenger.observe(loop.nowMillis(), storedLease, found.get().version());
         }
     }
 
+    /**
+     * Combines a takeover with an earlier attempt to write the same row. Either may have taken
+     * effect, so the lease counts from the first one, as other hosts may have observed it since.
+     */
+    private Takeover mergeWithUnsettled(Takeover takeover) {
+        return unsettledTakeover
+                .filter(earlier -> earlier.row().equals(takeover.row()))
+                .map(
+                        earlier ->
+                                new Takeover(
+                                        takeover.row(),
+                                        earlier.sentAt(),
+                                        Math.max(
+                                                earlier.earlierOwnersMayOrderUntil(),
+                                                takeover.earlierOwnersMayOrderUntil()),
+                                        takeover.previous()))
+                .orElse(takeover);
+    }
+
     private long earlierOwnersMayOrderUntil(LeaseRow old, long now) {
         boolean ordersEnded = old.isReleased() || directory.hasEnded(old.holder());
         return ordersEnded ? now : now + old.holdMillis();
--- a/daemon/src/test/java/org/peridotcourse/daemon/dispatch/FakeRowStore.java
+++ b/daemon/src/test/java/org/peridotcourse/daemon/dispatch/FakeRowStore.java
@@ -4,6 +4,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Consumer;
@@ -35,6 +36,9 @@
     /** The number of next writes that are applied and whose answers are lost. */
     int answersToLose;
 
+    /** True if the next write gets no answer and is applied only after the read that follows. */
+    boolean appliesNextWriteLate;
+
     /** Monotonic time at which the last write was applied. */
     long lastAppliedAt;
 
@@ -42,6 +46,7 @@
     int rejectedWrites;
 
     private long version;
+    private Optional<RowWrite> lateWrite = Optional.empty();
 
     FakeRowStore(EventLoop loop) {
         this.loop = loop;
@@ -63,6 +68,8 @@
             }
         }
         RowSet set = new RowSet(found, false, version);
+        lateWrite.ifPresent(write -> write(write, 0, outcome -> {}));
+        lateWrite = Optional.empty();
         loop.schedule(LATENCY_MILLIS, () -> handler.accept(Result.ok(set)));
     }
 
@@ -73,6 +80,14 @@
             loop.schedule(LATENCY_MILLIS, () -> handler.accept(notApplied));
             return;
         }
+        if (appliesNextWriteLate) {
+            appliesNextWriteLate = false;
+            lateWrite = Optional.of(write);
+            loop.schedule(
+                    LATENCY_MILLIS,
+                    () -> handler.accept(new RowOutcome.Unknown(RowStoreFailure.NO_ANSWER)));
+            return;
+        }
         if (exceedsLimits(write)) {
             rejectedWrites++;
             RowOutcome rejected = new RowOutcome.NotApplied(RowStoreFailure.MISUNDERSTOOD);
--- a/daemon/src/test/java/org/peridotcourse/daemon/dispatch/OwnerElectionTest.java
+++ b/daemon/src/test/java/org/peridotcourse/daemon/dispatch/OwnerElectionTest.java
@@ -177,6 +177,30 @@
                 "longest hold " + longestHoldMillis.get());
     }
 
+    /**
+     * A takeover without an answer took effect after the host had read the old row, so that a
+     * second attempt found it. Others count the lease from when they observed the first one.
+     */
+    @Test
+    void aTakeoverThatTakesEffectLateCountsFromWhenItWasFirstSent() throws Exception {
+        store.appliesNextWriteLate = true;
+        AtomicLong longestLeaseMillis = new AtomicLong(Long.MIN_VALUE);
+        loop.post(
+                () -> {
+                    election.start();
+                    loop.onRound(
+                            () ->
+                                    longestLeaseMillis.accumulateAndGet(
+                                            election.soleOwnerUntil() - store.lastAppliedAt,
+                                            Math::max));
+                });
+        assertTrue(firstTakeover.await(TIMEOUT_SECONDS, TimeUnit.SECONDS));
+        pause(OwnerElection.LEASE_MILLIS / 4);
+        assertTrue(
+                longestLeaseMillis.get() <= OwnerElection.LEASE_MILLIS,
+                "longest lease " + longestLeaseMillis.get());
+    }
+
     /**
      * On rutas-flipper-large, a host reported one waiting job while eight had waited for 5 s,
      * because the counts were written only when no progress was waiting to be stored.
