Determine once which steps open under a new owner, not by every path

Cause: until all workers have reported to a new owner, each round asked for each open step whether a predecessor had a started or adopted task, by a recursion that remembered nothing: 2 to the power of the number of earlier steps. The event loop that ran it also serves callers and renews the ownership, so one host after the other took over and hung.

Change: the first start or adoption in a step marks the later steps in one pass, since predecessors have lower numbers; the decision reads the mark. The rule itself is unchanged (adopted members of gangs and speculative copies show nothing).

--- a/core/src/main/java/org/peridotcourse/dispatch/Occurrence.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/Occurrence.java
@@ -23,6 +23,37 @@
         }
     }
 
+    /**
+     * Marks all steps that come after a step, directly or not, as not opened by an earlier owner:
+     * this owner has started a task of the step, or has adopted one that was not done. A copy of a
+     * speculative task or another member of a gang may have ended before, so these show nothing.
+     *
+     * <p>Predecessors have lower numbers, so one pass in the order of the numbers finds all steps.
+     */
+    void onTaskStartedOrAdopted(Step step) {
+        boolean showsNothing = step.spec.isGang() || step.spec.isSpeculative();
+        if (!job.inherited || step.precedesUnopenedSteps || showsNothing) {
+            return;
+        }
+        step.precedesUnopenedSteps = true;
+        for (int i = step.number + 1; i < steps.length; i++) {
+            steps[i].opensUnderThisOwner |= hasUnopenedPredecessor(steps[i]);
+        }
+    }
+
+    private boolean hasUnopenedPredecessor(Step step) {
+        if (step.opensUnderThisOwner) {
+            return true;
+        }
+        for (int predecessor : step.spec.predecessors()) {
+            Step earlier = steps[predecessor];
+            if (earlier.precedesUnopenedSteps || earlier.opensUnderThisOwner) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     boolean isDone() {
         for (Step step : steps) {
             if (step.remainingTasks > 0) {
--- a/core/src/main/java/org/peridotcourse/dispatch/ReportProcessor.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/ReportProcessor.java
@@ -227,7 +227,7 @@
         Run run = new Run(task, active.attempt(), worker, now);
         run.paceKnown = false;
         task.lastAttempt = Math.max(task.lastAttempt, active.attempt());
-        task.startedOrAdopted = true;
+        task.markStartedOrAdopted();
         task.runs.add(run);
         worker.add(run);
         runs.markStarted(task.job());
--- a/core/src/main/java/org/peridotcourse/dispatch/RunLifecycle.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/RunLifecycle.java
@@ -39,7 +39,7 @@
     Run assign(Task task, Worker worker, int attempt, long now) {
         Run run = new Run(task, attempt, worker, now);
         task.lastAttempt = Math.max(task.lastAttempt, attempt);
-        task.startedOrAdopted = true;
+        task.markStartedOrAdopted();
         task.runs.add(run);
         worker.add(run);
         return run;
--- a/core/src/main/java/org/peridotcourse/dispatch/Step.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/Step.java
@@ -28,6 +28,14 @@
     /** Time before which its waiting tasks are not logged again. */
     long nextWaitLogAt;
 
+    /**
+     * True if this owner started or adopted a task, which shows that later steps had not opened.
+     */
+    boolean precedesUnopenedSteps;
+
+    /** True if the step has certainly opened under this owner, or will. */
+    boolean opensUnderThisOwner;
+
     /** When the step was first found to be open, 0 before. */
     long openedAt;
 
--- a/core/src/main/java/org/peridotcourse/dispatch/TakeoverReconciliation.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/TakeoverReconciliation.java
@@ -77,7 +77,7 @@
         return workersMissing
                 && task.job().inherited
                 && !task.startedOrAdopted
-                && !hasOpenedUnderThisOwner(task.step);
+                && !task.step.opensUnderThisOwner;
     }
 
     /** Returns whether no run of another owner can be active for a task. */
@@ -88,7 +88,7 @@
         return complete
                 || !task.job().inherited
                 || hasNoOtherRun(task)
-                || hasOpenedUnderThisOwner(task.step);
+                || task.step.opensUnderThisOwner;
     }
 
     /** Returns whether a step has a waiting task that is safe to start. */
@@ -99,7 +99,7 @@
         if (complete || !step.job().inherited) {
             return true;
         }
-        boolean opened = hasOpenedUnderThisOwner(step);
+        boolean opened = step.opensUnderThisOwner;
         for (Task task : step.tasks) {
             if (task.isWaiting() && (opened || hasNoOtherRun(task))) {
                 return true;
@@ -124,27 +124,4 @@
     private static boolean wasStartedOrAdopted(Task task) {
         return task.startedOrAdopted && !task.step.spec.isSpeculative();
     }
-
-    /** Returns whether a step has certainly opened under this owner and not before. */
-    private static boolean hasOpenedUnderThisOwner(Step step) {
-        for (int predecessor : step.spec.predecessors()) {
-            Step earlier = step.occurrence.steps[predecessor];
-            if (hasStartedOrAdoptedTask(earlier) || hasOpenedUnderThisOwner(earlier)) {
-                return true;
-            }
-        }
-        return false;
-    }
-
-    private static boolean hasStartedOrAdoptedTask(Step step) {
-        if (step.spec.isGang()) {
-            return false;
-        }
-        for (Task task : step.tasks) {
-            if (wasStartedOrAdopted(task)) {
-                return true;
-            }
-        }
-        return false;
-    }
 }
--- a/core/src/main/java/org/peridotcourse/dispatch/Task.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/Task.java
@@ -53,6 +53,13 @@
         return step.occurrence.job;
     }
 
+    void markStartedOrAdopted() {
+        if (!startedOrAdopted) {
+            startedOrAdopted = true;
+            step.occurrence.onTaskStartedOrAdopted(step);
+        }
+    }
+
     boolean isWaiting() {
         return !done && runs.isEmpty();
     }
--- a/core/src/test/java/org/peridotcourse/dispatch/TakeoverReconciliationTest.java
+++ b/core/src/test/java/org/peridotcourse/dispatch/TakeoverReconciliationTest.java
@@ -1,9 +1,12 @@
 package org.peridotcourse.dispatch;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTimeoutPreemptively;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.time.Duration;
 import java.util.List;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.peridotcourse.Resources;
 
@@ -159,4 +162,34 @@
                         .mapToInt(worker -> worker.active.size())
                         .sum());
     }
+
+    /**
+     * Each host in turn hung in its first decisions after a takeover, since it visited the
+     * predecessors of a step by every path: 2 to the power of the number of steps.
+     */
+    @Test
+    void manyStepsThatComeAfterAllEarlierOnesAreDecidedInTimeAfterATakeover() {
+        StepSpec[] steps = new StepSpec[200];
+        for (int i = 0; i < steps.length; i++) {
+            List<Integer> earlier = IntStream.range(0, i).boxed().toList();
+            steps[i] = step(1, 20).predecessors(earlier).build();
+        }
+        String job = simulation.submit(QUEUE, steps);
+        String silent = otherThan(workerOf(runUntilStarted(job)));
+        simulation.run(3_000);
+        assertTimeoutPreemptively(
+                Duration.ofSeconds(20),
+                () -> {
+                    crashOwnerAndWorker(silent);
+                    simulation.runUntilEnded(60_000, job);
+                });
+        simulation.assertCompleted(job);
+    }
+
+    private String runUntilStarted(String job) {
+        while (!simulation.hasRuns(job)) {
+            simulation.run(10);
+        }
+        return job;
+    }
 }
