Take no run for lost that may have ended beyond the listed ends

Cause: a worker lists its ends 500 at a time and forgets them by acknowledgement, which waits for the store. A run that was neither active nor among the listed ends was taken for lost, although its end was only beyond the 500. A new owner took such a worker for one that had reported everything, and started the tasks again at once.

Change: a report with a full list of ends says that more may follow; until a list is not full, no run of that worker counts as missing, and the worker counts as not reported in a takeover. These runs keep their room meanwhile.

--- a/core/src/main/java/org/peridotcourse/dispatch/ReportProcessor.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/ReportProcessor.java
@@ -65,6 +65,7 @@
                     worker,
                     "running=" + report.running().size() + " ended=" + report.ended().size());
         }
+        worker.mayHaveMoreEnds = report.mayHaveMoreEnds();
         boolean allEndsApplied = applyEnds(worker, report.ended(), now);
         Map<Run.Key, WorkerReport.ActiveRun> listed = new HashMap<>();
         for (WorkerReport.ActiveRun active : report.running()) {
@@ -76,7 +77,7 @@
         if (!report.complete()) {
             state.log(
                     Decision.Kind.REPORT_DAMAGED, worker.id, worker, "runs=" + worker.runs.size());
-        } else if (allEndsApplied) {
+        } else if (allEndsApplied && !report.mayHaveMoreEnds()) {
             endMissing(worker, listed, sentAt, now);
         }
     }
--- a/core/src/main/java/org/peridotcourse/dispatch/TakeoverReconciliation.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/TakeoverReconciliation.java
@@ -3,8 +3,9 @@
 /**
  * Reconciles the runs of earlier owners after a takeover, so that no task runs twice at a time.
  *
- * <p>Until every worker has reported or its lease has expired, an inherited task may be running on
- * a worker that this owner does not reach. The following tasks cannot, so they may be started:
+ * <p>Until every worker has reported all of its runs and ends or its lease has expired, an
+ * inherited task may be running on a worker that this owner does not reach, or be done. The
+ * following tasks cannot, so they may be started:
  *
  * <ul>
  *   <li>A task with a run that this owner started or adopted. The earlier owner started an adopted
@@ -41,7 +42,7 @@
             return;
         }
         for (Worker worker : state.workers.values()) {
-            if (!worker.hasReported && !state.isLeaseOver(worker, now)) {
+            if (!worker.hasReportedAll() && !state.isLeaseOver(worker, now)) {
                 return;
             }
         }
--- a/core/src/main/java/org/peridotcourse/dispatch/Worker.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/Worker.java
@@ -34,6 +34,12 @@
     /** True once the worker has reported to this owner. */
     boolean hasReported;
 
+    /**
+     * True if its last report may lack ends of runs, which it lists once those before them are
+     * acknowledged.
+     */
+    boolean mayHaveMoreEnds;
+
     /** True while lease calls and orders reach the worker. */
     boolean reachable;
 
@@ -149,6 +155,11 @@
         return milliCores / Math.max(1, info.capacity().milliCores());
     }
 
+    /** Returns whether it has reported all of its runs and their ends to this owner. */
+    boolean hasReportedAll() {
+        return hasReported && !mayHaveMoreEnds;
+    }
+
     boolean fits(StepSpec step) {
         return reserved.plus(step.reservedResources()).isWithin(info.capacity());
     }
--- a/core/src/main/java/org/peridotcourse/dispatch/WorkerReport.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/WorkerReport.java
@@ -14,13 +14,16 @@
  * @param ended ends of runs that have not been acknowledged, oldest first
  * @param complete false if some entries could not be parsed, so that a run that is not listed may
  *     still be active
+ * @param mayHaveMoreEnds true if the worker may have ends that the list has no room for, so that a
+ *     run that is not listed may have ended in any way
  */
 public record WorkerReport(
         long clockMillis,
         long startedAtMillis,
         List<ActiveRun> running,
         List<EndedRun> ended,
-        boolean complete) {
+        boolean complete,
+        boolean mayHaveMoreEnds) {
     /**
      * Copies the lists.
      *
@@ -29,6 +32,7 @@
      * @param running the active runs
      * @param ended ends of runs that have not been acknowledged
      * @param complete false if some entries could not be parsed
+     * @param mayHaveMoreEnds true if the worker may have ends that the list has no room for
      */
     public WorkerReport {
         running = List.copyOf(running);
--- a/core/src/test/java/org/peridotcourse/dispatch/FakeWorker.java
+++ b/core/src/test/java/org/peridotcourse/dispatch/FakeWorker.java
@@ -17,6 +17,9 @@
 final class FakeWorker {
     private static final long MAX_LEASE_MILLIS = 6_000;
 
+    /** Largest number of ends in one report. */
+    private static final int MAX_LISTED_ENDS = 500;
+
     /** Work done after which one of {@link #failingTasks} fails. */
     private static final long FAILING_TASK_MILLIS = 100;
 
@@ -200,7 +203,11 @@
                                         run.spec.isCheckpointing() ? "" + run.doneMillis : "",
                                         run.percent(),
                                         run.measurement)));
-        return Optional.of(new WorkerReport(clock(now), startedAtWallMillis, running, ended, true));
+        List<WorkerReport.EndedRun> listed =
+                ended.subList(0, Math.min(ended.size(), MAX_LISTED_ENDS));
+        boolean isFull = listed.size() == MAX_LISTED_ENDS;
+        return Optional.of(
+                new WorkerReport(clock(now), startedAtWallMillis, running, listed, true, isFull));
     }
 
     private void extendLease(long end, long now) {
--- a/core/src/test/java/org/peridotcourse/dispatch/LateJobTest.java
+++ b/core/src/test/java/org/peridotcourse/dispatch/LateJobTest.java
@@ -55,7 +55,8 @@
             List<WorkerReport.EndedRun> ended,
             boolean complete) {
         now += 100;
-        WorkerReport report = new WorkerReport(now, WALL_CLOCK_MILLIS, running, ended, complete);
+        WorkerReport report =
+                new WorkerReport(now, WALL_CLOCK_MILLIS, running, ended, complete, false);
         owner.onReport(WORKER, report, now - 10, now);
     }
 
@@ -147,7 +148,8 @@
         ClusterConfig.Route route = new ClusterConfig.Route("host", "/q/", QUEUE, true);
         successor.onConfig(ClusterConfig.of(1, List.of(route)));
         successor.onRecordedWorker(left, now);
-        WorkerReport idle = new WorkerReport(now, WALL_CLOCK_MILLIS, List.of(), List.of(), true);
+        WorkerReport idle =
+                new WorkerReport(now, WALL_CLOCK_MILLIS, List.of(), List.of(), true, false);
         successor.onReport("left", idle, now, now + 10);
         StepSpec step = StepSpec.builder(1, Resources.of(1_000, 1_000)).estimateMillis(500).build();
         JobSpec spec = new JobSpec("payload", List.of(step), Schedule.ONCE);
