Keep the runs that the next incarnation of a worker has started

Cause: orders name the worker, so a start may be carried out by an incarnation that this owner has not heard of. Its first report may have been made before that start and arrive after its confirmation; all confirmed runs were then ended as lapsed, and the task was started again beside the run.

Change: the first report of an incarnation ends the runs that were confirmed before its call was sent and that it does not list. A run that was confirmed later is judged by the next report.

Result: LateJobTest#aRunThatTheNextIncarnationStartedIsNotStartedAgain failed before and passes.

--- a/core/src/main/java/org/peridotcourse/dispatch/ReportProcessor.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/ReportProcessor.java
@@ -2,9 +2,11 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 /** Applies the reports of workers to the state of the owner. Confined to one thread. */
 final class ReportProcessor {
@@ -38,7 +40,7 @@
             return;
         }
         if (isFromNewIncarnation(worker, report)) {
-            onNewIncarnation(worker, report, now);
+            onNewIncarnation(worker, report, sentAt, now);
         }
         worker.incarnation = Math.max(worker.incarnation, report.startedAtMillis());
         state.crashes.onReport(worker);
@@ -116,7 +118,12 @@
         worker.leaseExpiresAt = Math.max(worker.leaseExpiresAt, now + maxLeaseMillis);
     }
 
-    void onNewIncarnation(Worker worker, WorkerReport report, long now) {
+    /**
+     * Ends the runs of the incarnation before. Orders name the worker only, so the new incarnation
+     * may have carried out starts that were meant for the one before: those are in the report, or
+     * were confirmed after its call was sent and will be in the next one.
+     */
+    private void onNewIncarnation(Worker worker, WorkerReport report, long sentAt, long now) {
         state.log(
                 Decision.Kind.WORKER_REBORN,
                 worker.id,
@@ -133,10 +140,14 @@
         worker.incarnationSeenAt = now;
         worker.health.reset();
         worker.unknownRuns.clear();
+        Set<Run.Key> reported = keysOf(report);
         for (Run run : new ArrayList<>(worker.runs.values())) {
-            if (run.confirmed) {
+            if (reported.contains(run.key())) {
+                continue;
+            }
+            if (run.confirmed && run.confirmedAt < sentAt) {
                 runs.end(run, RunOutcome.LAPSED, "", now);
-            } else {
+            } else if (!run.confirmed) {
                 // The start may still reach the new incarnation, which has no reason to reject it.
                 run.startUnanswered = true;
                 run.stopConfirmedAt = 0;
@@ -145,6 +156,13 @@
         }
     }
 
+    private static Set<Run.Key> keysOf(WorkerReport report) {
+        Set<Run.Key> keys = new HashSet<>();
+        report.running().forEach(run -> keys.add(new Run.Key(run.task(), run.attempt())));
+        report.ended().forEach(run -> keys.add(new Run.Key(run.task(), run.attempt())));
+        return keys;
+    }
+
     /**
      * Applies the ends of runs in sequence. An end of a job that has not been read from the store
      * yet blocks those after it: the worker would discard the end once it is acknowledged, and the
--- a/core/src/test/java/org/peridotcourse/dispatch/LateJobTest.java
+++ b/core/src/test/java/org/peridotcourse/dispatch/LateJobTest.java
@@ -139,6 +139,36 @@
         assertEquals(1, starts());
     }
 
+    /**
+     * Orders name a worker and not its incarnation. A run that the next incarnation had started was
+     * taken for one of the incarnation before, since its report was made before the start, and its
+     * task was started again.
+     */
+    @Test
+    void aRunThatTheNextIncarnationStartedIsNotStartedAgain() {
+        report(List.of(), List.of());
+        readJob();
+        List<Order> orders = owner.decide(now);
+        assertEquals(1, orders.size());
+        long sentAt = now;
+        now += 20;
+        owner.onOrderReply(orders.get(0), OrderReply.ACCEPTED, now);
+        reportOfNextIncarnation(List.of(), sentAt);
+        assertEquals(0, starts());
+        WorkerReport.ActiveRun active = new WorkerReport.ActiveRun(TASK, 1_001, "", 50, 0);
+        now += RecordedStarts.MAX_WAIT_MILLIS;
+        reportOfNextIncarnation(List.of(active), now);
+        assertEquals(0, starts());
+        assertTrue(owner.state().task(TASK).orElseThrow().hasRuns());
+    }
+
+    private void reportOfNextIncarnation(List<WorkerReport.ActiveRun> running, long sentAt) {
+        now += 10;
+        WorkerReport report =
+                new WorkerReport(now, WALL_CLOCK_MILLIS + 1, running, List.of(), true, false);
+        owner.onReport(WORKER, report, sentAt, now);
+    }
+
     /** A worker that had left was used again for 3 s after each takeover. */
     @Test
     void aRecordedButUnlistedWorkerGetsNoTask() {
