Acknowledge ends only on connections of the incarnation that reported them

Cause: each lease call carries the number of the last stored end, and each incarnation numbers its ends from 1. The call names the worker's id, so the first call after the restart acknowledged ends of the new incarnation.

Change: a connection ends with its process, so one that was open when the call of the last report was sent cannot reach a later incarnation. The number goes over such a connection only; on another one the call acknowledges nothing, and the next report shows which incarnation answered. The HTTP client keeps the time at which each connection was opened.

Result: PooledHttpClientTest#aCallForAnEarlierProcessIsNotSentOnALaterConnection.

--- a/core/src/main/java/org/peridotcourse/dispatch/DispatchOwner.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/DispatchOwner.java
@@ -319,6 +319,7 @@
                         state.term.epoch(),
                         lease,
                         worker.lastStoredEnd,
+                        worker.lastReportSentAt,
                         worker.calledWaitMillis));
     }
 
--- a/core/src/main/java/org/peridotcourse/dispatch/LeaseCall.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/LeaseCall.java
@@ -13,6 +13,9 @@
  * @param leaseEndClockMillis end of the lease on the worker's clock in milliseconds, empty if the
  *     lease is not renewed
  * @param acknowledgedEnd sequence number of the last end that is stored
+ * @param incarnationAliveAt monotonic time at which the incarnation to which the acknowledgement
+ *     refers was certainly active; a call that may reach a later one must acknowledge nothing,
+ *     since each incarnation numbers its ends from 1
  * @param waitMillis how long the worker may wait for the end of a run before it answers
  */
 public record LeaseCall(
@@ -20,4 +23,5 @@
         long epoch,
         OptionalLong leaseEndClockMillis,
         long acknowledgedEnd,
+        long incarnationAliveAt,
         long waitMillis) {}
--- a/core/src/main/java/org/peridotcourse/dispatch/ReportProcessor.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/ReportProcessor.java
@@ -50,6 +50,7 @@
         }
         worker.onClockReading(report.clockMillis(), now);
         worker.lastReportAt = now;
+        worker.lastReportSentAt = sentAt;
         worker.wasAliveAt(sentAt);
         if (!worker.hasReported) {
             worker.incarnationSeenAt = now;
--- a/core/src/main/java/org/peridotcourse/dispatch/Worker.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/Worker.java
@@ -45,6 +45,9 @@
 
     long lastReportAt;
 
+    /** When the lease call was sent that returned the last report. */
+    long lastReportSentAt;
+
     /**
      * A time at which the worker was alive. A reply shows that it was when the call was sent; the
      * reply itself may be handled late.
--- a/core/src/test/java/org/peridotcourse/dispatch/FakeWorker.java
+++ b/core/src/test/java/org/peridotcourse/dispatch/FakeWorker.java
@@ -185,7 +185,9 @@
         }
         highestEpoch = call.epoch();
         call.leaseEndClockMillis().ifPresent(end -> extendLease(end, now));
-        ended.removeIf(endedRun -> endedRun.number() <= call.acknowledgedEnd());
+        // A connection that was open before the restart does not reach this incarnation.
+        long acknowledged = call.incarnationAliveAt() > startedAt ? call.acknowledgedEnd() : 0;
+        ended.removeIf(endedRun -> endedRun.number() <= acknowledged);
         return true;
     }
 
--- a/daemon/src/main/java/org/peridotcourse/daemon/http/PooledHttpClient.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/http/PooledHttpClient.java
@@ -5,6 +5,7 @@
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CompletionException;
 import java.util.function.Consumer;
 import org.peridotcourse.Result;
@@ -39,8 +40,26 @@
         this.loop = loop;
     }
 
-    /** A connection without a call, and the number of the event by which it became idle. */
-    private record IdleChannel(HttpChannel channel, long since) {}
+    /**
+     * A connection without a call, the time at which it was opened, and the number of the event by
+     * which it became idle.
+     */
+    private record IdleChannel(HttpChannel channel, long openedAt, long since) {}
+
+    /**
+     * A call with a part that is meant for one process of the server, and the call without it. A
+     * connection ends with its process, so one that was open while the process was seen cannot
+     * reach a later process.
+     *
+     * @param call the call for connections that were opened before a time
+     * @param openedBefore that time, by the clock of the loop
+     * @param otherwise the call for other connections
+     */
+    public record BoundCall(HttpCall call, long openedBefore, HttpCall otherwise) {
+        private HttpCall on(long openedAt) {
+            return openedAt < openedBefore ? call : otherwise;
+        }
+    }
 
     /** The idle connections, waiting calls and number of active calls of one address. */
     private static final class AddressPool {
@@ -52,15 +71,17 @@
     /** A call that has no outcome yet. */
     private final class PendingCall {
         final InetSocketAddress address;
-        final HttpCall call;
+        final BoundCall call;
         final Consumer<Result<HttpReply>> handler;
         final long startedAt = nextEvent++;
         HttpChannel channel;
+        long channelOpenedAt;
         boolean countedAsActive;
         boolean finished;
         EventLoop.Timer timer;
 
-        PendingCall(InetSocketAddress address, HttpCall call, Consumer<Result<HttpReply>> handler) {
+        PendingCall(
+                InetSocketAddress address, BoundCall call, Consumer<Result<HttpReply>> handler) {
             this.address = address;
             this.call = call;
             this.handler = handler;
@@ -82,6 +103,24 @@
             long timeoutMillis,
             int maxActive,
             Consumer<Result<HttpReply>> handler) {
+        call(address, new BoundCall(call, 0, call), timeoutMillis, maxActive, handler);
+    }
+
+    /**
+     * Sends a call that depends on the age of its connection.
+     *
+     * @param address the address of the server
+     * @param call the call
+     * @param timeoutMillis time within which the complete response must arrive
+     * @param maxActive limit of outstanding calls to this address; further calls are queued
+     * @param handler receives the response or a {@link ChannelFailure}, on the loop
+     */
+    public void call(
+            InetSocketAddress address,
+            BoundCall call,
+            long timeoutMillis,
+            int maxActive,
+            Consumer<Result<HttpReply>> handler) {
         PendingCall pending = new PendingCall(address, call, handler);
         pending.timer = loop.schedule(timeoutMillis, () -> onTimeout(pending));
         AddressPool pool = pools.computeIfAbsent(address, key -> new AddressPool());
@@ -110,22 +149,32 @@
     private void startCall(AddressPool pool, PendingCall pending) {
         pool.active++;
         pending.countedAsActive = true;
-        HttpChannel idle = pollIdle(pool);
-        if (idle != null) {
-            send(pending, idle, true);
+        Optional<IdleChannel> idle = pollIdle(pool, pending.call.openedBefore());
+        if (idle.isPresent()) {
+            send(pending, idle.get().channel(), idle.get().openedAt(), true);
         } else {
             connect(pending);
         }
     }
 
-    private static HttpChannel pollIdle(AddressPool pool) {
-        for (IdleChannel idle = pool.idle.pollLast(); idle != null; idle = pool.idle.pollLast()) {
-            if (idle.channel().isIdle()) {
-                return idle.channel();
+    /** Takes the connection that was used last, if possible one that was opened before a time. */
+    private static Optional<IdleChannel> pollIdle(AddressPool pool, long openedBefore) {
+        pool.idle.removeIf(
+                idle -> {
+                    boolean ended = !idle.channel().isIdle();
+                    if (ended) {
+                        idle.channel().close();
+                    }
+                    return ended;
+                });
+        Optional<IdleChannel> chosen = Optional.ofNullable(pool.idle.peekLast());
+        for (IdleChannel idle : pool.idle) {
+            if (idle.openedAt() < openedBefore) {
+                chosen = Optional.of(idle);
             }
-            idle.channel().close();
         }
-        return null;
+        chosen.ifPresent(pool.idle::remove);
+        return chosen;
     }
 
     private void connect(PendingCall pending) {
@@ -139,14 +188,15 @@
                                             } else if (pending.finished) {
                                                 channel.close();
                                             } else {
-                                                send(pending, channel, false);
+                                                send(pending, channel, loop.nowMillis(), false);
                                             }
                                         }));
     }
 
-    private void send(PendingCall pending, HttpChannel channel, boolean reused) {
+    private void send(PendingCall pending, HttpChannel channel, long openedAt, boolean reused) {
         pending.channel = channel;
-        channel.send(pending.call)
+        pending.channelOpenedAt = openedAt;
+        channel.send(pending.call.on(openedAt))
                 .whenComplete(
                         (reply, error) ->
                                 loop.post(() -> onOutcome(pending, reply, error, reused)));
@@ -161,7 +211,7 @@
             AddressPool pool = pools.get(pending.address);
             channel.releaseResponseBytes();
             if (channel.isIdle() && pool != null && pool.idle.size() < MAX_IDLE_PER_ADDRESS) {
-                pool.idle.addLast(new IdleChannel(channel, nextEvent++));
+                pool.idle.addLast(new IdleChannel(channel, pending.channelOpenedAt, nextEvent++));
             } else {
                 channel.close();
             }
--- a/daemon/src/test/java/org/peridotcourse/daemon/http/PooledHttpClientTest.java
+++ b/daemon/src/test/java/org/peridotcourse/daemon/http/PooledHttpClientTest.java
@@ -32,6 +32,7 @@
     private final CountDownLatch closing = new CountDownLatch(1);
     private final ExecutorService serverThreads = Executors.newCachedThreadPool();
     private final List<Integer> portsOfQuickCalls = new CopyOnWriteArrayList<>();
+    private volatile String lastBody = "";
     private HttpServer server;
     private ChannelFactory factory;
     private EventLoop loop;
@@ -61,7 +62,7 @@
 
     private void answer(HttpExchange exchange) throws IOException {
         portsOfQuickCalls.add(exchange.getRemoteAddress().getPort());
-        exchange.getRequestBody().readAllBytes();
+        lastBody = new String(exchange.getRequestBody().readAllBytes());
         exchange.sendResponseHeaders(200, -1);
         exchange.close();
     }
@@ -121,4 +122,39 @@
         assertEquals(Optional.empty(), failure(call("/quick", LONG_TIMEOUT_MILLIS, 4)));
         assertEquals(3, portsOfQuickCalls.stream().distinct().count());
     }
+
+    /**
+     * Guards against an acknowledgement for one process of a worker that its next process at the
+     * same address receives.
+     */
+    @Test
+    void aCallForAnEarlierProcessIsNotSentOnALaterConnection() throws Exception {
+        long before = loop.nowMillis();
+        assertEquals("otherwise", bodyOfBoundCall(before), "no connection is open");
+        while (loop.nowMillis() <= before + 1) {
+            Thread.onSpinWait();
+        }
+        assertEquals("otherwise", bodyOfBoundCall(before), "opened after the process was seen");
+        assertEquals("bound", bodyOfBoundCall(Long.MAX_VALUE), "opened before");
+        assertEquals(1, portsOfQuickCalls.stream().distinct().count());
+    }
+
+    private String bodyOfBoundCall(long openedBefore) throws Exception {
+        CompletableFuture<Result<HttpReply>> outcome = new CompletableFuture<>();
+        PooledHttpClient.BoundCall call =
+                new PooledHttpClient.BoundCall(
+                        HttpCall.json("POST", "/quick", "bound".getBytes()),
+                        openedBefore,
+                        HttpCall.json("POST", "/quick", "otherwise".getBytes()));
+        loop.post(
+                () ->
+                        client.call(
+                                server.getAddress(),
+                                call,
+                                LONG_TIMEOUT_MILLIS,
+                                4,
+                                outcome::complete));
+        assertEquals(Optional.empty(), failure(outcome));
+        return lastBody;
+    }
 }
