--- a/core/src/main/java/org/peridotcourse/dispatch/ReportProcessor.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/ReportProcessor.java
@@ -147,7 +147,7 @@
                 continue;
             }
             if (run.confirmed && run.confirmedAt < sentAt) {
-                runs.end(run, RunOutcome.LAPSED, "", now);
+                runs.end(run, RunOutcome.LAPSED, EndSource.INCARNATION, "", now);
             } else if (!run.confirmed) {
                 // The start may still reach the new incarnation, which has no reason to reject it.
                 run.startUnanswered = true;
@@ -191,7 +191,7 @@
         Run run = worker.runs.get(new Run.Key(ended.task(), ended.attempt()));
         if (run != null) {
             run.confirm(now);
-            runs.end(run, ended.outcome(), ended.checkpoint(), now);
+            runs.end(run, ended.outcome(), EndSource.REPORT, ended.checkpoint(), now);
             return;
         }
         state.task(ended.task())
@@ -310,7 +310,8 @@
             }
         }
         for (Run run : missing) {
-            runs.end(run, run.isStopping() ? RunOutcome.STOPPED : RunOutcome.LAPSED, "", now);
+            RunOutcome outcome = run.isStopping() ? RunOutcome.STOPPED : RunOutcome.LAPSED;
+            runs.end(run, outcome, EndSource.MISSING, "", now);
         }
     }
 }
--- a/core/src/main/java/org/peridotcourse/dispatch/RunLifecycle.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/RunLifecycle.java
@@ -289,11 +289,18 @@
     }
 
     /** Ends a run that this owner tracks. */
-    void end(Run run, RunOutcome outcome, String checkpoint, long now) {
+    void end(Run run, RunOutcome outcome, EndSource source, String checkpoint, long now) {
         state.log(
                 Decision.Kind.RUN_ENDED,
                 run,
-                "kind=" + outcome + " ran=" + (now - run.orderedAt) + " percent=" + run.percent);
+                "kind="
+                        + outcome
+                        + " ran="
+                        + (now - run.orderedAt)
+                        + " percent="
+                        + run.percent
+                        + " by="
+                        + source.code());
         release(run, now);
         if (outcome == RunOutcome.DONE) {
             run.worker.health.onSuccess();
@@ -391,7 +398,7 @@
                     worker.id,
                     worker,
                     "runs=" + worker.runs.size() + " silent=" + (now - worker.lastReportAt));
-            endAllRuns(worker, now);
+            endAllRuns(worker, EndSource.LEASE, now);
         }
     }
 
@@ -409,14 +416,14 @@
             worker.reachable = false;
             worker.discardClockReading();
             worker.leaseExpiresAt = Math.min(worker.leaseExpiresAt, now);
-            endAllRuns(worker, now);
+            endAllRuns(worker, EndSource.ADDRESS, now);
         }
     }
 
     /** Ends all runs of a worker as lapsed. */
-    void endAllRuns(Worker worker, long now) {
+    private void endAllRuns(Worker worker, EndSource source, long now) {
         List<Run> runs = new ArrayList<>(worker.runs.values());
-        runs.forEach(run -> end(run, RunOutcome.LAPSED, "", now));
+        runs.forEach(run -> end(run, RunOutcome.LAPSED, source, "", now));
         worker.unknownRuns.clear();
     }
 }
