Read all pages of the rows of hosts

Cause: the store returns at most 500 rows, and the directory of the hosts read one page only. Rows of hosts that left stay, so the hosts after the 500th name could not be called, nor be known as restarted.

Change: the directory reads page after page. The feeds of tables did so already; other reads name single rows.

Result: HostDirectoryTest#hostsOnLaterPagesAreRead failed before (no 600 hosts within 10 s) and passes.

--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/HostDirectory.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/HostDirectory.java
@@ -187,23 +187,39 @@
     }
 
     private void read() {
-        store.read(RowRange.ofPart(RowNames.HOSTS, RowNames.PART), TIMEOUT_MILLIS, this::onRead);
-    }
-
-    private void onRead(Result<RowSet> result) {
-        if (result instanceof Result.Ok<RowSet> ok) {
-            hosts.clear();
-            for (StoredRow row : ok.value().rows()) {
-                Result<RowCodec.Host> host = RowCodec.host(row);
-                if (host instanceof Result.Ok<RowCodec.Host> parsed) {
-                    hosts.put(row.key(), parsed.value());
-                } else {
-                    RowLog.logUnreadable(log, row, host.failure().orElseThrow());
-                }
-            }
-            loop.schedule(READ_PERIOD_MILLIS, this::read);
-        } else {
+        readPage(RowRange.ofPart(RowNames.HOSTS, RowNames.PART), new ArrayList<>());
+    }
+
+    /** Reads the next page of the rows; the store returns a limited number of rows at a time. */
+    private void readPage(RowRange range, List<StoredRow> earlierRows) {
+        store.read(range, TIMEOUT_MILLIS, result -> onPage(range, earlierRows, result));
+    }
+
+    private void onPage(RowRange range, List<StoredRow> earlierRows, Result<RowSet> result) {
+        if (!(result instanceof Result.Ok<RowSet> ok)) {
             loop.schedule(RETRY_MILLIS, this::read);
+            return;
+        }
+        RowSet page = ok.value();
+        List<StoredRow> rows = new ArrayList<>(earlierRows);
+        rows.addAll(page.rows());
+        if (page.hasMore() && !page.rows().isEmpty()) {
+            readPage(range.after(page.rows().get(page.rows().size() - 1).key()), rows);
+            return;
+        }
+        replaceHosts(rows);
+        loop.schedule(READ_PERIOD_MILLIS, this::read);
+    }
+
+    private void replaceHosts(List<StoredRow> rows) {
+        hosts.clear();
+        for (StoredRow row : rows) {
+            Result<RowCodec.Host> host = RowCodec.host(row);
+            if (host instanceof Result.Ok<RowCodec.Host> parsed) {
+                hosts.put(row.key(), parsed.value());
+            } else {
+                RowLog.logUnreadable(log, row, host.failure().orElseThrow());
+            }
         }
     }
 }
--- a/daemon/src/test/java/org/peridotcourse/daemon/dispatch/FakeRowStore.java
+++ b/daemon/src/test/java/org/peridotcourse/daemon/dispatch/FakeRowStore.java
@@ -67,7 +67,9 @@
                 found.add(row);
             }
         }
-        RowSet set = new RowSet(found, false, version);
+        boolean hasMore = found.size() > range.limit();
+        List<StoredRow> page = hasMore ? found.subList(0, range.limit()) : found;
+        RowSet set = new RowSet(page, hasMore, version);
         lateWrite.ifPresent(write -> write(write, 0, outcome -> {}));
         lateWrite = Optional.empty();
         loop.schedule(LATENCY_MILLIS, () -> handler.accept(Result.ok(set)));
--- a/daemon/src/test/java/org/peridotcourse/daemon/dispatch/HostDirectoryTest.java
+++ b/daemon/src/test/java/org/peridotcourse/daemon/dispatch/HostDirectoryTest.java
@@ -32,19 +32,24 @@
             new HostDirectory(loop, store, log, TestSettings.host("host"), 7);
 
     @BeforeEach
-    void readRows() throws InterruptedException {
+    void readTwoRows() throws InterruptedException {
         RowWrite rows =
                 RowWrite.builder(RowNames.PART)
                         .put(RowNames.HOSTS, "gone", row("gone", GONE))
                         .put(RowNames.HOSTS, "live", row("live", LIVE))
                         .build();
         store.write(rows, 0, outcome -> {});
+        readRows(loop, directory, 2);
+    }
+
+    private static void readRows(EventLoop loop, HostDirectory directory, int count)
+            throws InterruptedException {
         CountDownLatch rowsRead = new CountDownLatch(1);
         directory.start();
         loop.scheduleRepeating(
                 5,
                 () -> {
-                    if (directory.otherHosts().size() == 2) {
+                    if (directory.otherHosts().size() == count) {
                         rowsRead.countDown();
                     }
                 });
@@ -84,4 +89,27 @@
         directory.onUnanswered(LIVE, 1_000);
         assertEquals(Set.of(GONE, LIVE), new HashSet<>(directory.responsiveHosts(1_001)));
     }
+
+    /** The hosts after the first page of rows were unknown, also the owner among them. */
+    @Test
+    void hostsOnLaterPagesAreRead() throws InterruptedException {
+        EventLoop otherLoop = new EventLoop("test", 1_024, Throwable::printStackTrace);
+        FakeRowStore manyRows = new FakeRowStore(otherLoop);
+        int count = RowRange.MAX_ROWS + 100;
+        for (int i = 0; i < count; i++) {
+            InetSocketAddress address = new InetSocketAddress("127.0.0.1", 1_000 + i);
+            RowWrite write =
+                    RowWrite.builder(RowNames.PART)
+                            .put(RowNames.HOSTS, "host-" + i, row("host-" + i, address))
+                            .build();
+            manyRows.write(write, 0, outcome -> {});
+        }
+        HostDirectory large =
+                new HostDirectory(otherLoop, manyRows, log, TestSettings.host("host"), 7);
+        try {
+            readRows(otherLoop, large, count);
+        } finally {
+            otherLoop.close();
+        }
+    }
 }
