Adopt runs from the first report of an incarnation as before

Change: listed runs are ended and adopted again, as before. Kept are only those confirmed after the call was sent, which no report has judged. A stop that the incarnation before has confirmed is sent again.

--- a/core/src/main/java/org/peridotcourse/dispatch/ReportProcessor.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/ReportProcessor.java
@@ -2,11 +2,9 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 
 /** Applies the reports of workers to the state of the owner. Confined to one thread. */
 final class ReportProcessor {
@@ -121,8 +119,9 @@
 
     /**
      * Ends the runs of the incarnation before. Orders name the worker only, so the new incarnation
-     * may have carried out starts that were meant for the one before: those are in the report, or
-     * were confirmed after its call was sent and will be in the next one.
+     * may have carried out starts that were meant for the one before. Those that were confirmed
+     * before this call was sent are in the report and are adopted from it; those that were
+     * confirmed later are judged by the next report.
      */
     private void onNewIncarnation(Worker worker, WorkerReport report, long sentAt, long now) {
         state.log(
@@ -141,29 +140,21 @@
         worker.incarnationSeenAt = now;
         worker.health.reset();
         worker.unknownRuns.clear();
-        Set<Run.Key> reported = keysOf(report);
         for (Run run : new ArrayList<>(worker.runs.values())) {
-            if (reported.contains(run.key())) {
-                continue;
-            }
             if (run.confirmed && run.confirmedAt < sentAt) {
                 runs.end(run, RunOutcome.LAPSED, EndSource.INCARNATION, "", now);
-            } else if (!run.confirmed) {
+                continue;
+            }
+            // A stop that the incarnation before has confirmed does not bind this one.
+            run.stopConfirmedAt = 0;
+            if (!run.confirmed) {
                 // The start may still reach the new incarnation, which has no reason to reject it.
                 run.startUnanswered = true;
-                run.stopConfirmedAt = 0;
                 runs.stop(run, StopReason.START_UNANSWERED, now);
             }
         }
     }
 
-    private static Set<Run.Key> keysOf(WorkerReport report) {
-        Set<Run.Key> keys = new HashSet<>();
-        report.running().forEach(run -> keys.add(new Run.Key(run.task(), run.attempt())));
-        report.ended().forEach(run -> keys.add(new Run.Key(run.task(), run.attempt())));
-        return keys;
-    }
-
     /**
      * Applies the ends of runs in sequence. An end of a job that has not been read from the store
      * yet blocks those after it: the worker would discard the end once it is acknowledged, and the
