Compute the critical path of a job once, not for each waiting step

Cause: the order of the waiting steps computed the critical path and the remaining work of the whole submission for each of its waiting steps in each round. With 4,000 independent steps the owner used 6,729 ms of processor for a simulated second.

Change: the critical paths are computed when the job is read, the remaining work once for each occurrence and round. The order is unchanged.

--- a/core/src/main/java/org/peridotcourse/dispatch/Job.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/Job.java
@@ -56,6 +56,9 @@
 
     private final int lastEarlierAttempt;
 
+    /** By the number of the step, the duration of the critical path from there. */
+    private final long[] criticalPathsMillis;
+
     /** Number of occurrences that have been opened. */
     private int openedCount;
 
@@ -69,6 +72,7 @@
         this.spec = storedJob.spec();
         this.rulesAtAcceptance = storedJob.queueRules();
         this.customer = storedJob.customer();
+        this.criticalPathsMillis = spec.criticalPathsMillis();
         this.acceptedAt = acceptedAt;
         this.readAt = readAt;
         this.inherited = inherited;
@@ -77,6 +81,11 @@
         this.started = state != JobState.QUEUED;
     }
 
+    /** Returns {@link JobSpec#criticalPathMillis}, which is computed once. */
+    long criticalPathMillis(int from) {
+        return criticalPathsMillis[from];
+    }
+
     /** Requests that the record is stored, and returns the number that it will have. */
     int requestRecord() {
         hasUnstoredChanges = true;
--- a/core/src/main/java/org/peridotcourse/dispatch/JobSpec.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/JobSpec.java
@@ -131,6 +131,11 @@
      * @return the duration in milliseconds
      */
     public long criticalPathMillis(int from) {
+        return criticalPathsMillis()[Math.max(0, from)];
+    }
+
+    /** Returns, by the number of the step, the results of {@link #criticalPathMillis}. */
+    long[] criticalPathsMillis() {
         long[] longest = new long[steps.size()];
         long chain = 0;
         for (int i = steps.size() - 1; i >= 0; i--) {
@@ -140,7 +145,8 @@
             }
             chain = Math.max(chain, longest[i]);
         }
-        return from <= 0 ? chain : longest[from];
+        longest[0] = chain;
+        return longest;
     }
 
     /**
--- a/core/src/main/java/org/peridotcourse/dispatch/QueueRules.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/QueueRules.java
@@ -30,6 +30,11 @@
      * @return milliseconds from the first submission of the job
      */
     public long objectiveMillis(JobSpec spec) {
-        return Math.round(slackFactor * spec.criticalPathMillis(0)) + objectiveBaseMillis;
+        return objectiveMillis(spec.criticalPathMillis(0));
+    }
+
+    /** Returns the completion time objective of a job with a critical path of this duration. */
+    long objectiveMillis(long criticalPathMillis) {
+        return Math.round(slackFactor * criticalPathMillis) + objectiveBaseMillis;
     }
 }
--- a/core/src/main/java/org/peridotcourse/dispatch/StepOrder.java
+++ b/core/src/main/java/org/peridotcourse/dispatch/StepOrder.java
@@ -4,6 +4,7 @@
 import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.PriorityQueue;
 import java.util.Set;
 
@@ -124,25 +125,30 @@
             if (occurrence.dueAt > now) {
                 continue;
             }
+            OptionalLong workPenalty = OptionalLong.empty();
             for (Step step : occurrence.steps) {
                 if (step.isOpen()
                         && step.startableTasks(now) > 0
                         && state.reconciliation.hasTaskSafeToStart(step)) {
                     step.openedAt = step.openedAt == 0 ? now : step.openedAt;
-                    candidates.add(toCandidate(job, step, candidates.size(), now));
+                    if (workPenalty.isEmpty()) {
+                        workPenalty = OptionalLong.of(workPenalty(occurrence));
+                    }
+                    candidates.add(
+                            toCandidate(
+                                    job, step, workPenalty.getAsLong(), candidates.size(), now));
                 }
             }
         }
     }
 
-    private Candidate toCandidate(Job job, Step step, int tieBreaker, long now) {
+    private Candidate toCandidate(Job job, Step step, long workPenalty, int tieBreaker, long now) {
         QueueRules rules = state.queueRules(job);
-        long objective = rules.objectiveMillis(job.spec);
+        long objective = rules.objectiveMillis(job.criticalPathMillis(0));
         long age = now - Math.max(step.occurrence.dueAt, job.acceptedAt);
-        long remainingMillis = job.spec.criticalPathMillis(step.number);
+        long remainingMillis = job.criticalPathMillis(step.number);
         int latenessClass = latenessClass(step, age + remainingMillis, objective);
         long slackMillis = slackMillis(latenessClass, age + remainingMillis, objective);
-        long workPenalty = Math.round(WORK_PENALTY * remainingCoreMillis(step.occurrence));
         return new Candidate(
                 step,
                 tieBreaker,
@@ -184,6 +190,10 @@
         return latest - completionMillis;
     }
 
+    private static long workPenalty(Occurrence occurrence) {
+        return Math.round(WORK_PENALTY * remainingCoreMillis(occurrence));
+    }
+
     /** Returns the estimated work of the tasks that are not done, in core milliseconds. */
     private static double remainingCoreMillis(Occurrence occurrence) {
         double sum = 0;
