Encode only the lease call that is sent

Cause, found when the whole change was read again: each lease call was encoded twice, with the acknowledgement and without it, and one of the two was thrown away. An owner makes one such call a second or more for each worker.

Change: BoundCall takes suppliers and encodes the one that the connection allows.

Result: no change of behaviour; PooledHttpClientTest, LaterOwnerTest, CallOutcomeTest and PlatformHostTest pass. Time was not measured.

--- a/core/src/test/java/org/peridotcourse/dispatch/LaterOwnerTest.java
+++ b/core/src/test/java/org/peridotcourse/dispatch/LaterOwnerTest.java
@@ -1,7 +1,6 @@
 package org.peridotcourse.dispatch;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import org.junit.jupiter.api.Test;
 import org.peridotcourse.Resources;
@@ -110,6 +109,6 @@
         assertEquals(1, simulation.startCount());
         confirmRenewal();
         simulation.run(100);
-        assertTrue(simulation.startCount() == 2, "started once the renewal is confirmed");
+        assertEquals(2, simulation.startCount(), "started once the renewal is confirmed");
     }
 }
--- a/daemon/src/main/java/org/peridotcourse/daemon/http/PooledHttpClient.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/http/PooledHttpClient.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletionException;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.peridotcourse.Result;
 import org.peridotcourse.daemon.ring.EventLoop;
 
@@ -51,13 +52,16 @@
      * connection ends with its process, so one that was open while the process was seen cannot
      * reach a later process.
      *
+     * <p>Only the call that is sent is encoded.
+     *
      * @param call the call for connections that were opened before a time
      * @param openedBefore that time, by the clock of the loop
      * @param otherwise the call for other connections
      */
-    public record BoundCall(HttpCall call, long openedBefore, HttpCall otherwise) {
+    public record BoundCall(
+            Supplier<HttpCall> call, long openedBefore, Supplier<HttpCall> otherwise) {
         private HttpCall on(long openedAt) {
-            return openedAt < openedBefore ? call : otherwise;
+            return (openedAt < openedBefore ? call : otherwise).get();
         }
     }
 
@@ -103,7 +107,7 @@
             long timeoutMillis,
             int maxActive,
             Consumer<Result<HttpReply>> handler) {
-        call(address, new BoundCall(call, 0, call), timeoutMillis, maxActive, handler);
+        call(address, new BoundCall(() -> call, 0, () -> call), timeoutMillis, maxActive, handler);
     }
 
     /**
--- a/daemon/src/test/java/org/peridotcourse/daemon/http/PooledHttpClientTest.java
+++ b/daemon/src/test/java/org/peridotcourse/daemon/http/PooledHttpClientTest.java
@@ -143,9 +143,9 @@
         CompletableFuture<Result<HttpReply>> outcome = new CompletableFuture<>();
         PooledHttpClient.BoundCall call =
                 new PooledHttpClient.BoundCall(
-                        HttpCall.json("POST", "/quick", "bound".getBytes()),
+                        () -> HttpCall.json("POST", "/quick", "bound".getBytes()),
                         openedBefore,
-                        HttpCall.json("POST", "/quick", "otherwise".getBytes()));
+                        () -> HttpCall.json("POST", "/quick", "otherwise".getBytes()));
         loop.post(
                 () ->
                         client.call(
