--- a/review/src-2/Runner2.java
+++ b/review/src-2/Runner2.java
@@ -88,6 +88,10 @@
         running.clear();
         ends.clear();
         endedAttempts.clear();
+        if (server != null) {
+            server.stop(0);
+            threads.shutdownNow();
+        }
         InetSocketAddress bind = new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
         server = HttpServer.create(bind, 100);
         port = server.getAddress().getPort();
@@ -120,29 +124,26 @@
         return "127.0.0.1:" + port;
     }
 
-    /** Ends this life at once; the store removes its entry after three intervals of silence. */
-    synchronized void crash(boolean removeEntryNow) {
+    /**
+     * Ends this life, as by a loss of power: its connections stay silent until the next life. The
+     * store removes its entry after three intervals of silence.
+     */
+    synchronized void crash() {
         up = false;
         record.accept(id, "crash with " + running.keySet());
         timer.cancel();
         running.clear();
         notifyAll();
-        server.stop(0);
-        threads.shutdownNow();
         String ended = id;
-        if (removeEntryNow) {
-            store.delete("servers", ended);
-        } else {
-            Timer removal = new Timer("removal", true);
-            removal.schedule(
-                    new TimerTask() {
-                        @Override
-                        public void run() {
-                            store.delete("servers", ended);
-                        }
-                    },
-                    3 * HEARTBEAT_MILLIS);
-        }
+        new Timer("removal", true)
+                .schedule(
+                        new TimerTask() {
+                            @Override
+                            public void run() {
+                                store.delete("servers", ended);
+                            }
+                        },
+                        3 * HEARTBEAT_MILLIS);
     }
 
     private long clock() {
@@ -191,13 +192,15 @@
     }
 
     private void handle(HttpExchange exchange) throws IOException {
+        HttpServer life = exchange.getHttpContext().getServer();
         try {
             byte[] body = exchange.getRequestBody().readAllBytes();
             ObjectNode answer = Store2.JSON.createObjectNode();
             int status;
             synchronized (this) {
                 String expected = exchange.getRequestHeaders().getFirst("X-Expect-Instance");
-                if (!up) {
+                awaitEndOfSilence(life);
+                if (life != server) {
                     return;
                 }
                 if (expected != null && !expected.equals(id)) {
@@ -206,7 +209,8 @@
                     JsonNode call = Store2.JSON.readTree(body);
                     status = answer(exchange.getRequestURI().getPath(), call, answer);
                 }
-                if (!up) {
+                awaitEndOfSilence(life);
+                if (life != server) {
                     return;
                 }
                 answer.put("clock_ms", clock());
@@ -222,6 +226,13 @@
         }
     }
 
+    /** A call that meets a runner without power is never answered, and not carried out. */
+    private void awaitEndOfSilence(HttpServer life) throws InterruptedException {
+        while (!up && life == server) {
+            wait(100);
+        }
+    }
+
     private int answer(String path, JsonNode call, ObjectNode answer) throws InterruptedException {
         long token = call.path("fencing_token").asLong();
         if (token < fence) {
