--- a/review/src-2/Store2.java
+++ b/review/src-2/Store2.java
@@ -34,6 +34,15 @@
     private final HttpServer server;
     private long version = 1;
 
+    /** Until then calls get no response; 0 for never. */
+    private volatile long silentUntilNanos;
+
+    /** How long after its arrival a transaction that gets no response is performed. */
+    private volatile long lateMillis;
+
+    /** Called when a transaction that got no response is performed, with its outcome. */
+    volatile java.util.function.Consumer<String> onLate = text -> {};
+
     /** Transactions that were rejected as invalid, for the record. */
     volatile int rejectedCalls;
 
@@ -56,6 +65,27 @@
         return "127.0.0.1:" + server.getAddress().getPort();
     }
 
+    /** Gives no response for a time; transactions that arrive meanwhile are performed late. */
+    void beSilent(long millis, long performedAfterMillis) {
+        lateMillis = performedAfterMillis;
+        silentUntilNanos = System.nanoTime() + millis * 1_000_000;
+    }
+
+    private boolean isSilent() {
+        return silentUntilNanos != 0 && System.nanoTime() < silentUntilNanos;
+    }
+
+    /** Keeps the channel open without a response, and performs a transaction late. */
+    private void performLate(HttpExchange exchange, byte[] body)
+            throws IOException, InterruptedException {
+        Thread.sleep(lateMillis);
+        if (exchange.getRequestURI().getPath().equals("/-/rows-tx")) {
+            int status = transact(body, JSON.createObjectNode());
+            JsonNode call = JSON.readTree(body);
+            onLate.accept(status + " " + call.path("set_keys").findValuesAsText("key"));
+        }
+    }
+
     void stop() {
         server.stop(0);
     }
@@ -99,6 +129,10 @@
     private void handle(HttpExchange exchange) throws IOException {
         try {
             byte[] body = exchange.getRequestBody().readAllBytes();
+            if (isSilent()) {
+                performLate(exchange, body);
+                return;
+            }
             Map<String, String> query = query(exchange.getRequestURI().getRawQuery());
             ObjectNode answer = JSON.createObjectNode();
             int status = 400;
@@ -109,6 +143,11 @@
                 default -> { }
             }
             answer.put("now_ms", System.nanoTime() / 1_000_000);
+            if (isSilent()) {
+                // It was performed as the silence began, and its response is lost.
+                Thread.sleep(lateMillis);
+                return;
+            }
             byte[] bytes = JSON.writeValueAsBytes(answer);
             exchange.getResponseHeaders().set("Content-Type", "application/json");
             exchange.sendResponseHeaders(status, bytes.length);
