--- a/review/src-2/FullMemory.java
+++ b/review/src-2/FullMemory.java
@@ -25,8 +25,8 @@
         super(recordFile);
     }
 
-    public static void main(String... arguments) throws Exception {
-        execute(new FullMemory(arguments[0]));
+    public static void main(String... arguments) {
+        execute(FullMemory::new, arguments[0]);
     }
 
     @Override
--- a/review/src-2/LateAccept.java
+++ b/review/src-2/LateAccept.java
@@ -24,8 +24,8 @@
         super(recordFile);
     }
 
-    public static void main(String... arguments) throws Exception {
-        execute(new LateAccept(arguments[0]));
+    public static void main(String... arguments) {
+        execute(LateAccept::new, arguments[0]);
     }
 
     @Override
--- a/review/src-2/OutgrownRecord.java
+++ b/review/src-2/OutgrownRecord.java
@@ -32,8 +32,8 @@
         super(recordFile);
     }
 
-    public static void main(String... arguments) throws Exception {
-        execute(new OutgrownRecord(arguments[0]));
+    public static void main(String... arguments) {
+        execute(OutgrownRecord::new, arguments[0]);
     }
 
     @Override
--- a/review/src-2/Trial2.java
+++ b/review/src-2/Trial2.java
@@ -120,8 +120,21 @@
         return begin < 0 ? answer : answer.substring(begin + 9, answer.indexOf('"', begin + 9));
     }
 
+    /** Creates a trial that writes to a file. */
+    interface Factory {
+        Trial2 create(String recordFile) throws IOException;
+    }
+
     /** Runs a trial, ends all that it started, and exits. */
-    static void execute(Trial2 trial) throws Exception {
+    static void execute(Factory factory, String recordFile) {
+        Trial2 trial;
+        try {
+            trial = factory.create(recordFile);
+        } catch (IOException failed) {
+            System.err.println("could not run: " + failed);
+            System.exit(COULD_NOT_RUN);
+            return;
+        }
         Runtime.getRuntime().addShutdownHook(new Thread(trial::stop));
         int result;
         try {
