--- a/review/src-2/LateAccept.java
+++ b/review/src-2/LateAccept.java
@@ -12,8 +12,8 @@
     private static final int SUBMISSIONS = 6;
     private static final long SILENT_MILLIS = 3_000;
     private static final long LATE_MILLIS = 6_000;
-    private static final long FIRST_POST_MILLIS = 300;
-    private static final long POST_INTERVAL_MILLIS = 150;
+    private static final long FIRST_POST_MILLIS = 700;
+    private static final long POST_INTERVAL_MILLIS = 80;
     private static final long CANCEL_MILLIS = 3_000;
     private static final long WATCH_MILLIS = 12_000;
 
