Withdraw an id whose cancellation finds no job

Cause: a cancellation of an id without rows was answered 410 and left nothing in the store. The transaction that accepts a job requires only that the job is absent, so a transaction that was sent before the cancellation still took effect after it.

Change: such a cancellation writes withdrawn/ID on the condition that there is no job, and an acceptance requires that this row is absent, in the same transaction. Whichever of the two the store executes first, the other one fails. A submission of a withdrawn id is answered 503 without a time to come back. The owner removes the rows after the retention time of ended jobs; it reads them page by page and keeps no list. A cancellation costs two calls to the store for a job that exists or has ended, as before, and three (before: two) for an id without a job.

--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/FencedWriter.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/FencedWriter.java
@@ -1,5 +1,6 @@
 package org.peridotcourse.daemon.dispatch;
 
+import java.util.Optional;
 import java.util.function.Consumer;
 import org.peridotcourse.daemon.log.EventLog;
 
@@ -52,13 +53,30 @@
     }
 
     /**
-     * Sends a write.
+     * Sends a write that has no other condition.
      *
      * @param rowKind the name of the write in the log
      * @param write the write
      * @param onWritten runs once the write has taken effect
      */
     void send(String rowKind, RowWrite write, Runnable onWritten) {
+        send(rowKind, write, onWritten, conflict -> {});
+    }
+
+    /**
+     * Sends a write.
+     *
+     * @param rowKind the name of the write in the log
+     * @param write the write
+     * @param onWritten runs once the write has taken effect
+     * @param onConflict receives the current rows if another condition than the epoch failed, which
+     *     may be because an earlier try without an answer took effect
+     */
+    void send(
+            String rowKind,
+            RowWrite write,
+            Runnable onWritten,
+            Consumer<RowOutcome.Conflict> onConflict) {
         writing = true;
         components
                 .store()
@@ -68,16 +86,30 @@
                         outcome -> {
                             writing = false;
                             if (!stopped) {
-                                onOutcome(rowKind, outcome, onWritten);
+                                onOutcome(rowKind, outcome, onWritten, onConflict);
                             }
                         });
     }
 
-    private void onOutcome(String rowKind, RowOutcome outcome, Runnable onWritten) {
+    /** Returns whether a conflict shows that a later owner exists. */
+    boolean isDeposedBy(RowOutcome.Conflict conflict) {
+        Optional<StoredRow> epochRow = conflict.row(RowNames.DUTIES, RowNames.EPOCH_KEY);
+        return epochRow.isEmpty() || epochRow.get().version() != epochVersion;
+    }
+
+    private void onOutcome(
+            String rowKind,
+            RowOutcome outcome,
+            Runnable onWritten,
+            Consumer<RowOutcome.Conflict> onConflict) {
         if (outcome instanceof RowOutcome.Written) {
             onWritten.run();
-        } else if (outcome instanceof RowOutcome.Conflict) {
-            onDeposed.accept("the epoch row has another version");
+        } else if (outcome instanceof RowOutcome.Conflict conflict) {
+            if (isDeposedBy(conflict)) {
+                onDeposed.accept("the epoch row has another version");
+            } else {
+                onConflict.accept(conflict);
+            }
         } else {
             RowStoreFailure failure = outcome.failure().orElseThrow();
             boolean rejected = failure == RowStoreFailure.MISUNDERSTOOD;
--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/JobAnswer.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/JobAnswer.java
@@ -11,6 +11,7 @@
                 JobAnswer.State,
                 JobAnswer.Cancelled,
                 JobAnswer.Unknown,
+                JobAnswer.Withdrawn,
                 JobAnswer.Pending,
                 JobAnswer.NoQueue,
                 JobAnswer.Unauthorized,
@@ -61,9 +62,16 @@
     /** The job is cancelled or has ended. */
     record Cancelled() implements JobAnswer {}
 
-    /** There is no such job. */
+    /**
+     * There is no such job. As the answer to a cancellation, it also says that no submission which
+     * was sent before takes effect any more; as the answer to a request for the state, it says
+     * nothing about submissions without an answer.
+     */
     record Unknown() implements JobAnswer {}
 
+    /** The job was cancelled before it was accepted, so it is not accepted and never runs. */
+    record Withdrawn() implements JobAnswer {}
+
     /**
      * The number of jobs of a queue that have not started.
      *
--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/JobRequestHandler.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/JobRequestHandler.java
@@ -17,17 +17,19 @@
  */
 final class JobRequestHandler {
     /** Time for one call to the store; another host is tried after that. */
-    private static final long TIMEOUT_MILLIS = 800;
+    static final long TIMEOUT_MILLIS = 800;
 
     /** Time after which a caller should retry while the store is unavailable. */
     private static final long RETRY_AFTER_MILLIS = 1_000;
 
     private final HostComponents components;
     private final Function<String, OptionalInt> pendingJobs;
+    private final JobCanceller canceller;
 
     JobRequestHandler(HostComponents components, Function<String, OptionalInt> pendingJobs) {
         this.components = components;
         this.pendingJobs = pendingJobs;
+        this.canceller = new JobCanceller(components);
     }
 
     /** The outcome of a request on the store. */
@@ -62,7 +64,7 @@
         } else if (request instanceof JobRequest.Show show) {
             show(show.id(), handler);
         } else if (request instanceof JobRequest.Cancel cancel) {
-            cancel(cancel.id(), handler);
+            canceller.cancel(cancel.id(), handler);
         } else {
             handler.accept(countPending(admitted.route().queue().name()));
         }
@@ -91,6 +93,7 @@
                 RowWrite.builder(RowNames.PART)
                         .expect(RowNames.JOBS, submit.id(), 0)
                         .expect(RowNames.PROGRESS, submit.id(), 0)
+                        .expect(RowNames.WITHDRAWN, submit.id(), 0)
                         .put(RowNames.JOBS, submit.id(), row)
                         .put(RowNames.PROGRESS, submit.id(), RecordCodec.encode(JobRecord.NEW))
                         .build();
@@ -103,7 +106,7 @@
                             if (outcome instanceof RowOutcome.Written) {
                                 handler.accept(new Answered(new JobAnswer.Accepted()));
                             } else if (outcome instanceof RowOutcome.Conflict conflict) {
-                                handler.accept(new Answered(answerToRepeat(submit, conflict)));
+                                handler.accept(answerToRepeat(submit, conflict));
                             } else {
                                 handler.accept(failed(outcome));
                             }
@@ -112,14 +115,20 @@
 
     /**
      * Returns the answer to a submission whose id is already used, by the same job or by another
-     * one.
+     * one, or was withdrawn.
      */
-    private static JobAnswer answerToRepeat(
-            JobRequest.Submit submit, RowOutcome.Conflict conflict) {
+    private static Outcome answerToRepeat(JobRequest.Submit submit, RowOutcome.Conflict conflict) {
         Optional<StoredRow> job = conflict.row(RowNames.JOBS, submit.id());
-        boolean otherJob =
-                job.isPresent() && !Arrays.equals(RowCodec.body(job.get().value()), submit.body());
-        return otherJob ? new JobAnswer.OtherJob() : new JobAnswer.Accepted();
+        if (job.isPresent()) {
+            boolean sameJob = Arrays.equals(RowCodec.body(job.get().value()), submit.body());
+            return new Answered(sameJob ? new JobAnswer.Accepted() : new JobAnswer.OtherJob());
+        }
+        if (conflict.row(RowNames.PROGRESS, submit.id()).isPresent()) {
+            return new Answered(new JobAnswer.Accepted());
+        }
+        return conflict.row(RowNames.WITHDRAWN, submit.id()).isPresent()
+                ? new Answered(new JobAnswer.Withdrawn())
+                : new Failed(RowStoreFailure.MISUNDERSTOOD, false);
     }
 
     private void show(String id, Consumer<Outcome> handler) {
@@ -131,7 +140,8 @@
                         result -> handler.accept(toState(id, result)));
     }
 
-    private Outcome toState(String id, Result<RowSet> result) {
+    /** Returns the state of a job from its progress row. */
+    static Outcome toState(String id, Result<RowSet> result) {
         if (!(result instanceof Result.Ok<RowSet> ok)) {
             return failed(result);
         }
@@ -145,66 +155,12 @@
                 .orElseGet(() -> new Failed(RowStoreFailure.MISUNDERSTOOD, false));
     }
 
-    private void cancel(String id, Consumer<Outcome> handler) {
-        components
-                .store()
-                .read(
-                        RowRange.ofKey(RowNames.JOBS, RowNames.PART, id),
-                        TIMEOUT_MILLIS,
-                        result -> {
-                            if (!(result instanceof Result.Ok<RowSet> ok)) {
-                                handler.accept(failed(result));
-                                return;
-                            }
-                            Optional<StoredRow> row = ok.value().row(id);
-                            if (row.isPresent()) {
-                                writeCancel(id, row.get().version(), handler);
-                            } else {
-                                cancelEnded(id, handler);
-                            }
-                        });
-    }
-
-    private void writeCancel(String id, long version, Consumer<Outcome> handler) {
-        RowWrite write =
-                RowWrite.builder(RowNames.PART)
-                        .expect(RowNames.JOBS, id, version)
-                        .put(RowNames.CANCELS, id, new byte[] {'{', '}'})
-                        .build();
-        components
-                .store()
-                .write(
-                        write,
-                        TIMEOUT_MILLIS,
-                        outcome -> {
-                            if (outcome instanceof RowOutcome.Written) {
-                                handler.accept(new Answered(new JobAnswer.Cancelled()));
-                            } else if (outcome instanceof RowOutcome.Conflict) {
-                                cancelEnded(id, handler);
-                            } else {
-                                handler.accept(failed(outcome));
-                            }
-                        });
-    }
-
-    /** Answers the cancellation of a job without a job row, which has ended or never existed. */
-    private void cancelEnded(String id, Consumer<Outcome> handler) {
-        show(
-                id,
-                outcome -> {
-                    boolean exists =
-                            outcome instanceof Answered answered
-                                    && answered.answer() instanceof JobAnswer.State;
-                    handler.accept(exists ? new Answered(new JobAnswer.Cancelled()) : outcome);
-                });
-    }
-
-    private static Failed failed(RowOutcome outcome) {
+    static Failed failed(RowOutcome outcome) {
         RowStoreFailure failure = outcome.failure().orElseThrow();
         return new Failed(failure, outcome instanceof RowOutcome.Unknown);
     }
 
-    private static Failed failed(Result<RowSet> result) {
+    static Failed failed(Result<RowSet> result) {
         return new Failed(RowStoreFailure.of(result), false);
     }
 }
--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/ProgressCleaner.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/ProgressCleaner.java
@@ -30,10 +30,15 @@
     /** Creates a cleaner; the consumer is called with each job whose rows were removed. */
     ProgressCleaner(FencedWriter writer, long stateRetentionMillis, Consumer<String> onRemoved) {
         this.writer = writer;
-        this.retentionMillis = stateRetentionMillis + RETENTION_MARGIN_MILLIS;
+        this.retentionMillis = retentionMillis(stateRetentionMillis);
         this.onRemoved = onRemoved;
     }
 
+    /** Returns the time for which the rows of a job are retained after its end. */
+    static long retentionMillis(long stateRetentionMillis) {
+        return stateRetentionMillis + RETENTION_MARGIN_MILLIS;
+    }
+
     void onEnded(String job, long wallMillis) {
         endedAt.put(job, wallMillis);
     }
--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/ProgressWriter.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/ProgressWriter.java
@@ -40,11 +40,11 @@
     private final HostComponents components;
     private final EventLog log;
     private final DispatchOwner owner;
-    private final long epochVersion;
     private final Consumer<String> onDeposed;
     private final FencedWriter fencedWriter;
     private final FleetRowWriter fleet;
     private final ProgressCleaner cleaner;
+    private final WithdrawalCleaner withdrawals;
     private final ModelSnapshotRowWriter modelSnapshot;
     private final Map<String, Long> versions = new HashMap<>();
     private final Set<String> cancelledJobs = new HashSet<>();
@@ -74,7 +74,6 @@
         this.loop = components.loop();
         this.log = components.log();
         this.owner = owner;
-        this.epochVersion = epochVersion;
         this.onDeposed = onDeposed;
         this.fencedWriter =
                 new FencedWriter(components, owner.term().epoch(), epochVersion, onDeposed);
@@ -87,6 +86,8 @@
                         fencedWriter,
                         components.settings().limits().stateRetentionMillis(),
                         this::onRemoved);
+        this.withdrawals =
+                new WithdrawalCleaner(components, owner.term().epoch(), epochVersion, onDeposed);
     }
 
     void onStored(Runnable listener) {
@@ -96,6 +97,7 @@
     void stop() {
         stopped = true;
         fencedWriter.stop();
+        withdrawals.stop();
     }
 
     void onProgressRead(String job, long version, JobRecord record) {
@@ -134,6 +136,7 @@
         if (fencedWriter.isIdle(now)) {
             writeOtherRows(now);
         }
+        withdrawals.step(now, System.currentTimeMillis());
     }
 
     /**
@@ -292,8 +295,7 @@
             Map<String, byte[]> values,
             RowOutcome.Conflict conflict,
             long millis) {
-        Optional<StoredRow> epoch = conflict.row(RowNames.DUTIES, RowNames.EPOCH_KEY);
-        if (epoch.isEmpty() || epoch.get().version() != epochVersion) {
+        if (fencedWriter.isDeposedBy(conflict)) {
             onDeposed.accept("the epoch row has another version");
             return;
         }
--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/RowCodec.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/RowCodec.java
@@ -106,6 +106,23 @@
         return row.length;
     }
 
+    /** Encodes the withdrawal of an id that no job had. */
+    static byte[] withdrawal(long withdrawnAtMillis) {
+        return bytes(JSON.createObjectNode().put("withdrawnAtMillis", withdrawnAtMillis));
+    }
+
+    /** Decodes the wall-clock time of a withdrawal. */
+    static Result<Long> withdrawnAtMillis(byte[] value) {
+        try {
+            JsonNode time = JSON.readTree(value).path("withdrawnAtMillis");
+            return time.canConvertToLong()
+                    ? Result.ok(time.asLong())
+                    : Result.failed(new MalformedRow("withdrawal: no time"));
+        } catch (IOException malformed) {
+            return Result.failed(new MalformedRow("withdrawal: not JSON"));
+        }
+    }
+
     static byte[] lease(LeaseRow row) {
         ObjectNode node = JSON.createObjectNode();
         node.put("holder", row.holder());
--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/RowNames.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/RowNames.java
@@ -14,6 +14,12 @@
     /** Cancellations that the owner has not processed, by id. */
     static final String CANCELS = "cancels";
 
+    /**
+     * Ids that were cancelled while no job had them. No job is accepted under such an id, since a
+     * submission that was sent before the cancellation may still reach the store.
+     */
+    static final String WITHDRAWN = "withdrawn";
+
     /** Rows about the ownership. */
     static final String DUTIES = "duties";
 
--- a/daemon/src/test/java/org/peridotcourse/daemon/dispatch/FakeRowStore.java
+++ b/daemon/src/test/java/org/peridotcourse/daemon/dispatch/FakeRowStore.java
@@ -42,6 +42,12 @@
     /** Monotonic time at which the last write was applied. */
     long lastAppliedAt;
 
+    /** Runs once, after the next read was executed and before its answer arrives. */
+    Runnable afterNextRead = () -> {};
+
+    /** The number of writes whose conditions did not hold. */
+    int conflicts;
+
     /** The number of writes that were rejected as invalid. */
     int rejectedWrites;
 
@@ -72,6 +78,9 @@
         RowSet set = new RowSet(page, hasMore, version);
         lateWrite.ifPresent(write -> write(write, 0, outcome -> {}));
         lateWrite = Optional.empty();
+        Runnable afterRead = afterNextRead;
+        afterNextRead = () -> {};
+        afterRead.run();
         loop.schedule(LATENCY_MILLIS, () -> handler.accept(Result.ok(set)));
     }
 
@@ -106,6 +115,7 @@
             }
         }
         if (!conditionsHold) {
+            conflicts++;
             loop.schedule(
                     LATENCY_MILLIS, () -> handler.accept(new RowOutcome.Conflict(currentRows)));
             return;
