Cancel a job that is accepted while it is being cancelled

What callers would see: 200 for a cancellation, and the job runs.

Cause: the rows of a job are read one after the other. If the store executes a late acceptance between the two reads, the first finds no job and the second one finds its progress. That was taken for the progress of a job which had ended, although its state says that it waits, and no cancellation was written.

--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/JobCanceller.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/JobCanceller.java
@@ -76,10 +76,13 @@
             JobRequestHandler.Outcome outcome = JobRequestHandler.toState(id, result);
             if (!(outcome instanceof JobRequestHandler.Answered answered)) {
                 handler.accept(outcome);
-            } else if (!(answered.answer() instanceof JobAnswer.State)) {
+            } else if (!(answered.answer() instanceof JobAnswer.State state)) {
                 withdraw();
-            } else {
+            } else if (state.state().isFinal()) {
                 handler.accept(new JobRequestHandler.Answered(new JobAnswer.Cancelled()));
+            } else {
+                // The job was accepted between the two reads.
+                start();
             }
         }
 
--- a/daemon/src/test/java/org/peridotcourse/daemon/dispatch/FakeRowStore.java
+++ b/daemon/src/test/java/org/peridotcourse/daemon/dispatch/FakeRowStore.java
@@ -36,9 +36,12 @@
     /** The number of next writes that are applied and whose answers are lost. */
     int answersToLose;
 
-    /** True if the next write gets no answer and is applied only after the read that follows. */
+    /** True if the next write gets no answer and is applied only after a later read. */
     boolean appliesNextWriteLate;
 
+    /** The number of reads after which a late write is applied. */
+    int readsBeforeLateWrite = 1;
+
     /** Monotonic time at which the last write was applied. */
     long lastAppliedAt;
 
@@ -76,14 +79,21 @@
         boolean hasMore = found.size() > range.limit();
         List<StoredRow> page = hasMore ? found.subList(0, range.limit()) : found;
         RowSet set = new RowSet(page, hasMore, version);
-        lateWrite.ifPresent(write -> write(write, 0, outcome -> {}));
-        lateWrite = Optional.empty();
+        applyLateWrite();
         Runnable afterRead = afterNextRead;
         afterNextRead = () -> {};
         afterRead.run();
         loop.schedule(LATENCY_MILLIS, () -> handler.accept(Result.ok(set)));
     }
 
+    private void applyLateWrite() {
+        if (lateWrite.isPresent() && --readsBeforeLateWrite <= 0) {
+            RowWrite write = lateWrite.get();
+            lateWrite = Optional.empty();
+            write(write, 0, outcome -> {});
+        }
+    }
+
     @Override
     public void write(RowWrite write, long timeoutMillis, Consumer<RowOutcome> handler) {
         if (unavailable) {
