Limit how many unknown ids a customer withdraws

A caller who cancels ids that never existed could use up the transactions of the part, which all customers share, and fill the table.

Cancellations of jobs that exist or have ended aren't limited, and need no write beyond the one of before.

--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/JobAnswer.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/JobAnswer.java
@@ -25,7 +25,7 @@
         OLDER_CONFIGURATION,
         /** The store can be reached neither from this host nor from another one. */
         STORE_AWAY,
-        /** This host has too many calls. */
+        /** The customer has cancelled too many ids that no job has. */
         TOO_MANY_CALLS;
 
         /**
--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/JobCanceller.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/JobCanceller.java
@@ -19,24 +19,28 @@
     private static final int MAX_ATTEMPTS = 3;
 
     private final HostComponents components;
+    private final WithdrawalLimiter limiter = new WithdrawalLimiter();
 
     JobCanceller(HostComponents components) {
         this.components = components;
     }
 
     /** Cancels a job, or withdraws its id if there is no such job. */
-    void cancel(String id, Consumer<JobRequestHandler.Outcome> handler) {
-        new Cancellation(id, handler).start();
+    void cancel(String id, Optional<String> customer, Consumer<JobRequestHandler.Outcome> handler) {
+        new Cancellation(id, customer, handler).start();
     }
 
     /** The execution of one cancellation. */
     private final class Cancellation {
         private final String id;
+        private final Optional<String> customer;
         private final Consumer<JobRequestHandler.Outcome> handler;
         private int attempts;
 
-        Cancellation(String id, Consumer<JobRequestHandler.Outcome> handler) {
+        Cancellation(
+                String id, Optional<String> customer, Consumer<JobRequestHandler.Outcome> handler) {
             this.id = id;
+            this.customer = customer;
             this.handler = handler;
         }
 
@@ -87,6 +91,12 @@
         }
 
         private void withdraw() {
+            long wait = limiter.tryTake(customer, components.loop().nowMillis());
+            if (wait > 0) {
+                JobAnswer refused = new JobAnswer.Refused(JobAnswer.Reason.TOO_MANY_CALLS, wait);
+                handler.accept(new JobRequestHandler.Answered(refused));
+                return;
+            }
             RowWrite write =
                     RowWrite.builder(RowNames.PART)
                             .expect(RowNames.JOBS, id, 0)
--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/JobRequestHandler.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/JobRequestHandler.java
@@ -64,7 +64,7 @@
         } else if (request instanceof JobRequest.Show show) {
             show(show.id(), handler);
         } else if (request instanceof JobRequest.Cancel cancel) {
-            canceller.cancel(cancel.id(), handler);
+            canceller.cancel(cancel.id(), admitted.customer(), handler);
         } else {
             handler.accept(countPending(admitted.route().queue().name()));
         }
--- a/daemon/src/test/java/org/peridotcourse/daemon/dispatch/JobRequestHandlerTest.java
+++ b/daemon/src/test/java/org/peridotcourse/daemon/dispatch/JobRequestHandlerTest.java
@@ -1,9 +1,11 @@
 package org.peridotcourse.daemon.dispatch;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
@@ -93,6 +95,10 @@
         return new JobRequestHandler.Answered(answer);
     }
 
+    private static JobAnswer answerOf(JobRequestHandler.Outcome outcome) {
+        return assertInstanceOf(JobRequestHandler.Answered.class, outcome).answer();
+    }
+
     private int rowCount(String table) throws Exception {
         return this.<Integer>await(handler -> handler.accept(store.table(table).size()));
     }
@@ -148,6 +154,37 @@
         assertEquals(0, rowCount(RowNames.JOBS));
     }
 
+    /** Cancelling unknown ids must neither use up the writes to the store nor affect real jobs. */
+    @Test
+    void aCallerThatCancelsManyUnknownIdsIsLimited() throws Exception {
+        submit();
+        int calls = 2 * WithdrawalLimiter.BURST;
+        List<JobAnswer> answers = new ArrayList<>();
+        this.<Boolean>await(
+                done -> {
+                    for (int i = 0; i < calls; i++) {
+                        requests.execute(
+                                ADMITTED,
+                                new JobRequest.Cancel("unknown-" + i),
+                                outcome -> {
+                                    answers.add(answerOf(outcome));
+                                    if (answers.size() == calls) {
+                                        done.accept(true);
+                                    }
+                                });
+                    }
+                });
+        long refused =
+                answers.stream()
+                        .filter(JobAnswer.Refused.class::isInstance)
+                        .map(JobAnswer.Refused.class::cast)
+                        .filter(answer -> answer.reason() == JobAnswer.Reason.TOO_MANY_CALLS)
+                        .count();
+        assertTrue(refused > 0, answers.toString());
+        assertEquals(calls - refused, rowCount(RowNames.WITHDRAWN));
+        assertEquals(answered(new JobAnswer.Cancelled()), cancel(), "a job is still cancelled");
+    }
+
     @Test
     void aWithdrawalWithoutAnAnswerIsInDoubt() throws Exception {
         store.answersToLose = 1;
