Remove old progress only as it was when its job ended

What callers would see: a job that reuses the id of one whose retention time is over is accepted, never starts, and is unknown (410) to each request for its state.

Cause: the removal of old progress had the epoch as its only condition, and was repeated when its answer was lost. A repeated one, or one that the store executes late, removes the progress of a job that was accepted under the id since. The owner also took the row of such a job for a late one of the ended job and ignored it, until the removal was confirmed.

Change: a row is removed on the condition that it has the version of the end. A conflict shows which rows are gone or belong to a later job. A job row that is later than the end shows the same.

--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/ProgressWriter.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/ProgressWriter.java
@@ -103,12 +103,13 @@
     void onProgressRead(String job, long version, JobRecord record) {
         versions.merge(job, version, Math::max);
         if (record.state().isFinal()) {
-            cleaner.onEnded(job, record.endedAtMillis());
+            cleaner.onEnded(job, record.endedAtMillis(), version);
         }
     }
 
     /** Called when a job was read; a job row and its first progress row have the same version. */
     void onJobRead(String job, long version) {
+        cleaner.onJobRead(job, version);
         versions.merge(job, version, Math::max);
     }
 
@@ -272,7 +273,8 @@
         maxBatchJobs = Math.min(RecordBatch.MAX_JOBS, 2 * maxBatchJobs);
         for (RecordBatch.Change change : batch.changes()) {
             if (change.record().state().isFinal()) {
-                cleaner.onEnded(change.job(), change.record().endedAtMillis());
+                cleaner.onEnded(
+                        change.job(), change.record().endedAtMillis(), versions.get(change.job()));
                 cancelledJobs.remove(change.job());
             }
         }
--- a/daemon/src/test/java/org/peridotcourse/daemon/dispatch/ProgressWriterTest.java
+++ b/daemon/src/test/java/org/peridotcourse/daemon/dispatch/ProgressWriterTest.java
@@ -5,6 +5,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.CountDownLatch;
@@ -20,6 +21,7 @@
 import org.peridotcourse.dispatch.DispatchOwner;
 import org.peridotcourse.dispatch.JobRecord;
 import org.peridotcourse.dispatch.JobSpec;
+import org.peridotcourse.dispatch.JobState;
 import org.peridotcourse.dispatch.OwnerTerm;
 import org.peridotcourse.dispatch.QueueRules;
 import org.peridotcourse.dispatch.Schedule;
@@ -153,4 +155,18 @@
         owner.onCancel("job-1", loop.nowMillis());
         runUntil(() -> store.table(RowNames.PROGRESS).size() == 1);
     }
+
+    /**
+     * The rows of an ended job were removed by a write whose answer was lost, and a job with the
+     * same id was accepted. The owner took it for the ended one and never started it.
+     */
+    @Test
+    void aJobThatReusesTheIdOfARemovedOneIsNotTakenForIt() {
+        ProgressWriter writer = new ProgressWriter(components(), owner, 1, deposed::add);
+        owner.onJobEnded("job-1");
+        writer.onProgressRead("job-1", 5, new JobRecord(JobState.COMPLETED, 1, List.of()));
+        writer.onJobRead("job-1", 9);
+        owner.onJob(job(1), false, 0, 0);
+        assertEquals(Map.of("q", 1), owner.pendingJobsByQueue());
+    }
 }
