Write the rows of workers on the condition of their last version

What callers would see: a task runs twice (TWICE) after a change of the owner.

Cause: the rows of workers that the owner keeps for the next one had the epoch as their only condition. If the removal of a worker that left had no answer, and the worker came back, the store could execute the removal afterwards. The owner took the row for stored and did not write it again. A next owner that finds the worker neither there nor in the worker list, from which it may have lapsed, starts its tasks again. A late write could likewise replace a newer address.

Change: each row is written or removed on the condition of its last known version. While a write has no answer its rows are in doubt and are written again, which makes the late write fail. A conflict tells the current rows.

--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/FencedWriter.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/FencedWriter.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import java.util.function.Consumer;
+import java.util.function.LongConsumer;
 import org.peridotcourse.daemon.log.EventLog;
 
 /**
@@ -60,7 +61,7 @@
      * @param onWritten runs once the write has taken effect
      */
     void send(String rowKind, RowWrite write, Runnable onWritten) {
-        send(rowKind, write, onWritten, conflict -> {});
+        send(rowKind, write, version -> onWritten.run(), conflict -> {});
     }
 
     /**
@@ -68,14 +69,14 @@
      *
      * @param rowKind the name of the write in the log
      * @param write the write
-     * @param onWritten runs once the write has taken effect
+     * @param onWritten receives the version of the written rows once the write has taken effect
      * @param onConflict receives the current rows if another condition than the epoch failed, which
      *     may be because an earlier try without an answer took effect
      */
     void send(
             String rowKind,
             RowWrite write,
-            Runnable onWritten,
+            LongConsumer onWritten,
             Consumer<RowOutcome.Conflict> onConflict) {
         writing = true;
         components
@@ -100,10 +101,10 @@
     private void onOutcome(
             String rowKind,
             RowOutcome outcome,
-            Runnable onWritten,
+            LongConsumer onWritten,
             Consumer<RowOutcome.Conflict> onConflict) {
-        if (outcome instanceof RowOutcome.Written) {
-            onWritten.run();
+        if (outcome instanceof RowOutcome.Written written) {
+            onWritten.accept(written.version());
         } else if (outcome instanceof RowOutcome.Conflict conflict) {
             if (isDeposedBy(conflict)) {
                 onDeposed.accept("the epoch row has another version");
--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/OwnerSession.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/OwnerSession.java
@@ -232,7 +232,7 @@
         public void onRow(StoredRow row) {
             Result<WorkerInfo> worker = RowCodec.worker(row);
             if (worker instanceof Result.Ok<WorkerInfo> ok) {
-                progress.onFleetRead(ok.value());
+                progress.onFleetRead(ok.value(), row.version());
                 if (!leases.isTracked(row.key())) {
                     leases.onRecordedWorker(ok.value(), loop.nowMillis());
                 }
--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/ProgressCleaner.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/ProgressCleaner.java
@@ -83,7 +83,7 @@
         writer.send(
                 "old-progress",
                 write.build(),
-                () -> expired.forEach(this::confirm),
+                version -> expired.forEach(this::confirm),
                 conflict -> onConflict(expired, conflict));
     }
 
--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/ProgressWriter.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/ProgressWriter.java
@@ -117,8 +117,8 @@
         cancelledJobs.add(job);
     }
 
-    void onFleetRead(WorkerInfo worker) {
-        fleet.onRead(worker);
+    void onFleetRead(WorkerInfo worker, long version) {
+        fleet.onRead(worker, version);
     }
 
     private void onRemoved(String job) {
--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/WithdrawalCleaner.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/WithdrawalCleaner.java
@@ -101,7 +101,10 @@
             write.expect(RowNames.WITHDRAWN, row.key(), row.version());
             write.delete(RowNames.WITHDRAWN, row.key());
         }
-        Runnable forget = () -> expiredRows.removeAll(batch);
-        writer.send("withdrawn", write.build(), forget, conflict -> forget.run());
+        writer.send(
+                "withdrawn",
+                write.build(),
+                version -> expiredRows.removeAll(batch),
+                conflict -> expiredRows.removeAll(batch));
     }
 }
--- a/daemon/src/test/java/org/peridotcourse/daemon/dispatch/FakeRowStore.java
+++ b/daemon/src/test/java/org/peridotcourse/daemon/dispatch/FakeRowStore.java
@@ -79,19 +79,20 @@
         boolean hasMore = found.size() > range.limit();
         List<StoredRow> page = hasMore ? found.subList(0, range.limit()) : found;
         RowSet set = new RowSet(page, hasMore, version);
-        applyLateWrite();
+        if (--readsBeforeLateWrite <= 0) {
+            applyLateWrite();
+        }
         Runnable afterRead = afterNextRead;
         afterNextRead = () -> {};
         afterRead.run();
         loop.schedule(LATENCY_MILLIS, () -> handler.accept(Result.ok(set)));
     }
 
-    private void applyLateWrite() {
-        if (lateWrite.isPresent() && --readsBeforeLateWrite <= 0) {
-            RowWrite write = lateWrite.get();
-            lateWrite = Optional.empty();
-            write(write, 0, outcome -> {});
-        }
+    /** Applies the write that is late, if there is one and its conditions still hold. */
+    void applyLateWrite() {
+        Optional<RowWrite> late = lateWrite;
+        lateWrite = Optional.empty();
+        late.ifPresent(write -> write(write, 0, outcome -> {}));
     }
 
     @Override
