Register a host again if its row was replaced

What callers would see: calls that other hosts pass on to the owner are sent to an address where nobody answers, or not at all.

Cause: a host registers by an unconditional write, once. If the store executes the registration of its incarnation before a restart after that of the present one, the row names the earlier incarnation for good. The wrong row leads no host to a wrong conclusion about orders: an incarnation counts as ended only if a later one is registered.

Change: a host that reads the list of hosts without its own incarnation, or with an earlier one in its place, registers again.

Result: HostDirectoryTest.aHostWhoseRowWasReplacedByItsEarlierIncarnationRegistersAgain.

--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/HostDirectory.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/HostDirectory.java
@@ -35,6 +35,7 @@
     private final RowCodec.Host self;
     private final Map<String, RowCodec.Host> hosts = new HashMap<>();
     private final List<InetSocketAddress> seeds;
+    private boolean registered;
 
     /** Times until which hosts that did not answer are not called. */
     private final Map<InetSocketAddress, Long> unresponsiveUntil = new HashMap<>();
@@ -181,7 +182,8 @@
     }
 
     private void onRegistered(RowOutcome outcome) {
-        if (outcome.failure().isPresent()) {
+        registered = outcome.failure().isEmpty();
+        if (!registered) {
             loop.schedule(RETRY_MILLIS, this::register);
         }
     }
@@ -208,9 +210,21 @@
             return;
         }
         replaceHosts(rows);
+        if (registered && isOwnRowReplaced()) {
+            register();
+        }
         loop.schedule(READ_PERIOD_MILLIS, this::read);
     }
 
+    /**
+     * Returns whether the row of this incarnation is missing. The registration of an earlier
+     * incarnation may be executed after that of this one.
+     */
+    private boolean isOwnRowReplaced() {
+        RowCodec.Host stored = hosts.get(self.name());
+        return stored == null || stored.incarnation() < self.incarnation();
+    }
+
     private void replaceHosts(List<StoredRow> rows) {
         hosts.clear();
         for (StoredRow row : rows) {
--- a/daemon/src/test/java/org/peridotcourse/daemon/dispatch/HostDirectoryTest.java
+++ b/daemon/src/test/java/org/peridotcourse/daemon/dispatch/HostDirectoryTest.java
@@ -112,4 +112,36 @@
             otherLoop.close();
         }
     }
+
+    /**
+     * The store executed the registration of an earlier incarnation after that of the present one.
+     * Its owner's address was unknown to the other hosts from then on.
+     */
+    @Test
+    void aHostWhoseRowWasReplacedByItsEarlierIncarnationRegistersAgain()
+            throws InterruptedException {
+        EventLoop otherLoop = new EventLoop("test", 1_024, Throwable::printStackTrace);
+        FakeRowStore rows = new FakeRowStore(otherLoop);
+        RowWrite late =
+                RowWrite.builder(RowNames.PART)
+                        .put(RowNames.HOSTS, "host", row("host", GONE))
+                        .build();
+        CountDownLatch repaired = new CountDownLatch(1);
+        new HostDirectory(otherLoop, rows, log, TestSettings.host("host"), 7).start();
+        otherLoop.schedule(500, () -> rows.write(late, 0, outcome -> {}));
+        otherLoop.scheduleRepeating(
+                600,
+                () -> {
+                    StoredRow stored = rows.table(RowNames.HOSTS).get(0);
+                    if (RowCodec.host(stored).toOptional().orElseThrow().incarnation() == 7) {
+                        repaired.countDown();
+                    }
+                });
+        otherLoop.start();
+        try {
+            assertTrue(repaired.await(TIMEOUT_SECONDS, TimeUnit.SECONDS));
+        } finally {
+            otherLoop.close();
+        }
+    }
 }
