Start nothing before the evacuations are read

What callers would see: tasks start in a data centre that is being emptied (EVAC).

Cause: a host that cannot read the operator's rows gets its configuration from another host, which sends the evacuations of no data centre. If it becomes the owner before it has read the rows, it takes all data centres for open.

Change: an owner decides nothing before the operator's rows were read once.

Result: MissingRowTest.anOwnerStartsNothingBeforeItHasReadTheEvacuations: 5 starts in the evacuated data centre before, none now.

--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/ConfigTracker.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/ConfigTracker.java
@@ -43,6 +43,7 @@
 
     private volatile ClusterConfig config = ClusterConfig.EMPTY;
     private Optional<StoredRow> configRow = Optional.empty();
+    private boolean evacuationsRead;
     private Runnable listener = () -> {};
     private int nextPeer;
 
@@ -78,6 +79,11 @@
             }
         }
 
+        @Override
+        public void onCaughtUp() {
+            evacuationsRead = true;
+        }
+
         @Override
         public void onCurrent(long asOf) {
             if (config.isLoaded() && unreadableKeys.isEmpty()) {
@@ -117,6 +123,14 @@
         return evacuatedDataCentres;
     }
 
+    /**
+     * Returns whether the evacuations were read from the store. A host that has only received the
+     * configuration of another host knows none.
+     */
+    boolean areEvacuationsRead() {
+        return evacuationsRead;
+    }
+
     /** Returns how long ago the configuration was last confirmed to be the newest one. */
     ConfigAge configAge() {
         return configAge;
--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/OwnerSession.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/OwnerSession.java
@@ -131,7 +131,7 @@
      * Makes decisions and sends the resulting orders; called after each round of the event loop.
      */
     void step() {
-        if (stopped || !loaded) {
+        if (stopped || !loaded || !config.areEvacuationsRead()) {
             return;
         }
         long now = loop.nowMillis();
