Publish no count of waiting jobs while jobs cannot be read

What callers would see: 0 jobs waiting in a queue (MIXED) although jobs were accepted, for as long as the owner cannot read them.

Cause: the counts were published with each renewal of the lease, so their age was taken for that of the renewal. If the owner writes, but the feed of accepted jobs gets no answer, jobs that it has not read count as none.

Change: an owner that has not read the jobs for 2.5 s publishes no counts; the last ones are used for 2.5 s more, then callers get 503.

--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/OwnerSession.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/OwnerSession.java
@@ -60,6 +60,10 @@
     private Map<String, JobRecord> records = new HashMap<>();
     private boolean wakeUpScheduled;
     private boolean jobsRead;
+
+    /** All jobs that were accepted before this time have been read. */
+    private long jobsReadAsOf;
+
     private boolean loaded;
     private boolean stopped;
 
@@ -299,6 +303,11 @@
             // Jobs are removed by their owner after their end.
         }
 
+        @Override
+        public void onCurrent(long asOf) {
+            jobsReadAsOf = asOf;
+        }
+
         @Override
         public void onCaughtUp() {
             jobsRead = true;
@@ -394,9 +403,13 @@
         line.withPairs(decision.detail()).write();
     }
 
-    /** Returns the numbers of jobs that have not started, or empty until the state is loaded. */
+    /**
+     * Returns the numbers of jobs that have not started, or empty if jobs that were accepted may be
+     * missing, because they have not been read for some time or the state is not loaded yet.
+     */
     Optional<PendingCounts> pendingCounts() {
-        return loaded
+        boolean outdated = loop.nowMillis() - jobsReadAsOf > PublishedCounts.MAX_AGE_MILLIS;
+        return loaded && !outdated
                 ? Optional.of(new PendingCounts(owner.term().epoch(), owner.pendingJobsByQueue()))
                 : Optional.empty();
     }
--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/PublishedCounts.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/PublishedCounts.java
@@ -10,7 +10,7 @@
      * Counts are published with each renewal, so older ones mean that the owner or the store is
      * failing.
      */
-    private static final long MAX_AGE_MILLIS = 2_500;
+    static final long MAX_AGE_MILLIS = 2_500;
 
     private final EventLog log;
     private Optional<PendingCounts> counts = Optional.empty();
