--- a/daemon/src/main/java/org/peridotcourse/daemon/entry/JobFailure.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/entry/JobFailure.java
@@ -6,6 +6,8 @@
 enum JobFailure implements Failure {
     /** A different job has this name. */
     NAME_TAKEN(409, "job-name-taken", "a different job has this name", 0, "not-run"),
+    /** The job was cancelled before it was accepted. */
+    WITHDRAWN(409, "job-withdrawn", "the job was cancelled before it was accepted", 0, "not-run"),
     /** The customer is not configured. */
     UNKNOWN_CUSTOMER(404, "unknown-customer", "there is no such customer", 0, "not-run"),
     /** There is no such job. */
--- a/daemon/src/main/java/org/peridotcourse/daemon/entry/JobThread.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/entry/JobThread.java
@@ -1,6 +1,7 @@
 package org.peridotcourse.daemon.entry;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
@@ -25,6 +26,13 @@
  */
 public final class JobThread implements JobSink, AutoCloseable {
     private static final String TABLE = "jobs";
+
+    /**
+     * Names that were cancelled while no job had them. No job is accepted under such a name, since
+     * a submission without a response may still reach the table service.
+     */
+    private static final String WITHDRAWN_TABLE = "withdrawn-jobs";
+
     private static final int RING_CAPACITY = 256;
     private static final int WRITE_ATTEMPTS = 3;
     private static final int CANCEL_ATTEMPTS = 5;
@@ -148,6 +156,7 @@
         Transaction insert =
                 Transaction.builder(transactions.next())
                         .check(TABLE, name.rowKey(), 0)
+                        .check(WITHDRAWN_TABLE, name.rowKey(), 0)
                         .put(TABLE, name.rowKey(), row)
                         .build();
         WriteOutcome outcome = store.writeWithRetries(insert, WRITE_ATTEMPTS);
@@ -158,6 +167,9 @@
             storeRetryAtMillis = clock.getAsLong() + STORE_RETRY_DELAY_MILLIS;
             return JobFailure.STORE_UNSETTLED.toResponse(call.id());
         }
+        if (outcome instanceof WriteOutcome.Conflict conflict && isWithdrawn(conflict)) {
+            return JobFailure.WITHDRAWN.toResponse(call.id());
+        }
         Result<Optional<Row>> existing = readRow(name);
         if (!existing.isOk()) {
             // The conflict shows that a job has the name: perhaps this one, submitted before.
@@ -173,6 +185,10 @@
                 : JobFailure.NAME_TAKEN.toResponse(call.id());
     }
 
+    private static boolean isWithdrawn(WriteOutcome.Conflict conflict) {
+        return conflict.rows().stream().anyMatch(row -> row.table().equals(WITHDRAWN_TABLE));
+    }
+
     private CallerResponse read(JobCall call, JobRequest.Name name) {
         Result<Optional<Row>> found = readRow(name);
         if (!found.isOk()) {
@@ -192,23 +208,24 @@
                 return JobFailure.STORE_UNAVAILABLE.toResponse(call.id());
             }
             Optional<Row> row = found.toOptional().flatMap(one -> one);
-            if (row.flatMap(Row::value).isEmpty()) {
-                return JobFailure.UNKNOWN_JOB.toResponse(call.id());
+            Optional<JsonNode> value = row.flatMap(Row::value);
+            if (value.isPresent() && value.get().path("cancel").asBoolean()) {
+                return rowResponse(call, 200, value.get());
             }
-            JsonNode value = row.get().value().get();
-            if (value.path("cancel").asBoolean()) {
-                return rowResponse(call, 200, value);
+            ObjectNode cancelled = value.map(JobThread::cancelled).orElseGet(JobThread::withdrawal);
+            Transaction.Builder update = Transaction.builder(transactions.next());
+            if (value.isPresent()) {
+                update.check(TABLE, name.rowKey(), row.get().commit())
+                        .put(TABLE, name.rowKey(), cancelled);
+            } else {
+                update.check(TABLE, name.rowKey(), 0)
+                        .put(WITHDRAWN_TABLE, name.rowKey(), cancelled);
             }
-            ObjectNode cancelled = value.deepCopy();
-            cancelled.put("cancel", true);
-            Transaction update =
-                    Transaction.builder(transactions.next())
-                            .check(TABLE, name.rowKey(), row.get().commit())
-                            .put(TABLE, name.rowKey(), cancelled)
-                            .build();
-            WriteOutcome outcome = store.writeWithRetries(update, WRITE_ATTEMPTS);
+            WriteOutcome outcome = store.writeWithRetries(update.build(), WRITE_ATTEMPTS);
             if (outcome instanceof WriteOutcome.Committed) {
-                return rowResponse(call, 200, cancelled);
+                return value.isPresent()
+                        ? rowResponse(call, 200, cancelled)
+                        : JobFailure.UNKNOWN_JOB.toResponse(call.id());
             }
             if (outcome instanceof WriteOutcome.Unknown) {
                 storeRetryAtMillis = clock.getAsLong() + STORE_RETRY_DELAY_MILLIS;
@@ -218,6 +235,15 @@
         return JobFailure.CONTENTION.toResponse(call.id());
     }
 
+    private static ObjectNode cancelled(JsonNode value) {
+        ObjectNode cancelled = value.deepCopy();
+        return cancelled.put("cancel", true);
+    }
+
+    private static ObjectNode withdrawal() {
+        return JsonNodeFactory.instance.objectNode().put("cancel", true);
+    }
+
     private Result<Optional<Row>> readRow(JobRequest.Name name) {
         Result<Optional<Row>> found = store.row(TABLE, name.rowKey());
         if (!found.isOk()) {
--- a/daemon/src/test/java/org/peridotcourse/daemon/entry/FakeTableStore.java
+++ b/daemon/src/test/java/org/peridotcourse/daemon/entry/FakeTableStore.java
@@ -23,6 +23,8 @@
     private int writes;
     private int responsesToLose;
     private int readsToFail;
+    private final List<Transaction> lateWrites = new ArrayList<>();
+    private boolean executesWritesLate;
     private boolean unavailable;
     private boolean unavailableAfterLoss;
 
@@ -41,6 +43,16 @@
         unavailableAfterLoss = true;
     }
 
+    /** Sets whether writes have no response and are executed only by {@link #executeLateWrites}. */
+    synchronized void setExecutesWritesLate(boolean isLate) {
+        executesWritesLate = isLate;
+    }
+
+    synchronized void executeLateWrites() {
+        lateWrites.forEach(this::write);
+        lateWrites.clear();
+    }
+
     /** Fails the next reads of rows, while writes succeed. */
     synchronized void failReads(int count) {
         readsToFail = count;
@@ -73,6 +85,10 @@
         if (unavailable) {
             return new WriteOutcome.Unknown();
         }
+        if (executesWritesLate) {
+            lateWrites.add(transaction);
+            return new WriteOutcome.Unknown();
+        }
         List<WriteOutcome.Mismatch> conflicts = new ArrayList<>();
         for (Transaction.Check check : transaction.checks()) {
             Row row = rows.get(check.table() + "/" + check.key());
--- a/daemon/src/test/java/org/peridotcourse/daemon/entry/JobThreadTest.java
+++ b/daemon/src/test/java/org/peridotcourse/daemon/entry/JobThreadTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import java.net.http.HttpResponse;
+import java.util.Optional;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -69,6 +70,35 @@
         assertEquals(1, store.writes());
     }
 
+    /**
+     * A caller whose submission had no clear response was told that the job is unknown and has not
+     * run. The table service then executed the submission, and the job ran.
+     */
+    @Test
+    void aJobThatWasCancelledAsUnknownIsNotAcceptedLater() throws Exception {
+        store.setExecutesWritesLate(true);
+        assertEquals("503 store-unsettled", put("/jobs/shop/j1", JOB));
+        store.setExecutesWritesLate(false);
+        EntryFixture.await("the job is unknown", () -> cancel("j1").equals("404 unknown-job"));
+        store.executeLateWrites();
+        assertEquals(Optional.empty(), store.value("jobs", "shop/j1"));
+        assertEquals("409 job-withdrawn", put("/jobs/shop/j1", JOB));
+        assertEquals("404 unknown-job", call("GET", "/jobs/shop/j1", ""));
+        assertEquals("201", put("/jobs/shop/j2", JOB), "another name is not affected");
+    }
+
+    /** The table service executes the submission after the cancellation has read no job. */
+    @Test
+    void aLateWithdrawalDoesNotHideALaterJob() throws Exception {
+        store.setExecutesWritesLate(true);
+        assertEquals("503 store-unsettled", call("DELETE", "/jobs/shop/j1", ""));
+        store.setExecutesWritesLate(false);
+        EntryFixture.await("the job is accepted", () -> submit("j1").equals("201"));
+        store.executeLateWrites();
+        assertEquals(Optional.empty(), store.value("withdrawn-jobs", "shop/j1"));
+        assertEquals("200", call("DELETE", "/jobs/shop/j1", ""));
+    }
+
     @Test
     void refusesMalformedJobs() throws Exception {
         String[] bodies = {
@@ -100,6 +130,14 @@
         }
     }
 
+    private String cancel(String job) {
+        try {
+            return call("DELETE", "/jobs/shop/" + job, "");
+        } catch (Exception e) {
+            return e.toString();
+        }
+    }
+
     private String put(String path, String body) throws Exception {
         return call("PUT", path, body);
     }
