Pass on the unsettled holders of earlier epochs with each takeover

Cause: the row of earlier owners that may still send orders was written after the takeover, once and without repetition, and its absence or an unreadable value was taken for none. The time for which they may act was judged by the last owner, so its release settled all of them.

Change: the takeover reads the row and writes it, with the previous holder, in its own transaction, on the condition that it has not changed. Holders are waited for until they confirm, have started anew, or their hold is over, counted from the takeover. An unreadable row stands for a holder that nobody can ask.

Result: two tests of OwnerElectionTest failed before (no holder passed on; nobody waited for); a third one shows that after a release without unsettled holders nobody is waited for, as before.

--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/DispatchHost.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/DispatchHost.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
@@ -129,7 +130,7 @@
                 long epoch,
                 long epochVersion,
                 long earlierOwnersMayOrderUntil,
-                Optional<String> previousHolder) {
+                Set<String> unsettledHolders) {
             components.metrics().recordOwnershipChange(true);
             OwnerTerm term =
                     new OwnerTerm(
@@ -139,7 +140,12 @@
                             settings.limits().leaseTimes());
             EarlierOwnerTracker earlierOwners =
                     new EarlierOwnerTracker(
-                            components, directory, peerClient, term, epochVersion, previousHolder);
+                            components,
+                            directory,
+                            peerClient,
+                            term,
+                            epochVersion,
+                            unsettledHolders);
             OwnerSession newSession =
                     new OwnerSession(
                             components, election, config, earlierOwners, term, epochVersion);
--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/OwnerElection.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/OwnerElection.java
@@ -1,6 +1,7 @@
 package org.peridotcourse.daemon.dispatch;
 
 import java.util.Optional;
+import java.util.Set;
 import org.peridotcourse.Result;
 import org.peridotcourse.base.LeaseChallenger;
 import org.peridotcourse.base.LeaseHolder;
@@ -66,7 +67,7 @@
                 long epoch,
                 long epochVersion,
                 long earlierOwnersMayOrderUntil,
-                Optional<String> previousHolder);
+                Set<String> unsettledHolders);
 
         /** Called when this host is no longer the owner. */
         void onLost(String reason);
@@ -107,13 +108,6 @@
     private long takeoverAt;
     private long noTakeoverBefore;
 
-    /** A takeover write that was sent. */
-    private record Takeover(
-            LeaseRow row,
-            long sentAt,
-            long earlierOwnersMayOrderUntil,
-            Optional<LeaseRow> previous) {}
-
     OwnerElection(
             EventLoop loop,
             RowStore store,
@@ -352,19 +346,40 @@
             loop.schedule(wait, () -> challenge(loop.nowMillis()));
         } else if (now >= takeoverAt) {
             takeoverAt = 0;
-            takeOver(row.get(), now);
+            takeOver(row.get());
         }
     }
 
-    private void takeOver(LeaseRow row, long now) {
+    /**
+     * Reads the unsettled holders of earlier epochs, then writes the takeover on the condition that
+     * they have not changed.
+     */
+    private void takeOver(LeaseRow row) {
         writing = true;
+        store.read(
+                RowRange.ofKey(RowNames.DUTIES, RowNames.PART, RowNames.EARLIER_KEY),
+                TIMEOUT_MILLIS,
+                result -> {
+                    if (result instanceof Result.Ok<RowSet> ok && !stopping) {
+                        writeTakeover(row, ok.value().row(RowNames.EARLIER_KEY));
+                    } else {
+                        writing = false;
+                    }
+                });
+    }
+
+    private void writeTakeover(LeaseRow row, Optional<StoredRow> earlierRow) {
         Optional<LeaseRow> previous = challenger.row();
-        long earlierOwnersMayOrderUntil =
-                previous.map(old -> earlierOwnersMayOrderUntil(old, now)).orElse(now);
-        Takeover takeover = new Takeover(row, now, earlierOwnersMayOrderUntil, previous);
+        Set<String> unsettledHolders =
+                EarlierOwnerTracker.unsettledHolders(previous, earlierRow, directory, log);
+        Takeover takeover = Takeover.of(row, previous, unsettledHolders, loop.nowMillis());
+        long earlierVersion = earlierRow.map(StoredRow::version).orElse(0L);
+        byte[] holders = RowCodec.names(takeover.unsettledHolders());
         RowWrite write =
                 ownerWrite(challenger.commit(), row)
+                        .expect(RowNames.DUTIES, RowNames.EARLIER_KEY, earlierVersion)
                         .put(RowNames.DUTIES, RowNames.EPOCH_KEY, RowCodec.lease(row))
+                        .put(RowNames.DUTIES, RowNames.EARLIER_KEY, holders)
                         .build();
         store.write(
                 write,
@@ -392,30 +407,13 @@
         }
     }
 
-    /**
-     * Combines a takeover with an earlier attempt to write the same row. Either may have taken
-     * effect, so the lease counts from the first one, as other hosts may have observed it since.
-     */
     private Takeover mergeWithUnsettled(Takeover takeover) {
         return unsettledTakeover
                 .filter(earlier -> earlier.row().equals(takeover.row()))
-                .map(
-                        earlier ->
-                                new Takeover(
-                                        takeover.row(),
-                                        earlier.sentAt(),
-                                        Math.max(
-                                                earlier.earlierOwnersMayOrderUntil(),
-                                                takeover.earlierOwnersMayOrderUntil()),
-                                        takeover.previous()))
+                .map(takeover::mergedWith)
                 .orElse(takeover);
     }
 
-    private long earlierOwnersMayOrderUntil(LeaseRow old, long now) {
-        boolean ordersEnded = old.isReleased() || directory.hasEnded(old.holder());
-        return ordersEnded ? now : now + old.holdMillis();
-    }
-
     private void onTaken(Takeover takeover, long version) {
         LeaseRow row = takeover.row();
         unsettledTakeover = Optional.empty();
@@ -427,10 +425,11 @@
                 .with("afterMillis", loop.nowMillis() - takeover.sentAt())
                 .write();
         loop.schedule(LEASE_MILLIS / 3, () -> renew(row.epoch()));
-        Optional<String> previousHolder =
-                takeover.previous().filter(old -> !old.isReleased()).map(LeaseRow::holder);
         listener.onTaken(
-                row.epoch(), version, takeover.earlierOwnersMayOrderUntil(), previousHolder);
+                row.epoch(),
+                version,
+                takeover.earlierOwnersMayOrderUntil(),
+                takeover.unsettledHolders());
     }
 
     private void renew(long epoch) {
--- a/daemon/src/test/java/org/peridotcourse/daemon/dispatch/OwnerElectionTest.java
+++ b/daemon/src/test/java/org/peridotcourse/daemon/dispatch/OwnerElectionTest.java
@@ -6,6 +6,7 @@
 
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -34,6 +35,11 @@
     private final FakeRowStore store = new FakeRowStore(loop);
     private OwnerElection election;
 
+    /** Time for which earlier owners may still send orders, as of the last takeover. */
+    private volatile long earlierMayOrderMillis;
+
+    private volatile Set<String> lastUnsettledHolders = Set.of();
+
     @BeforeEach
     void open() {
         StoreHealth health = new StoreHealth(log);
@@ -54,7 +60,9 @@
                 long epoch,
                 long epochVersion,
                 long earlierOwnersMayOrderUntil,
-                Optional<String> previousHolder) {
+                Set<String> unsettledHolders) {
+            earlierMayOrderMillis = earlierOwnersMayOrderUntil - loop.nowMillis();
+            lastUnsettledHolders = unsettledHolders;
             takeovers.incrementAndGet();
             firstTakeover.countDown();
         }
@@ -222,6 +230,59 @@
                 onLoop(() -> reader.recentCounts(loop.nowMillis() + age).isPresent()), "too old");
     }
 
+    /**
+     * A third owner started the tasks of the first one again, which was cut off with its workers:
+     * it judged by the second one only, which had released the ownership (review/6).
+     */
+    @Test
+    void aShortOwnershipPassesOnTheHoldersThatItHasNotSettled() throws Exception {
+        LeaseRow cutOff =
+                new LeaseRow(
+                        "first/1", 3, OwnerElection.LEASE_MILLIS, OwnerElection.HOLD_MILLIS, 0);
+        putDuty(RowNames.OWNER_KEY, RowCodec.lease(cutOff));
+        loop.post(election::start);
+        assertTrue(firstTakeover.await(TIMEOUT_SECONDS, TimeUnit.SECONDS));
+        assertEquals(Set.of("first/1"), lastUnsettledHolders);
+        loop.post(() -> election.release(true, Long.MAX_VALUE));
+        loop.post(() -> other().start());
+        awaitOnLoop(() -> takeovers.get() == 2);
+        assertEquals(Set.of("first/1"), lastUnsettledHolders);
+        long hold = OwnerElection.HOLD_MILLIS;
+        assertTrue(earlierMayOrderMillis > hold / 2, "millis " + earlierMayOrderMillis);
+    }
+
+    /** Holders in a row that cannot be read were taken for none. */
+    @Test
+    void holdersThatCannotBeReadAreWaitedFor() throws Exception {
+        LeaseRow released = new LeaseRow("", 4, OwnerElection.LEASE_MILLIS, 1, 0);
+        putDuty(RowNames.OWNER_KEY, RowCodec.lease(released));
+        putDuty(RowNames.EARLIER_KEY, new byte[] {'{', '}'});
+        loop.post(election::start);
+        assertTrue(firstTakeover.await(TIMEOUT_SECONDS, TimeUnit.SECONDS));
+        assertEquals(1, lastUnsettledHolders.size());
+        long hold = OwnerElection.HOLD_MILLIS;
+        assertTrue(earlierMayOrderMillis > hold / 2, "millis " + earlierMayOrderMillis);
+    }
+
+    /** A planned stop of a calm deployment must not make the tasks wait. */
+    @Test
+    void afterAReleaseWithoutUnsettledHoldersNobodyIsWaitedFor() throws Exception {
+        loop.post(election::start);
+        assertTrue(firstTakeover.await(TIMEOUT_SECONDS, TimeUnit.SECONDS));
+        loop.post(() -> election.release(true, Long.MAX_VALUE));
+        loop.post(() -> other().start());
+        awaitOnLoop(() -> takeovers.get() == 2);
+        assertEquals(Set.of(), lastUnsettledHolders);
+        assertTrue(earlierMayOrderMillis <= 0, "millis " + earlierMayOrderMillis);
+    }
+
+    private void putDuty(String key, byte[] value) throws Exception {
+        RowWrite write = RowWrite.builder(RowNames.PART).put(RowNames.DUTIES, key, value).build();
+        CompletableFuture<RowOutcome> written = new CompletableFuture<>();
+        loop.post(() -> store.write(write, 0, written::complete));
+        written.get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+    }
+
     private OwnerElection other() {
         StoreHealth health = new StoreHealth(log);
         HostDirectory directory =
