Write a takeover only if the lease is as it was when it was decided

Cause: since the takeover reads the unsettled holders first, a poll could see the takeover of another host in between. The write then used the version of that row with the epoch that was decided before, and replaced a live owner in its own epoch.

Change: the version and the content of the lease are those of the decision.

--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/OwnerElection.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/OwnerElection.java
@@ -352,37 +352,35 @@
 
     /**
      * Reads the unsettled holders of earlier epochs, then writes the takeover on the condition that
-     * they have not changed.
+     * they have not changed, nor the lease since the takeover was decided.
      */
     private void takeOver(LeaseRow row) {
         writing = true;
+        long leaseVersion = challenger.commit();
+        Optional<LeaseRow> previous = challenger.row();
         store.read(
                 RowRange.ofKey(RowNames.DUTIES, RowNames.PART, RowNames.EARLIER_KEY),
                 TIMEOUT_MILLIS,
                 result -> {
                     if (result instanceof Result.Ok<RowSet> ok && !stopping) {
-                        writeTakeover(row, ok.value().row(RowNames.EARLIER_KEY));
+                        Optional<StoredRow> earlier = ok.value().row(RowNames.EARLIER_KEY);
+                        writeTakeover(row, previous, leaseVersion, earlier);
                     } else {
                         writing = false;
                     }
                 });
     }
 
-    private void writeTakeover(LeaseRow row, Optional<StoredRow> earlierRow) {
-        Optional<LeaseRow> previous = challenger.row();
+    private void writeTakeover(
+            LeaseRow row,
+            Optional<LeaseRow> previous,
+            long leaseVersion,
+            Optional<StoredRow> earlierRow) {
         Set<String> unsettledHolders =
                 EarlierOwnerTracker.unsettledHolders(previous, earlierRow, directory, log);
         Takeover takeover = Takeover.of(row, previous, unsettledHolders, loop.nowMillis());
-        long earlierVersion = earlierRow.map(StoredRow::version).orElse(0L);
-        byte[] holders = RowCodec.names(takeover.unsettledHolders());
-        RowWrite write =
-                ownerWrite(challenger.commit(), row)
-                        .expect(RowNames.DUTIES, RowNames.EARLIER_KEY, earlierVersion)
-                        .put(RowNames.DUTIES, RowNames.EPOCH_KEY, RowCodec.lease(row))
-                        .put(RowNames.DUTIES, RowNames.EARLIER_KEY, holders)
-                        .build();
         store.write(
-                write,
+                takeover.toWrite(leaseVersion, earlierRow.map(StoredRow::version).orElse(0L)),
                 TIMEOUT_MILLIS,
                 outcome -> {
                     writing = false;
--- a/daemon/src/main/java/org/peridotcourse/daemon/dispatch/Takeover.java
+++ b/daemon/src/main/java/org/peridotcourse/daemon/dispatch/Takeover.java
@@ -41,6 +41,25 @@
                 unsettledHolders.isEmpty() ? now : now + hold);
     }
 
+    /**
+     * Returns the write, which takes effect only if neither the lease nor the row of the unsettled
+     * holders has changed.
+     *
+     * @param leaseVersion the version of the previous lease row
+     * @param earlierVersion the version of the row of the unsettled holders
+     */
+    RowWrite toWrite(long leaseVersion, long earlierVersion) {
+        byte[] lease = RowCodec.lease(row);
+        byte[] holders = RowCodec.names(unsettledHolders);
+        return RowWrite.builder(RowNames.PART)
+                .expect(RowNames.DUTIES, RowNames.OWNER_KEY, leaseVersion)
+                .expect(RowNames.DUTIES, RowNames.EARLIER_KEY, earlierVersion)
+                .put(RowNames.DUTIES, RowNames.OWNER_KEY, lease)
+                .put(RowNames.DUTIES, RowNames.EPOCH_KEY, lease)
+                .put(RowNames.DUTIES, RowNames.EARLIER_KEY, holders)
+                .build();
+    }
+
     /**
      * Combines this takeover with an earlier attempt to write the same row. Either may have taken
      * effect, so the lease counts from the first one, as other hosts may have observed it since.
--- a/daemon/src/test/java/org/peridotcourse/daemon/dispatch/FakeRowStore.java
+++ b/daemon/src/test/java/org/peridotcourse/daemon/dispatch/FakeRowStore.java
@@ -48,6 +48,12 @@
     /** Runs once, after the next read was executed and before its answer arrives. */
     Runnable afterNextRead = () -> {};
 
+    /** The key with which slow reads begin, empty for none. */
+    String slowKey = "";
+
+    /** Additional latency of slow reads. */
+    long slowMillis;
+
     /** The number of writes whose conditions did not hold. */
     int conflicts;
 
@@ -85,7 +91,8 @@
         Runnable afterRead = afterNextRead;
         afterNextRead = () -> {};
         afterRead.run();
-        loop.schedule(LATENCY_MILLIS, () -> handler.accept(Result.ok(set)));
+        long latency = LATENCY_MILLIS + (range.from().equals(slowKey) ? slowMillis : 0);
+        loop.schedule(latency, () -> handler.accept(Result.ok(set)));
     }
 
     /** Applies the write that is late, if there is one and its conditions still hold. */
--- a/daemon/src/test/java/org/peridotcourse/daemon/dispatch/OwnerElectionTest.java
+++ b/daemon/src/test/java/org/peridotcourse/daemon/dispatch/OwnerElectionTest.java
@@ -251,6 +251,24 @@
         assertTrue(earlierMayOrderMillis > hold / 2, "millis " + earlierMayOrderMillis);
     }
 
+    /**
+     * While this host reads the unsettled holders, another host takes over. A takeover that was
+     * decided before must not replace it in its epoch.
+     */
+    @Test
+    void aTakeoverIsWrittenOnlyIfTheLeaseIsAsItWasWhenItWasDecided() throws Exception {
+        LeaseRow released = new LeaseRow("", 4, OwnerElection.LEASE_MILLIS, 1, 0);
+        putDuty(RowNames.OWNER_KEY, RowCodec.lease(released));
+        store.slowKey = RowNames.EARLIER_KEY;
+        store.slowMillis = OwnerElection.LEASE_MILLIS;
+        loop.post(election::start);
+        pause(OwnerElection.LEASE_MILLIS / 3);
+        LeaseRow taken = new LeaseRow("other/8", 5, OwnerElection.LEASE_MILLIS, 1, 0);
+        putDuty(RowNames.OWNER_KEY, RowCodec.lease(taken));
+        pause(OwnerElection.LEASE_MILLIS);
+        assertEquals(0, takeovers.get());
+    }
+
     /** Holders in a row that cannot be read were taken for none. */
     @Test
     void holdersThatCannotBeReadAreWaitedFor() throws Exception {
