Share the components and the epoch row of the owner's tests

Five tests built the same components and wrote the same epoch row; TestSettings has one method for each. Assertions are unchanged, and the five tests pass.

--- a/daemon/src/test/java/org/peridotcourse/daemon/dispatch/FleetRowWriterTest.java
+++ b/daemon/src/test/java/org/peridotcourse/daemon/dispatch/FleetRowWriterTest.java
@@ -11,7 +11,6 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.peridotcourse.Resources;
-import org.peridotcourse.base.LeaseRow;
 import org.peridotcourse.daemon.log.DecisionRing;
 import org.peridotcourse.daemon.log.EventLog;
 import org.peridotcourse.daemon.ring.EventLoop;
@@ -35,25 +34,8 @@
     private long now;
 
     FleetRowWriterTest() {
-        store.write(
-                RowWrite.builder(RowNames.PART)
-                        .put(
-                                RowNames.DUTIES,
-                                RowNames.EPOCH_KEY,
-                                RowCodec.lease(new LeaseRow("host/1", 1, 1_500, 12_000, 0)))
-                        .build(),
-                0,
-                outcome -> {});
-        HostComponents components =
-                new HostComponents(
-                        loop,
-                        TestSettings.host("host"),
-                        store,
-                        new StoreHealth(log),
-                        null,
-                        null,
-                        new DispatchMetrics(loop::nowMillis),
-                        log);
+        store.write(TestSettings.epochWrite("host/1", 1), 0, outcome -> {});
+        HostComponents components = TestSettings.components(loop, store, log);
         writer = new FencedWriter(components, 1, 1, deposed::add);
         fleet = new FleetRowWriter(writer);
     }
--- a/daemon/src/test/java/org/peridotcourse/daemon/dispatch/JobRequestHandlerTest.java
+++ b/daemon/src/test/java/org/peridotcourse/daemon/dispatch/JobRequestHandlerTest.java
@@ -51,16 +51,7 @@
     private final FakeRowStore store = new FakeRowStore(loop);
     private final JobRequestHandler requests =
             new JobRequestHandler(
-                    new HostComponents(
-                            loop,
-                            TestSettings.host("host"),
-                            store,
-                            new StoreHealth(log),
-                            null,
-                            null,
-                            new DispatchMetrics(loop::nowMillis),
-                            log),
-                    queue -> OptionalInt.empty());
+                    TestSettings.components(loop, store, log), queue -> OptionalInt.empty());
 
     @BeforeEach
     void start() {
--- a/daemon/src/test/java/org/peridotcourse/daemon/dispatch/ProgressCleanerTest.java
+++ b/daemon/src/test/java/org/peridotcourse/daemon/dispatch/ProgressCleanerTest.java
@@ -10,7 +10,6 @@
 import java.util.function.BooleanSupplier;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
-import org.peridotcourse.base.LeaseRow;
 import org.peridotcourse.daemon.log.DecisionRing;
 import org.peridotcourse.daemon.log.EventLog;
 import org.peridotcourse.daemon.ring.EventLoop;
@@ -43,20 +42,8 @@
     private long now;
 
     ProgressCleanerTest() {
-        put(
-                RowNames.DUTIES,
-                RowNames.EPOCH_KEY,
-                RowCodec.lease(new LeaseRow("host/1", 1, 1_500, 12_000, 0)));
-        HostComponents components =
-                new HostComponents(
-                        loop,
-                        TestSettings.host("host"),
-                        store,
-                        new StoreHealth(log),
-                        null,
-                        null,
-                        new DispatchMetrics(loop::nowMillis),
-                        log);
+        store.write(TestSettings.epochWrite("host/1", 1), 0, outcome -> {});
+        HostComponents components = TestSettings.components(loop, store, log);
         FencedWriter writer = new FencedWriter(components, 1, 1, deposed::add);
         cleaner = new ProgressCleaner(writer, RETENTION_MILLIS, removed::add);
     }
--- a/daemon/src/test/java/org/peridotcourse/daemon/dispatch/ProgressWriterTest.java
+++ b/daemon/src/test/java/org/peridotcourse/daemon/dispatch/ProgressWriterTest.java
@@ -14,7 +14,6 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.peridotcourse.Resources;
-import org.peridotcourse.base.LeaseRow;
 import org.peridotcourse.daemon.log.DecisionRing;
 import org.peridotcourse.daemon.log.EventLog;
 import org.peridotcourse.daemon.ring.EventLoop;
@@ -50,13 +49,6 @@
         loop.close();
     }
 
-    private HostComponents components() {
-        HostSettings settings = TestSettings.host("host");
-        DispatchMetrics metrics = new DispatchMetrics(loop::nowMillis);
-        StoreHealth health = new StoreHealth(log);
-        return new HostComponents(loop, settings, store, health, null, null, metrics, log);
-    }
-
     private static WorkerInfo worker(int number) {
         String id = "instance-of-a-worker-" + number;
         return new WorkerInfo(
@@ -86,15 +78,10 @@
     /** Runs the writer until a condition holds, which is evaluated on the event loop. */
     private void runUntil(BooleanSupplier condition) throws InterruptedException {
         CountDownLatch reached = new CountDownLatch(1);
-        RowWrite epoch =
-                RowWrite.builder(RowNames.PART)
-                        .put(
-                                RowNames.DUTIES,
-                                RowNames.EPOCH_KEY,
-                                RowCodec.lease(new LeaseRow("host/1", 1, 1_500, 12_000, 0)))
-                        .build();
-        store.write(epoch, 0, outcome -> {});
-        ProgressWriter writer = new ProgressWriter(components(), owner, 1, deposed::add);
+        store.write(TestSettings.epochWrite("host/1", 1), 0, outcome -> {});
+        ProgressWriter writer =
+                new ProgressWriter(
+                        TestSettings.components(loop, store, log), owner, 1, deposed::add);
         loop.scheduleRepeating(5, () -> writer.step(loop.nowMillis()));
         loop.scheduleRepeating(
                 20,
@@ -162,7 +149,9 @@
      */
     @Test
     void aJobThatReusesTheIdOfARemovedOneIsNotTakenForIt() {
-        ProgressWriter writer = new ProgressWriter(components(), owner, 1, deposed::add);
+        ProgressWriter writer =
+                new ProgressWriter(
+                        TestSettings.components(loop, store, log), owner, 1, deposed::add);
         owner.onJobEnded("job-1");
         writer.onProgressRead("job-1", 5, new JobRecord(JobState.COMPLETED, 1, List.of()));
         writer.onJobRead("job-1", 9);
--- a/daemon/src/test/java/org/peridotcourse/daemon/dispatch/WithdrawalCleanerTest.java
+++ b/daemon/src/test/java/org/peridotcourse/daemon/dispatch/WithdrawalCleanerTest.java
@@ -14,7 +14,6 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
-import org.peridotcourse.base.LeaseRow;
 import org.peridotcourse.daemon.log.DecisionRing;
 import org.peridotcourse.daemon.log.EventLog;
 import org.peridotcourse.daemon.ring.EventLoop;
@@ -40,8 +39,7 @@
 
     @BeforeEach
     void writeEpoch() {
-        byte[] epoch = RowCodec.lease(new LeaseRow("host/1", 1, 1_500, 12_000, 0));
-        put(RowNames.DUTIES, RowNames.EPOCH_KEY, epoch);
+        store.write(TestSettings.epochWrite("host/1", 1), 0, outcome -> {});
     }
 
     @AfterEach
@@ -66,16 +64,7 @@
 
     /** Runs the cleaner until a condition holds, which is evaluated on the event loop. */
     private void runUntil(BooleanSupplier condition) throws InterruptedException {
-        HostComponents components =
-                new HostComponents(
-                        loop,
-                        TestSettings.host("host"),
-                        store,
-                        new StoreHealth(log),
-                        null,
-                        null,
-                        new DispatchMetrics(loop::nowMillis),
-                        log);
+        HostComponents components = TestSettings.components(loop, store, log);
         WithdrawalCleaner cleaner = new WithdrawalCleaner(components, 1, 1, deposed::add);
         CountDownLatch reached = new CountDownLatch(1);
         loop.scheduleRepeating(
@@ -121,8 +110,7 @@
     @Test
     void anOwnerThatWasDeposedRemovesNothing() throws InterruptedException {
         putWithdrawal("old", RETENTION_MILLIS + 1);
-        byte[] laterEpoch = RowCodec.lease(new LeaseRow("other/1", 2, 1_500, 12_000, 0));
-        put(RowNames.DUTIES, RowNames.EPOCH_KEY, laterEpoch);
+        store.write(TestSettings.epochWrite("other/1", 2), 0, outcome -> {});
         runUntil(() -> !deposed.isEmpty());
         assertEquals(Set.of("old"), withdrawnIds());
     }
