--- a/daemon/src/test/java/org/peridotcourse/daemon/dispatch/FleetRowWriterTest.java
+++ b/daemon/src/test/java/org/peridotcourse/daemon/dispatch/FleetRowWriterTest.java
@@ -6,8 +6,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.OptionalLong;
-import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.peridotcourse.Resources;
@@ -21,7 +19,6 @@
  * in the worker list either would start its tasks again at once.
  */
 class FleetRowWriterTest {
-    private static final long TIMEOUT_SECONDS = 10;
     private static final long STEP_MILLIS = 1_000;
     private static final WorkerInfo WORKER = worker("10.0.0.1:80");
 
@@ -69,23 +66,15 @@
      * before have an outcome.
      */
     private void run(Runnable... phases) throws InterruptedException {
-        CountDownLatch done = new CountDownLatch(1);
         List<Runnable> remaining = new ArrayList<>(List.of(phases));
-        loop.scheduleRepeating(
-                20,
+        Runnable nextPhase =
                 () -> {
-                    if (!writer.isIdle(loop.nowMillis())) {
-                        return;
-                    }
-                    if (remaining.isEmpty()) {
-                        done.countDown();
-                    } else {
+                    if (writer.isIdle(loop.nowMillis()) && !remaining.isEmpty()) {
                         remaining.remove(0).run();
                     }
-                });
-        loop.start();
-        assertTrue(done.await(TIMEOUT_SECONDS, TimeUnit.SECONDS), "not done in time");
-        loop.close();
+                };
+        LoopDriver.runUntil(
+                loop, nextPhase, () -> remaining.isEmpty() && writer.isIdle(loop.nowMillis()));
         assertTrue(deposed.isEmpty(), deposed.toString());
     }
 
--- a/daemon/src/test/java/org/peridotcourse/daemon/dispatch/ProgressCleanerTest.java
+++ b/daemon/src/test/java/org/peridotcourse/daemon/dispatch/ProgressCleanerTest.java
@@ -5,8 +5,6 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -21,7 +19,6 @@
  * was unknown from then on, although it was accepted.
  */
 class ProgressCleanerTest {
-    private static final long TIMEOUT_SECONDS = 10;
     private static final long RETENTION_MILLIS = 1_000;
     private static final long ENDED_AT = 1_800_000_000_000L;
     private static final long EXPIRED_AT =
@@ -74,21 +71,12 @@
 
     /** Runs the cleaner until a condition holds, which is evaluated on the event loop. */
     private void runUntil(BooleanSupplier condition) throws InterruptedException {
-        CountDownLatch reached = new CountDownLatch(1);
-        loop.scheduleRepeating(
-                20,
+        Runnable step =
                 () -> {
                     now += STEP_MILLIS;
                     cleaner.step(now, EXPIRED_AT);
-                    if (condition.getAsBoolean()) {
-                        reached.countDown();
-                    }
-                });
-        loop.start();
-        assertTrue(
-                reached.await(TIMEOUT_SECONDS, TimeUnit.SECONDS),
-                "the condition did not hold in time");
-        loop.close();
+                };
+        LoopDriver.runUntil(loop, step, condition);
         assertTrue(deposed.isEmpty(), deposed.toString());
     }
 
--- a/daemon/src/test/java/org/peridotcourse/daemon/dispatch/ProgressWriterTest.java
+++ b/daemon/src/test/java/org/peridotcourse/daemon/dispatch/ProgressWriterTest.java
@@ -8,8 +8,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -34,7 +32,6 @@
  * never sent.
  */
 class ProgressWriterTest {
-    private static final long TIMEOUT_SECONDS = 10;
     private static final int WORKERS = 1_000;
     private static final OwnerTerm TERM = new OwnerTerm(1, 0, 0, TestSettings.LEASE_TIMES);
 
@@ -77,23 +74,11 @@
 
     /** Runs the writer until a condition holds, which is evaluated on the event loop. */
     private void runUntil(BooleanSupplier condition) throws InterruptedException {
-        CountDownLatch reached = new CountDownLatch(1);
         store.write(TestSettings.epochWrite("host/1", 1), 0, outcome -> {});
         ProgressWriter writer =
                 new ProgressWriter(
                         TestSettings.components(loop, store, log), owner, 1, deposed::add);
-        loop.scheduleRepeating(5, () -> writer.step(loop.nowMillis()));
-        loop.scheduleRepeating(
-                20,
-                () -> {
-                    if (condition.getAsBoolean()) {
-                        reached.countDown();
-                    }
-                });
-        loop.start();
-        assertTrue(
-                reached.await(TIMEOUT_SECONDS, TimeUnit.SECONDS),
-                "the condition did not hold in time");
+        LoopDriver.runUntil(loop, () -> writer.step(loop.nowMillis()), condition);
         assertTrue(deposed.isEmpty(), deposed.toString());
     }
 
--- a/daemon/src/test/java/org/peridotcourse/daemon/dispatch/WithdrawalCleanerTest.java
+++ b/daemon/src/test/java/org/peridotcourse/daemon/dispatch/WithdrawalCleanerTest.java
@@ -7,8 +7,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
-import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.stream.Collectors;
 import org.junit.jupiter.api.AfterEach;
@@ -23,7 +21,6 @@
  * still prevent the late acceptance of a job.
  */
 class WithdrawalCleanerTest {
-    private static final long TIMEOUT_SECONDS = 10;
     private static final long WALL_NOW = 1_800_000_000_000L;
     private static final long RETENTION_MILLIS =
             ProgressCleaner.retentionMillis(
@@ -66,20 +63,7 @@
     private void runUntil(BooleanSupplier condition) throws InterruptedException {
         HostComponents components = TestSettings.components(loop, store, log);
         WithdrawalCleaner cleaner = new WithdrawalCleaner(components, 1, 1, deposed::add);
-        CountDownLatch reached = new CountDownLatch(1);
-        loop.scheduleRepeating(
-                5,
-                () -> {
-                    cleaner.step(loop.nowMillis(), WALL_NOW);
-                    if (condition.getAsBoolean()) {
-                        reached.countDown();
-                    }
-                });
-        loop.start();
-        assertTrue(
-                reached.await(TIMEOUT_SECONDS, TimeUnit.SECONDS),
-                "the condition did not hold in time");
-        loop.close();
+        LoopDriver.runUntil(loop, () -> cleaner.step(loop.nowMillis(), WALL_NOW), condition);
     }
 
     @Test
